Add kernel, HTTP library, build and design page

Cause: the repository is empty and all parts need common types first. Change: parent pom and modules, value types, result codes, table and configuration model, messages, timer service, duty threads, settings, logging, plug-in registry, a small HTTP server and client on Netty.

--- /dev/null
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ClientConnectionHandler.java
@@ -0,0 +1,125 @@
+package org.coriandercrank.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.coriandercrank.http.HttpCallException.Stage;
+import org.coriandercrank.kernel.id.HostAddress;
+
+/**
+ * One connection of {@link HttpClient}. Confined to its event loop; has at most one outstanding call. A call that
+ * times out closes the connection, so that its late answer is never taken for that of another call.
+ */
+final class ClientConnectionHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final long idleCloseMs;
+
+    private CompletableFuture<HttpReply> outstanding;
+    private Runnable release;
+    private ScheduledFuture<?> timeout;
+    private ScheduledFuture<?> idleClose;
+
+    ClientConnectionHandler(long idleCloseMs) {
+        this.idleCloseMs = idleCloseMs;
+    }
+
+    void send(
+            Channel channel,
+            HostAddress target,
+            HttpCall call,
+            long timeoutMs,
+            CompletableFuture<HttpReply> result,
+            Runnable whenFree) {
+        if (idleClose != null) {
+            idleClose.cancel(false);
+            idleClose = null;
+        }
+        if (!channel.isActive()) {
+            result.completeExceptionally(
+                    new HttpCallException(Stage.NOT_SENT, "connection to " + target + " was closed", null));
+            return;
+        }
+        outstanding = result;
+        release = whenFree;
+        timeout = channel.eventLoop()
+                .schedule(
+                        () -> failAndClose(channel, "no answer from " + target + " within " + timeoutMs + " ms", null),
+                        timeoutMs,
+                        TimeUnit.MILLISECONDS);
+        channel.writeAndFlush(request(target, call));
+    }
+
+    private static FullHttpRequest request(HostAddress target, HttpCall call) {
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(call.method()),
+                call.target(),
+                Unpooled.wrappedBuffer(call.body()));
+        HttpHeadersSupport.toNetty(call.headers(), request.headers());
+        request.headers().set(HttpHeaderNames.HOST, target.toString());
+        if (call.body().length > 0 || !("GET".equals(call.method()) || "HEAD".equals(call.method()))) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
+        }
+        return request;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+        CompletableFuture<HttpReply> result = outstanding;
+        Runnable whenFree = release;
+        if (result == null) {
+            context.close();
+            return;
+        }
+        timeout.cancel(false);
+        outstanding = null;
+        release = null;
+        byte[] body = new byte[response.content().readableBytes()];
+        response.content().readBytes(body);
+        HttpReply reply =
+                new HttpReply(response.status().code(), HttpHeadersSupport.fromNetty(response.headers()), body);
+        if (HttpUtil.isKeepAlive(response)) {
+            idleClose = context.executor().schedule(() -> closeIfIdle(context), idleCloseMs, TimeUnit.MILLISECONDS);
+            whenFree.run();
+        } else {
+            context.close();
+        }
+        result.complete(reply);
+    }
+
+    private void closeIfIdle(ChannelHandlerContext context) {
+        if (outstanding == null) {
+            context.close();
+        }
+    }
+
+    private void failAndClose(Channel channel, String message, Throwable cause) {
+        CompletableFuture<HttpReply> result = outstanding;
+        outstanding = null;
+        channel.close();
+        if (result != null) {
+            timeout.cancel(false);
+            result.completeExceptionally(new HttpCallException(Stage.SENT, message, cause));
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        failAndClose(context.channel(), "connection closed before the answer", null);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        failAndClose(context.channel(), "connection failed: " + cause.getMessage(), cause);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpCallException.java
@@ -0,0 +1,25 @@
+package org.coriandercrank.http;
+
+/** Failure of a client call. Immutable. */
+public final class HttpCallException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    /** How far the call got. */
+    public enum Stage {
+        /** No byte of the request was written. */
+        NOT_SENT,
+        /** The server may have handled the request. */
+        SENT
+    }
+
+    private final Stage stage;
+
+    public HttpCallException(Stage stage, String message, Throwable cause) {
+        super(message, cause);
+        this.stage = stage;
+    }
+
+    public Stage stage() {
+        return stage;
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpHandler.java
@@ -0,0 +1,15 @@
+package org.coriandercrank.http;
+
+import java.util.concurrent.CompletableFuture;
+
+/** Answers requests of a server. Called on an I/O thread; must not block. */
+@FunctionalInterface
+public interface HttpHandler {
+    /**
+     * Starts handling a call.
+     *
+     * @param closed completes when the caller's connection closes before the answer was written
+     * @return the answer; a failed future is answered with status 500
+     */
+    CompletableFuture<HttpReply> handle(HttpCall call, CompletableFuture<Void> closed);
+}
--- /dev/null
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpHeadersSupport.java
@@ -0,0 +1,56 @@
+package org.coriandercrank.http;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.coriandercrank.kernel.request.Header;
+
+/** Conversion between Netty's headers and {@link Header}. Stateless. */
+final class HttpHeadersSupport {
+    /** Fields that belong to one connection and are set by this package. */
+    private static final Set<String> CONNECTION_FIELDS = Set.of(
+            "connection",
+            "content-length",
+            "expect",
+            "host",
+            "keep-alive",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade");
+
+    private HttpHeadersSupport() {}
+
+    static List<Header> fromNetty(HttpHeaders headers) {
+        List<Header> result = new ArrayList<>(headers.size());
+        for (Map.Entry<String, String> entry : headers) {
+            String name = entry.getKey().toLowerCase(Locale.ROOT);
+            if (!CONNECTION_FIELDS.contains(name)) {
+                result.add(new Header(name, entry.getValue()));
+            }
+        }
+        return result;
+    }
+
+    static void toNetty(List<Header> headers, HttpHeaders target) {
+        for (Header header : headers) {
+            if (!CONNECTION_FIELDS.contains(header.name())) {
+                target.add(header.name(), header.value());
+            }
+        }
+    }
+
+    static Optional<String> first(List<Header> headers, String name) {
+        for (Header header : headers) {
+            if (header.name().equals(name)) {
+                return Optional.of(header.value());
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/BackendCall.java
@@ -0,0 +1,11 @@
+package org.coriandercrank.kernel.backend;
+
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.request.CallerRequest;
+
+/**
+ * One execution of a request by a backend server. Immutable.
+ *
+ * @param fence fence of the key's range; {@link Generation#NONE} for a service not divided by key
+ */
+public record BackendCall(CallerRequest request, Generation fence) {}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/BackendServerFactory.java
@@ -0,0 +1,9 @@
+package org.coriandercrank.kernel.backend;
+
+import org.coriandercrank.kernel.table.BackendInfo;
+
+/** Connects to a backend server that announced itself; opens at most {@code maxConnections} connections. */
+@FunctionalInterface
+public interface BackendServerFactory {
+    BackendServer connect(BackendInfo info);
+}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/Grant.java
@@ -0,0 +1,20 @@
+package org.coriandercrank.kernel.backend;
+
+import java.util.List;
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.table.KeyRange;
+
+/**
+ * The complete set of ranges that a backend server may serve, replacing the set before it. Immutable.
+ *
+ * @param sequence grows with each grant to a server; the server rejects an older one
+ * @param validityMs time from arrival after which the server must reject work unless granted again
+ */
+public record Grant(long sequence, List<GrantedRange> ranges, long validityMs) {
+    /** A range and its fence. Immutable. */
+    public record GrantedRange(KeyRange range, Generation fence) {}
+
+    public Grant {
+        ranges = List.copyOf(ranges);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/package-info.java
@@ -0,0 +1,2 @@
+/** The interface of a backend server. */
+package org.coriandercrank.kernel.backend;
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/code/CrankException.java
@@ -0,0 +1,38 @@
+package org.coriandercrank.kernel.code;
+
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
+
+/** A failure with a numbered result code; the form in which futures fail. Immutable. */
+public final class CrankException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    private final ResultCode code;
+
+    public CrankException(ResultCode code, String message) {
+        super(message);
+        this.code = code;
+    }
+
+    public CrankException(ResultCode code, String message, Throwable cause) {
+        super(message, cause);
+        this.code = code;
+    }
+
+    public ResultCode code() {
+        return code;
+    }
+
+    /** Unwraps future wrappers; a failure without a code becomes {@link ResultCode#INTERNAL}. */
+    public static CrankException of(Throwable failure) {
+        Throwable current = failure;
+        while ((current instanceof CompletionException || current instanceof ExecutionException)
+                && current.getCause() != null) {
+            current = current.getCause();
+        }
+        if (current instanceof CrankException) {
+            return (CrankException) current;
+        }
+        return new CrankException(ResultCode.INTERNAL, String.valueOf(current), current);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/code/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered result codes and the exception that carries one. */
+package org.coriandercrank.kernel.code;
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/Configuration.java
@@ -0,0 +1,41 @@
+package org.coriandercrank.kernel.config;
+
+import java.util.List;
+import java.util.Optional;
+import org.coriandercrank.kernel.id.NoteId;
+import org.coriandercrank.kernel.id.ServiceName;
+
+/**
+ * The whole configuration, content of the object {@code config/current}.
+ *
+ * <p>Immutable. Its revision is the store revision of the object. {@code recentNotes} holds the ids of the latest
+ * accepted notes, newest first, so that an unanswered submission can be resolved.
+ */
+public record Configuration(List<ServiceConfig> services, List<BackendRule> backends, List<NoteId> recentNotes) {
+    public static final Configuration EMPTY = new Configuration(List.of(), List.of(), List.of());
+    public static final int MAX_RECENT_NOTES = 256;
+
+    public Configuration {
+        services = List.copyOf(services);
+        backends = List.copyOf(backends);
+        recentNotes = List.copyOf(recentNotes);
+    }
+
+    public Optional<ServiceConfig> service(ServiceName name) {
+        return services.stream().filter(s -> s.name().equals(name)).findFirst();
+    }
+
+    public Optional<BackendRule> backend(String backendName) {
+        return backends.stream()
+                .filter(b -> b.backendName().equals(backendName))
+                .findFirst();
+    }
+
+    public boolean isDraining(String backendName) {
+        return backend(backendName).map(BackendRule::drain).orElse(false);
+    }
+
+    public int weightPercent(String backendName) {
+        return backend(backendName).map(BackendRule::weightPercent).orElse(BackendRule.DEFAULT_WEIGHT_PERCENT);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration that release notes change. */
+package org.coriandercrank.kernel.config;
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/id/MemberId.java
@@ -0,0 +1,28 @@
+package org.coriandercrank.kernel.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Id of one incarnation of a daemon; a restarted daemon has a new one.
+ *
+ * <p>Immutable. The value consists of 1 to 96 characters {@code [A-Za-z0-9._-]}.
+ */
+public record MemberId(@JsonValue String value) implements Comparable<MemberId> {
+    private static final int MAX_LENGTH = 96;
+
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public MemberId {
+        Names.check("member id", value, MAX_LENGTH);
+    }
+
+    @Override
+    public int compareTo(MemberId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for identifiers and positions. */
+package org.coriandercrank.kernel.id;
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/log/DecisionLog.java
@@ -0,0 +1,51 @@
+package org.coriandercrank.kernel.log;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.coriandercrank.kernel.time.MonotonicClock;
+
+/**
+ * Log of routing or placement decisions, one line each, with an upper bound on lines per second.
+ *
+ * <p>Thread safe. Lines above the bound are counted and the count is logged once a second. The text of a line is built
+ * only if the line is written.
+ */
+public final class DecisionLog {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final long NANOS_PER_SECOND = 1_000_000_000;
+
+    private final long maxLinesPerSecond;
+    private final MonotonicClock clock;
+    private final AtomicLong windowStartNanos;
+    private final AtomicLong lines = new AtomicLong();
+
+    public DecisionLog(long maxLinesPerSecond, MonotonicClock clock) {
+        this.maxLinesPerSecond = maxLinesPerSecond;
+        this.clock = clock;
+        this.windowStartNanos = new AtomicLong(clock.nowNanos());
+    }
+
+    /** Logs a line of the form {@code event=... name=value ...}. */
+    public void log(Supplier<String> line) {
+        if (maxLinesPerSecond <= 0) {
+            return;
+        }
+        rollWindow();
+        if (lines.incrementAndGet() <= maxLinesPerSecond) {
+            logger.atInfo().log("%s", line.get());
+        }
+    }
+
+    private void rollWindow() {
+        long now = clock.nowNanos();
+        long start = windowStartNanos.get();
+        if (now - start < NANOS_PER_SECOND || !windowStartNanos.compareAndSet(start, now)) {
+            return;
+        }
+        long suppressed = lines.getAndSet(0) - maxLinesPerSecond;
+        if (suppressed > 0) {
+            logger.atWarning().log("event=decision-log-limit suppressed=%d", suppressed);
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/log/LogSetup.java
@@ -0,0 +1,30 @@
+package org.coriandercrank.kernel.log;
+
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** Sends log lines of the process to standard error. Call once at start. */
+public final class LogSetup {
+    private static final String ROOT_PACKAGE = "org.coriandercrank";
+
+    /** Kept so that the level of the logger is not lost to garbage collection. */
+    private static final Logger PROJECT_LOGGER = Logger.getLogger(ROOT_PACKAGE);
+
+    private LogSetup() {}
+
+    /** Sets the level of this project's loggers; libraries log warnings and errors only. */
+    public static void configure(Level level) {
+        Logger root = Logger.getLogger("");
+        for (Handler handler : root.getHandlers()) {
+            root.removeHandler(handler);
+        }
+        Handler console = new ConsoleHandler();
+        console.setLevel(Level.ALL);
+        console.setFormatter(new LineFormatter());
+        root.addHandler(console);
+        root.setLevel(Level.WARNING);
+        PROJECT_LOGGER.setLevel(level);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log lines. */
+package org.coriandercrank.kernel.log;
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/message/OutcomeAnswer.java
@@ -0,0 +1,37 @@
+package org.coriandercrank.kernel.message;
+
+import java.util.Optional;
+import org.coriandercrank.kernel.request.CallerAnswer;
+
+/**
+ * What became of a request id. Immutable.
+ *
+ * @param answer the final answer, present exactly if the state is {@link State#FINISHED}
+ */
+public record OutcomeAnswer(State state, Optional<CallerAnswer> answer) implements Message {
+    /** State of a request id at an owner gate. */
+    public enum State {
+        /** The request has its final answer. */
+        FINISHED,
+        /** The request is queued or at the backend server. */
+        RUNNING,
+        /** The request was never admitted and from now on will not be. */
+        BARRED,
+        /** The gate cannot tell, because its records do not reach back far enough. */
+        UNKNOWN
+    }
+
+    public OutcomeAnswer {
+        if (answer.isPresent() != (state == State.FINISHED)) {
+            throw new IllegalArgumentException("answer must be present exactly if the state is FINISHED");
+        }
+    }
+
+    public static OutcomeAnswer finished(CallerAnswer answer) {
+        return new OutcomeAnswer(State.FINISHED, Optional.of(answer));
+    }
+
+    public static OutcomeAnswer of(State state) {
+        return new OutcomeAnswer(state, Optional.empty());
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/message/package-info.java
@@ -0,0 +1,2 @@
+/** Typed messages between daemons. */
+package org.coriandercrank.kernel.message;
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/KnownMember.java
@@ -0,0 +1,7 @@
+package org.coriandercrank.kernel.ownership;
+
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.table.Member;
+
+/** A member record and its revision in the store. Immutable. */
+public record KnownMember(Member member, Revision revision) {}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/RoutingSnapshot.java
@@ -0,0 +1,40 @@
+package org.coriandercrank.kernel.ownership;
+
+import java.util.Map;
+import java.util.Optional;
+import org.coriandercrank.kernel.config.Configuration;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.table.AssignmentTable;
+import org.coriandercrank.kernel.table.Member;
+
+/**
+ * What a daemon knows of the control objects at one moment. Immutable.
+ *
+ * @param self member id of this daemon
+ * @param configurationRevision {@link Revision#NONE} until a configuration has been read
+ */
+public record RoutingSnapshot(
+        MemberId self,
+        Revision configurationRevision,
+        Configuration configuration,
+        Map<ServiceName, AssignmentTable> tables,
+        Map<MemberId, KnownMember> members) {
+    public RoutingSnapshot {
+        tables = Map.copyOf(tables);
+        members = Map.copyOf(members);
+    }
+
+    public static RoutingSnapshot empty(MemberId self) {
+        return new RoutingSnapshot(self, Revision.NONE, Configuration.EMPTY, Map.of(), Map.of());
+    }
+
+    public Optional<AssignmentTable> table(ServiceName service) {
+        return Optional.ofNullable(tables.get(service));
+    }
+
+    public Optional<Member> member(MemberId id) {
+        return Optional.ofNullable(members.get(id)).map(KnownMember::member);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/package-info.java
@@ -0,0 +1,2 @@
+/** Interfaces between control, gate and ingress. */
+package org.coriandercrank.kernel.ownership;
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/peer/PeerHandlers.java
@@ -0,0 +1,22 @@
+package org.coriandercrank.kernel.peer;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.coriandercrank.kernel.message.Message;
+
+/** The handlers of a daemon by message type. Thread safe; each type is registered once. */
+public final class PeerHandlers {
+    private final Map<Class<? extends Message>, PeerHandler<?>> handlers = new ConcurrentHashMap<>();
+
+    public <M extends Message> void register(Class<M> type, PeerHandler<M> handler) {
+        if (handlers.putIfAbsent(type, handler) != null) {
+            throw new IllegalStateException("handler registered twice for " + type.getSimpleName());
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    public <M extends Message> Optional<PeerHandler<M>> find(M message) {
+        return Optional.ofNullable((PeerHandler<M>) handlers.get(message.getClass()));
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The interfaces of links between daemons. */
+package org.coriandercrank.kernel.peer;
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/placement/RangeLoad.java
@@ -0,0 +1,23 @@
+package org.coriandercrank.kernel.placement;
+
+import java.util.List;
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.KeyHash;
+import org.coriandercrank.kernel.table.KeyRange;
+
+/**
+ * Load of one owned range. Immutable.
+ *
+ * @param serving whether the owner serves the range under this fence
+ * @param requestsPerSecond smoothed rate
+ * @param hotHashes the hashes with the highest rates, highest first
+ */
+public record RangeLoad(
+        KeyRange range, Generation fence, boolean serving, double requestsPerSecond, List<HotHash> hotHashes) {
+    /** Rate of one hash. Immutable. */
+    public record HotHash(KeyHash hash, double requestsPerSecond) {}
+
+    public RangeLoad {
+        hotHashes = List.copyOf(hotHashes);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Policies for placing ranges and for balancing requests. */
+package org.coriandercrank.kernel.placement;
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/plugin/package-info.java
@@ -0,0 +1,2 @@
+/** The plug-in registry. */
+package org.coriandercrank.kernel.plugin;
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/request/CallerRequest.java
@@ -0,0 +1,43 @@
+package org.coriandercrank.kernel.request;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.coriandercrank.kernel.id.IdempotencyKey;
+import org.coriandercrank.kernel.id.Key;
+import org.coriandercrank.kernel.id.RequestId;
+import org.coriandercrank.kernel.id.ServiceName;
+
+/**
+ * A caller's request inside the system.
+ *
+ * <p>Immutable by convention: the body array is not changed after construction.
+ *
+ * @param key empty for a service that is not divided by key
+ * @param path path and query as passed on to the backend server, starting with a slash
+ * @param remainingMs time left until the deadline when the request was handed over
+ * @param idempotencyKeyAgeMs time since the caller's first attempt with the key, if stated
+ */
+public record CallerRequest(
+        RequestId id,
+        ServiceName service,
+        Optional<Key> key,
+        String method,
+        String path,
+        List<Header> headers,
+        byte[] body,
+        long remainingMs,
+        Optional<IdempotencyKey> idempotencyKey,
+        OptionalLong idempotencyKeyAgeMs) {
+    public CallerRequest {
+        headers = List.copyOf(headers);
+        if (remainingMs < 0) {
+            throw new IllegalArgumentException("remainingMs must not be negative");
+        }
+    }
+
+    public CallerRequest withRemainingMs(long newRemainingMs) {
+        return new CallerRequest(
+                id, service, key, method, path, headers, body, newRemainingMs, idempotencyKey, idempotencyKeyAgeMs);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/request/package-info.java
@@ -0,0 +1,2 @@
+/** Callers' requests and answers inside the system. */
+package org.coriandercrank.kernel.request;
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ring/DutyThread.java
@@ -0,0 +1,127 @@
+package org.coriandercrank.kernel.ring;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Supplier;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.jctools.queues.MpscArrayQueue;
+
+/**
+ * A thread with one duty, fed by a bounded ring of tasks.
+ *
+ * <p>Thread safe: any thread may offer tasks. Tasks run one at a time, in the order of the ring; state of the duty is
+ * touched only by them. A task that throws is logged and does not end the thread.
+ */
+public final class DutyThread implements Executor, AutoCloseable {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int SPINS_BEFORE_PARK = 100;
+    private static final long PARK_NANOS = 50_000_000;
+    private static final long CLOSE_WAIT_MS = 2_000;
+
+    private final MpscArrayQueue<Runnable> ring;
+    private final Thread thread;
+    private volatile boolean closed;
+    private volatile boolean parked;
+
+    public DutyThread(String name, int ringCapacity) {
+        ring = new MpscArrayQueue<>(ringCapacity);
+        thread = new Thread(this::run, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Queues a task; false if the ring is full or the duty is closed. */
+    public boolean offer(Runnable task) {
+        if (closed || !ring.offer(task)) {
+            return false;
+        }
+        if (parked) {
+            LockSupport.unpark(thread);
+        }
+        return true;
+    }
+
+    /** Queues a task; throws {@link RejectedExecutionException} if the ring is full or the duty is closed. */
+    @Override
+    public void execute(Runnable task) {
+        if (!offer(task)) {
+            throw new RejectedExecutionException(thread.getName() + " takes no task");
+        }
+    }
+
+    /** Runs a task on the duty; the future fails with {@code OVERLOADED} if the ring is full. */
+    public <T> CompletableFuture<T> call(Supplier<T> task) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        if (!offer(() -> complete(result, task))) {
+            result.completeExceptionally(
+                    new CrankException(ResultCode.OVERLOADED, thread.getName() + " takes no task"));
+        }
+        return result;
+    }
+
+    /** Whether the calling thread is the thread of this duty. */
+    public boolean isCurrentThread() {
+        return Thread.currentThread() == thread;
+    }
+
+    private static <T> void complete(CompletableFuture<T> result, Supplier<T> task) {
+        try {
+            result.complete(task.get());
+        } catch (RuntimeException e) {
+            result.completeExceptionally(e);
+        }
+    }
+
+    private void run() {
+        int idleSpins = 0;
+        while (true) {
+            Runnable task = ring.poll();
+            if (task != null) {
+                idleSpins = 0;
+                runSafely(task);
+            } else if (closed) {
+                return;
+            } else if (idleSpins < SPINS_BEFORE_PARK) {
+                idleSpins++;
+                Thread.onSpinWait();
+            } else {
+                park();
+            }
+        }
+    }
+
+    private void park() {
+        parked = true;
+        if (ring.isEmpty() && !closed) {
+            LockSupport.parkNanos(this, PARK_NANOS);
+        }
+        parked = false;
+    }
+
+    private void runSafely(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            logger.atSevere().withCause(e).log("event=task-failed duty=%s", thread.getName());
+        }
+    }
+
+    /** Runs the tasks already queued, then ends the thread; waits at most 2 s. */
+    @Override
+    public void close() {
+        closed = true;
+        LockSupport.unpark(thread);
+        if (isCurrentThread()) {
+            return;
+        }
+        try {
+            thread.join(CLOSE_WAIT_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ring/package-info.java
@@ -0,0 +1,2 @@
+/** Threads for duties, joined by bounded rings. */
+package org.coriandercrank.kernel.ring;
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/settings/Faults.java
@@ -0,0 +1,49 @@
+package org.coriandercrank.kernel.settings;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+/** Collects faults of settings or input so that all are reported together. Not thread safe. */
+public final class Faults {
+    private final List<String> messages = new ArrayList<>();
+
+    public void add(String field, String problem) {
+        messages.add(field + ": " + problem);
+    }
+
+    public void requireRange(String field, long value, long min, long max) {
+        if (value < min || value > max) {
+            add(field, "must be between " + min + " and " + max + ", got " + value);
+        }
+    }
+
+    /** Parses a required text; adds a fault and returns null if it is missing or malformed. */
+    public <T> T parse(String field, String text, Function<String, T> parser) {
+        if (text == null || text.isEmpty()) {
+            add(field, "is required");
+            return null;
+        }
+        return attempt(field, () -> parser.apply(text));
+    }
+
+    /** Runs a check that throws {@link IllegalArgumentException}; adds a fault and returns null if it does. */
+    public <T> T attempt(String field, Supplier<T> action) {
+        try {
+            return action.get();
+        } catch (IllegalArgumentException e) {
+            add(field, e.getMessage());
+            return null;
+        }
+    }
+
+    public boolean isEmpty() {
+        return messages.isEmpty();
+    }
+
+    public List<String> messages() {
+        return Collections.unmodifiableList(messages);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings from flags and environment variables. */
+package org.coriandercrank.kernel.settings;
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/store/JsonCodec.java
@@ -0,0 +1,45 @@
+package org.coriandercrank.kernel.store;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.ResultCode;
+
+/** JSON form of objects in the store. Stateless and thread safe; unknown fields are ignored. */
+public final class JsonCodec {
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .addModule(new OptionalModule())
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .serializationInclusion(JsonInclude.Include.NON_NULL)
+            .build();
+
+    private JsonCodec() {}
+
+    /** A mapper of the same settings; callers do not change it. */
+    public static ObjectMapper mapper() {
+        return MAPPER;
+    }
+
+    public static byte[] encode(Object value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new CrankException(
+                    ResultCode.INTERNAL, "cannot encode " + value.getClass().getSimpleName(), e);
+        }
+    }
+
+    /** Fails with {@link ResultCode#STORE_MALFORMED} if the bytes are not of the type. */
+    public static <T> T decode(byte[] bytes, Class<T> type) {
+        try {
+            return MAPPER.readValue(bytes, type);
+        } catch (IOException e) {
+            throw new CrankException(
+                    ResultCode.STORE_MALFORMED, "cannot read " + type.getSimpleName() + ": " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/store/package-info.java
@@ -0,0 +1,2 @@
+/** The interface of the platform's object store. */
+package org.coriandercrank.kernel.store;
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/table/Member.java
@@ -0,0 +1,57 @@
+package org.coriandercrank.kernel.table;
+
+import java.util.List;
+import java.util.Optional;
+import org.coriandercrank.kernel.id.FailureDomain;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.Region;
+
+/**
+ * Record of one incarnation of a daemon.
+ *
+ * <p>Immutable. Written by the member itself; another daemon may only seal it. The backend server is empty while the
+ * state is {@link MemberState#JOINING}.
+ *
+ * @param peerAddress address for links between daemons
+ * @param callerAddress address for callers' requests
+ * @param adminAddress address for operators and metrics
+ * @param witnesses members that vote on the lease of this member
+ */
+public record Member(
+        MemberId id,
+        HostAddress peerAddress,
+        HostAddress callerAddress,
+        HostAddress adminAddress,
+        Region region,
+        FailureDomain failureDomain,
+        MemberState state,
+        Optional<BackendInfo> backend,
+        List<MemberId> witnesses) {
+    public Member {
+        witnesses = List.copyOf(witnesses);
+    }
+
+    public Member withState(MemberState newState) {
+        return new Member(
+                id, peerAddress, callerAddress, adminAddress, region, failureDomain, newState, backend, witnesses);
+    }
+
+    public Member withWitnesses(List<MemberId> newWitnesses) {
+        return new Member(
+                id, peerAddress, callerAddress, adminAddress, region, failureDomain, state, backend, newWitnesses);
+    }
+
+    public Member withBackend(BackendInfo newBackend) {
+        return new Member(
+                id,
+                peerAddress,
+                callerAddress,
+                adminAddress,
+                region,
+                failureDomain,
+                state,
+                Optional.of(newBackend),
+                witnesses);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/table/package-info.java
@@ -0,0 +1,2 @@
+/** Members of the fleet and assignment tables of services. */
+package org.coriandercrank.kernel.table;
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/time/package-info.java
@@ -0,0 +1,2 @@
+/** The timer service and monotonic time. */
+package org.coriandercrank.kernel.time;
