Add links between daemons and a fault-injecting proxy

Cause: daemons need calls whose failures tell whether a message was handled. Change: MessagePack codec for all messages, links that identify the other member before the first message, ping and close on silence, traffic meters; a TCP proxy for tests that cuts, blocks, delays and silences connections. Conclusion: failures before the greeting are certain, later ones unknown.

--- /dev/null
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/MessageCodec.java
@@ -0,0 +1,229 @@
+package org.coriandercrank.peer.internal;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.message.CallFailure;
+import org.coriandercrank.kernel.message.CancelRequest;
+import org.coriandercrank.kernel.message.FetchObject;
+import org.coriandercrank.kernel.message.ForwardAnswer;
+import org.coriandercrank.kernel.message.ForwardRequest;
+import org.coriandercrank.kernel.message.Heartbeat;
+import org.coriandercrank.kernel.message.HeartbeatAck;
+import org.coriandercrank.kernel.message.Hello;
+import org.coriandercrank.kernel.message.LoadQuery;
+import org.coriandercrank.kernel.message.LoadReport;
+import org.coriandercrank.kernel.message.Message;
+import org.coriandercrank.kernel.message.ObjectData;
+import org.coriandercrank.kernel.message.OutcomeAnswer;
+import org.coriandercrank.kernel.message.OutcomeQuery;
+import org.coriandercrank.kernel.message.Ping;
+import org.coriandercrank.kernel.message.Pong;
+import org.coriandercrank.kernel.message.RefusalAnswer;
+import org.coriandercrank.kernel.message.RefusalNotice;
+import org.coriandercrank.kernel.message.RefusalRequest;
+import org.coriandercrank.kernel.message.ReleaseAnswer;
+import org.coriandercrank.kernel.message.ReleaseRequest;
+import org.msgpack.core.MessagePackException;
+
+/**
+ * Messages as MessagePack: type number, correlation id, then the fields in the order of the record. Stateless and
+ * thread safe. Type numbers are never reused for another message.
+ */
+public final class MessageCodec {
+    private record Entry<M extends Message>(
+            int number, Class<M> type, FieldWriter.Element<M> writer, FieldReader.Element<M> reader) {
+        void write(FieldWriter out, Message message) throws IOException {
+            writer.write(out, type.cast(message));
+        }
+    }
+
+    private static final Map<Class<?>, Entry<?>> BY_TYPE = new HashMap<>();
+    private static final Map<Integer, Entry<?>> BY_NUMBER = new HashMap<>();
+
+    static {
+        registerLinkMessages();
+        registerLeaseMessages();
+        registerRequestMessages();
+        registerControlMessages();
+    }
+
+    private MessageCodec() {}
+
+    public static byte[] encode(Frame frame) {
+        FieldWriter out = new FieldWriter();
+        Entry<?> entry = BY_TYPE.get(frame.message().getClass());
+        try {
+            out.integer(entry.number).integer(frame.correlationId());
+            entry.write(out, frame.message());
+        } catch (IOException e) {
+            throw new CrankException(ResultCode.INTERNAL, "cannot encode a message", e);
+        }
+        return out.toByteArray();
+    }
+
+    /** Fails with {@link ResultCode#FRAME_MALFORMED} if the bytes are not a message. */
+    public static Frame decode(byte[] bytes) {
+        FieldReader in = new FieldReader(bytes);
+        try {
+            int number = in.integer32();
+            long correlationId = in.integer();
+            Entry<?> entry = BY_NUMBER.get(number);
+            if (entry == null) {
+                throw new IOException("unknown message type " + number);
+            }
+            return new Frame(correlationId, entry.reader.read(in));
+        } catch (IOException | MessagePackException | IllegalArgumentException e) {
+            throw new CrankException(ResultCode.FRAME_MALFORMED, "cannot decode a frame: " + e.getMessage(), e);
+        }
+    }
+
+    private static <M extends Message> void register(
+            int number, Class<M> type, FieldWriter.Element<M> writer, FieldReader.Element<M> reader) {
+        Entry<M> entry = new Entry<>(number, type, writer, reader);
+        BY_TYPE.put(type, entry);
+        BY_NUMBER.put(number, entry);
+    }
+
+    private static void registerLinkMessages() {
+        register(
+                1,
+                Hello.class,
+                (out, m) -> out.text(m.sender()).integer(m.protocolVersion()),
+                in -> new Hello(ValueFields.memberId(in), in.integer32()));
+        register(2, Ping.class, (out, m) -> {}, in -> new Ping());
+        register(3, Pong.class, (out, m) -> {}, in -> new Pong());
+        register(
+                4,
+                CallFailure.class,
+                (out, m) -> out.integer(m.code().number()).text(m.detail()),
+                in -> new CallFailure(ValueFields.resultCode(in), in.text()));
+    }
+
+    private static void registerLeaseMessages() {
+        register(
+                10,
+                Heartbeat.class,
+                (out, m) -> {
+                    out.text(m.member()).integer(m.recordRevision().value()).integer(m.sequence());
+                    ValueFields.writeDigest(out, m.digest());
+                },
+                in -> new Heartbeat(
+                        ValueFields.memberId(in), ValueFields.revision(in), in.integer(), ValueFields.digest(in)));
+        register(
+                11,
+                HeartbeatAck.class,
+                (out, m) -> {
+                    out.text(m.witness()).integer(m.sequence()).flag(m.granted());
+                    ValueFields.writeDigest(out, m.digest());
+                },
+                in -> new HeartbeatAck(ValueFields.memberId(in), in.integer(), in.flag(), ValueFields.digest(in)));
+        register(
+                12,
+                RefusalRequest.class,
+                (out, m) -> out.text(m.member()).integer(m.recordRevision().value()),
+                in -> new RefusalRequest(ValueFields.memberId(in), ValueFields.revision(in)));
+        register(
+                13,
+                RefusalAnswer.class,
+                (out, m) -> out.text(m.witness()).flag(m.granted()).integer(m.retryAfterMs()),
+                in -> new RefusalAnswer(ValueFields.memberId(in), in.flag(), in.integer()));
+        register(
+                14,
+                RefusalNotice.class,
+                (out, m) -> out.text(m.member()).integer(m.recordRevision().value()),
+                in -> new RefusalNotice(ValueFields.memberId(in), ValueFields.revision(in)));
+    }
+
+    private static void registerRequestMessages() {
+        register(
+                20,
+                ForwardRequest.class,
+                (out, m) -> {
+                    ValueFields.writeRequest(out, m.request());
+                    out.integer(m.tableGeneration().value());
+                },
+                in -> new ForwardRequest(ValueFields.request(in), ValueFields.generation(in)));
+        register(
+                21,
+                ForwardAnswer.class,
+                (out, m) -> {
+                    ValueFields.writeAnswer(out, m.answer());
+                    out.integer(m.tableGeneration().value());
+                },
+                in -> new ForwardAnswer(ValueFields.answer(in), ValueFields.generation(in)));
+        register(
+                22,
+                CancelRequest.class,
+                (out, m) -> out.text(m.requestId()),
+                in -> new CancelRequest(ValueFields.requestId(in)));
+        register(
+                23,
+                OutcomeQuery.class,
+                (out, m) -> out.text(m.requestId())
+                        .text(m.service())
+                        .optional(m.keyHash(), (o, hash) -> o.integer(hash.value())),
+                in -> new OutcomeQuery(
+                        ValueFields.requestId(in), ValueFields.serviceName(in), in.optional(ValueFields::keyHash)));
+        register(
+                24,
+                OutcomeAnswer.class,
+                (out, m) -> out.text(m.state()).optional(m.answer(), ValueFields::writeAnswer),
+                in -> new OutcomeAnswer(OutcomeAnswer.State.valueOf(in.text()), in.optional(ValueFields::answer)));
+    }
+
+    private static void registerControlMessages() {
+        register(
+                30,
+                ReleaseRequest.class,
+                (out, m) -> {
+                    out.text(m.requester()).text(m.service());
+                    ValueFields.writeRange(out, m.range());
+                    out.integer(m.generation().value());
+                },
+                in -> new ReleaseRequest(
+                        ValueFields.memberId(in),
+                        ValueFields.serviceName(in),
+                        ValueFields.range(in),
+                        ValueFields.generation(in)));
+        register(
+                31,
+                ReleaseAnswer.class,
+                (out, m) -> out.flag(m.released())
+                        .integer(m.recordsCompleteForMs())
+                        .list(m.records(), ValueFields::writeRecord),
+                in -> new ReleaseAnswer(in.flag(), in.integer(), in.list(ValueFields::outcomeRecord)));
+        register(
+                32,
+                FetchObject.class,
+                (out, m) -> out.text(m.kind()).integer(m.newerThan().value()),
+                in -> new FetchObject(FetchObject.Kind.valueOf(in.text()), ValueFields.revision(in)));
+        register(
+                33,
+                ObjectData.class,
+                (out, m) -> out.text(m.kind())
+                        .integer(m.upTo().value())
+                        .flag(m.reset())
+                        .list(m.objects(), ValueFields::writeObject),
+                in -> new ObjectData(
+                        FetchObject.Kind.valueOf(in.text()),
+                        ValueFields.revision(in),
+                        in.flag(),
+                        in.list(ValueFields::object)));
+        register(34, LoadQuery.class, (out, m) -> out.text(m.planner()), in -> new LoadQuery(ValueFields.memberId(in)));
+        register(
+                35,
+                LoadReport.class,
+                (out, m) -> out.text(m.member())
+                        .text(m.service())
+                        .integer(m.tableGeneration().value())
+                        .list(m.ranges(), ValueFields::writeRangeLoad),
+                in -> new LoadReport(
+                        ValueFields.memberId(in),
+                        ValueFields.serviceName(in),
+                        ValueFields.generation(in),
+                        in.list(ValueFields::rangeLoad)));
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerListener.java
@@ -0,0 +1,56 @@
+package org.coriandercrank.peer.internal;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.peer.PeerHandlers;
+
+/** Accepts connections of other daemons. Thread safe. */
+public final class PeerListener implements AutoCloseable {
+    private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final Channel listener;
+
+    public PeerListener(
+            EventLoopGroup group, HostAddress listen, MemberId self, PeerHandlers handlers, MeterRegistry metrics) {
+        TrafficMeter meter = new TrafficMeter(metrics);
+        listener = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        connections.add(channel);
+                        channel.pipeline()
+                                .addLast(new FrameCodec(meter))
+                                .addLast(new InboundConnection(self, handlers));
+                    }
+                })
+                .bind(listen.ip(), listen.port())
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    public HostAddress address() {
+        InetSocketAddress bound = (InetSocketAddress) listener.localAddress();
+        return new HostAddress(bound.getAddress().getHostAddress(), bound.getPort());
+    }
+
+    @Override
+    public void close() {
+        listener.close().syncUninterruptibly();
+        connections.close().awaitUninterruptibly();
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.testkit.test/src/main/java/org/coriandercrank/testkit/FaultProxy.java
@@ -0,0 +1,150 @@
+package org.coriandercrank.testkit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.coriandercrank.kernel.id.HostAddress;
+
+/**
+ * A TCP proxy that injects faults between two processes.
+ *
+ * <p>Thread safe. Blocked bytes are held back and delivered after the fault ends, as TCP does after a partition.
+ */
+public final class FaultProxy implements AutoCloseable {
+    /** Direction of bytes through the proxy. */
+    public enum Direction {
+        TO_TARGET,
+        FROM_TARGET
+    }
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Set<ProxyConnection> connections = ConcurrentHashMap.newKeySet();
+    private final Set<Direction> blocked = ConcurrentHashMap.newKeySet();
+    private final AtomicLong bytes = new AtomicLong();
+    private final Channel listener;
+    private volatile HostAddress target;
+    private volatile boolean refusing;
+    private volatile long delayMs;
+
+    public FaultProxy(HostAddress target) {
+        this.target = target;
+        listener = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        accept(channel);
+                    }
+                })
+                .bind("127.0.0.1", 0)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    public HostAddress address() {
+        InetSocketAddress bound = (InetSocketAddress) listener.localAddress();
+        return new HostAddress(bound.getAddress().getHostAddress(), bound.getPort());
+    }
+
+    /** Sends new connections to another target. */
+    public void retarget(HostAddress newTarget) {
+        target = newTarget;
+    }
+
+    /** Closes all connections and closes each new one at once. */
+    public void cut() {
+        refusing = true;
+        connections.forEach(ProxyConnection::close);
+    }
+
+    /** Holds back all bytes of a direction, also of new connections. */
+    public void block(Direction direction) {
+        blocked.add(direction);
+        connections.forEach(connection -> connection.update(blocked));
+    }
+
+    public void blockBoth() {
+        block(Direction.TO_TARGET);
+        block(Direction.FROM_TARGET);
+    }
+
+    /** Makes the connections that are open now silent for good; new ones work. */
+    public void silenceOpenConnections() {
+        connections.forEach(ProxyConnection::silence);
+    }
+
+    /** Adds a delay to all bytes from now on. */
+    public void delay(long newDelayMs) {
+        delayMs = newDelayMs;
+    }
+
+    /** Ends all faults except silenced connections. */
+    public void heal() {
+        refusing = false;
+        delayMs = 0;
+        blocked.clear();
+        connections.forEach(connection -> connection.update(blocked));
+    }
+
+    /** Bytes passed on in both directions. */
+    public long bytes() {
+        return bytes.get();
+    }
+
+    private void accept(SocketChannel front) {
+        if (refusing) {
+            front.close();
+            return;
+        }
+        new Bootstrap()
+                .group(front.eventLoop())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.AUTO_READ, false)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        // Handlers are added when both sides are connected.
+                    }
+                })
+                .connect(target.ip(), target.port())
+                .addListener((ChannelFutureListener) future -> {
+                    if (future.isSuccess() && !refusing) {
+                        start(front, future.channel());
+                    } else {
+                        front.close();
+                        future.channel().close();
+                    }
+                });
+    }
+
+    private void start(Channel front, Channel back) {
+        ProxyConnection connection = new ProxyConnection(front, back, () -> delayMs, bytes::addAndGet);
+        connections.add(connection);
+        front.closeFuture().addListener(done -> connections.remove(connection));
+        connection.start(blocked);
+    }
+
+    @Override
+    public void close() {
+        listener.close().syncUninterruptibly();
+        connections.forEach(ProxyConnection::close);
+        group.shutdownGracefully();
+    }
+}
