--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/Configuration.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/Configuration.java
@@ -8,10 +8,10 @@
 /**
  * The whole configuration, content of the object {@code config/current}.
  *
- * <p>Immutable. Its revision is the store revision of the object. {@code recentNotes} holds the ids of the latest
+ * <p>Immutable. Its revision is the store revision of the object. {@code recentNotes} holds the latest
  * accepted notes, newest first, so that an unanswered submission can be resolved.
  */
-public record Configuration(List<ServiceConfig> services, List<BackendRule> backends, List<NoteId> recentNotes) {
+public record Configuration(List<ServiceConfig> services, List<BackendRule> backends, List<AcceptedNote> recentNotes) {
     public static final Configuration EMPTY = new Configuration(List.of(), List.of(), List.of());
     public static final int MAX_RECENT_NOTES = 256;
 
@@ -31,6 +31,10 @@
                 .findFirst();
     }
 
+    public boolean wasAccepted(NoteId note) {
+        return recentNotes.stream().anyMatch(n -> n.id().equals(note));
+    }
+
     public boolean isDraining(String backendName) {
         return backend(backendName).map(BackendRule::drain).orElse(false);
     }
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/status/package-info.java
@@ -0,0 +1,2 @@
+/** Status of a daemon as operators see it. */
+package org.coriandercrank.kernel.status;
--- /dev/null
+++ b/org.coriandercrank.note/src/main/java/org/coriandercrank/note/NoteParser.java
@@ -0,0 +1,148 @@
+package org.coriandercrank.note;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.coriandercrank.kernel.id.NoteId;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.note.NoteFault.Kind;
+import org.coriandercrank.note.ReleaseNote.Action;
+import org.coriandercrank.note.ReleaseNote.Entry;
+import org.coriandercrank.note.ReleaseNote.Subject;
+
+/** Reads the JSON form of release notes and collects all faults of form. Not thread safe; use one per note. */
+public final class NoteParser {
+    private static final Set<String> TOP_FIELDS = Set.of("id", "basedOn", "add", "change", "withdraw");
+
+    private final List<NoteFault> faults = new ArrayList<>();
+
+    /** The note, or empty if there are faults. */
+    public Optional<ReleaseNote> parse(String json) {
+        Optional<ObjectNode> root = readObject(json);
+        if (root.isEmpty()) {
+            return Optional.empty();
+        }
+        rejectUnknownFields("", root.get(), TOP_FIELDS);
+        NoteId id = parseId(root.get().get("id"));
+        Revision basedOn = parseRevision(root.get().get("basedOn"));
+        List<Entry> entries = new ArrayList<>();
+        for (Action action : Action.values()) {
+            parseAction(action, root.get().get(action.field()), entries);
+        }
+        if (entries.isEmpty() && faults.isEmpty()) {
+            faults.add(new NoteFault("", Kind.EMPTY_NOTE, "the note has no entry"));
+        }
+        return faults.isEmpty() ? Optional.of(new ReleaseNote(id, basedOn, entries)) : Optional.empty();
+    }
+
+    public List<NoteFault> faults() {
+        return List.copyOf(faults);
+    }
+
+    private Optional<ObjectNode> readObject(String json) {
+        try {
+            JsonNode node = JsonCodec.mapper().readTree(json);
+            if (node instanceof ObjectNode object) {
+                return Optional.of(object);
+            }
+            faults.add(new NoteFault("", Kind.UNREADABLE, "the note must be a JSON object"));
+        } catch (JsonProcessingException e) {
+            faults.add(new NoteFault("", Kind.UNREADABLE, e.getOriginalMessage()));
+        }
+        return Optional.empty();
+    }
+
+    private NoteId parseId(JsonNode node) {
+        if (node == null) {
+            faults.add(new NoteFault("id", Kind.MISSING, "every note needs an id"));
+            return null;
+        }
+        try {
+            return new NoteId(node.asText());
+        } catch (IllegalArgumentException e) {
+            faults.add(new NoteFault("id", Kind.OUT_OF_RANGE, e.getMessage()));
+            return null;
+        }
+    }
+
+    private Revision parseRevision(JsonNode node) {
+        if (node == null) {
+            faults.add(new NoteFault("basedOn", Kind.MISSING, "every note names the revision that it is based on"));
+            return null;
+        }
+        if (!node.canConvertToLong() || node.asLong() < 0) {
+            faults.add(new NoteFault("basedOn", Kind.WRONG_TYPE, "must be a revision number of at least 0"));
+            return null;
+        }
+        return new Revision(node.asLong());
+    }
+
+    private void parseAction(Action action, JsonNode node, List<Entry> entries) {
+        if (node == null) {
+            return;
+        }
+        if (!(node instanceof ObjectNode object)) {
+            faults.add(new NoteFault(action.field(), Kind.WRONG_TYPE, "must be an object"));
+            return;
+        }
+        rejectUnknownFields(action.field() + ".", object, Set.of(Subject.SERVICE.field(), Subject.BACKEND.field()));
+        for (Subject subject : Subject.values()) {
+            parseEntries(action, subject, object.get(subject.field()), entries);
+        }
+    }
+
+    private void parseEntries(Action action, Subject subject, JsonNode node, List<Entry> entries) {
+        String listPath = action.field() + "." + subject.field();
+        if (node == null) {
+            return;
+        }
+        if (!node.isArray()) {
+            faults.add(new NoteFault(listPath, Kind.WRONG_TYPE, "must be a list"));
+            return;
+        }
+        for (int i = 0; i < node.size(); i++) {
+            parseEntry(listPath + "[" + i + "]", action, subject, node.get(i)).ifPresent(entries::add);
+        }
+    }
+
+    private Optional<Entry> parseEntry(String path, Action action, Subject subject, JsonNode node) {
+        ObjectNode fields = entryFields(action, subject, node);
+        if (fields == null) {
+            String expected = action == Action.WITHDRAW ? "must be a name" : "must be an object";
+            faults.add(new NoteFault(path, Kind.WRONG_TYPE, expected));
+            return Optional.empty();
+        }
+        JsonNode name = fields.get(subject.nameField());
+        if (name == null || !name.isTextual() || name.asText().isEmpty()) {
+            faults.add(new NoteFault(path + "." + subject.nameField(), Kind.MISSING, "every entry needs a name"));
+            return Optional.empty();
+        }
+        return Optional.of(new Entry(path, action, subject, name.asText(), fields));
+    }
+
+    private static ObjectNode entryFields(Action action, Subject subject, JsonNode node) {
+        if (action != Action.WITHDRAW) {
+            return node instanceof ObjectNode object ? object : null;
+        }
+        return node.isTextual() ? JsonCodec.mapper().createObjectNode().put(subject.nameField(), node.asText()) : null;
+    }
+
+    private void rejectUnknownFields(String prefix, ObjectNode object, Set<String> known) {
+        for (Iterator<String> names = object.fieldNames(); names.hasNext(); ) {
+            String name = names.next();
+            if (!known.contains(name)) {
+                faults.add(new NoteFault(prefix + name, Kind.UNKNOWN_FIELD, "known fields: " + sorted(known)));
+            }
+        }
+    }
+
+    private static List<String> sorted(Set<String> names) {
+        return names.stream().sorted().toList();
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.note/src/main/java/org/coriandercrank/note/NoteRecord.java
@@ -0,0 +1,28 @@
+package org.coriandercrank.note;
+
+import org.coriandercrank.kernel.id.NoteId;
+import org.coriandercrank.kernel.id.Revision;
+
+/**
+ * Content of the object {@code notes/<id>}. Immutable.
+ *
+ * <p>The list of recent notes in the configuration decides whether a note was accepted; the fate here follows it and
+ * may lag.
+ *
+ * @param accepted revision at which the note was accepted, or {@link Revision#NONE}
+ * @param text the note as submitted
+ */
+public record NoteRecord(NoteId id, Fate fate, Revision basedOn, Revision accepted, String text) {
+    /** What became of a note. */
+    public enum Fate {
+        /** Its write was started; the configuration tells whether it was accepted. */
+        SUBMITTED,
+        ACCEPTED,
+        /** Certainly not accepted; the id may be used again. */
+        REFUSED
+    }
+
+    NoteRecord withFate(Fate newFate, Revision newAccepted) {
+        return new NoteRecord(id, newFate, basedOn, newAccepted, text);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.note/src/main/java/org/coriandercrank/note/SubmitResult.java
@@ -0,0 +1,33 @@
+package org.coriandercrank.note;
+
+import java.util.List;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.config.AcceptedNote;
+import org.coriandercrank.kernel.id.Revision;
+
+/**
+ * Result of submitting a release note. Immutable.
+ *
+ * @param code OK, or why the note was not accepted
+ * @param revision revision at which the note was accepted, or the current one after a conflict
+ * @param faults all faults of an invalid note
+ * @param newerNotes after a conflict, the notes accepted since the revision the note is based on, as far as known
+ */
+public record SubmitResult(ResultCode code, Revision revision, List<NoteFault> faults, List<AcceptedNote> newerNotes) {
+    public SubmitResult {
+        faults = List.copyOf(faults);
+        newerNotes = List.copyOf(newerNotes);
+    }
+
+    static SubmitResult accepted(Revision revision) {
+        return new SubmitResult(ResultCode.OK, revision, List.of(), List.of());
+    }
+
+    static SubmitResult invalid(ResultCode code, List<NoteFault> faults) {
+        return new SubmitResult(code, Revision.NONE, faults, List.of());
+    }
+
+    static SubmitResult refused(ResultCode code, Revision current, List<AcceptedNote> newerNotes) {
+        return new SubmitResult(code, current, List.of(), newerNotes);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.note/src/main/java/org/coriandercrank/note/internal/EntryOverlay.java
@@ -0,0 +1,59 @@
+package org.coriandercrank.note.internal;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.note.NoteFault;
+import org.coriandercrank.note.NoteFault.Kind;
+import org.coriandercrank.note.ReleaseNote.Entry;
+
+/** Lays the fields of an entry over an object of the configuration. Stateless. */
+public final class EntryOverlay {
+    private EntryOverlay() {}
+
+    /** The base with the entry's fields, or empty after adding faults. */
+    public static <T> Optional<T> apply(T base, Entry entry, Class<T> type, List<NoteFault> faults) {
+        int faultsBefore = faults.size();
+        checkFields(entry, faults);
+        if (faults.size() > faultsBefore) {
+            return Optional.empty();
+        }
+        ObjectNode merged = JsonCodec.mapper().valueToTree(base);
+        merged.setAll(entry.fields());
+        try {
+            return Optional.of(JsonCodec.mapper().treeToValue(merged, type));
+        } catch (JsonProcessingException e) {
+            faults.add(new NoteFault(entry.path(), Kind.OUT_OF_RANGE, rootMessage(e)));
+            return Optional.empty();
+        }
+    }
+
+    private static void checkFields(Entry entry, List<NoteFault> faults) {
+        List<FieldSpec> specs = FieldSpec.of(entry.subject());
+        for (Iterator<Map.Entry<String, JsonNode>> fields = entry.fields().fields(); fields.hasNext(); ) {
+            Map.Entry<String, JsonNode> field = fields.next();
+            String path = entry.path() + "." + field.getKey();
+            Optional<FieldSpec> spec =
+                    specs.stream().filter(s -> s.name().equals(field.getKey())).findFirst();
+            if (spec.isEmpty()) {
+                List<String> known = specs.stream().map(FieldSpec::name).toList();
+                faults.add(new NoteFault(path, Kind.UNKNOWN_FIELD, "known fields: " + known));
+            } else {
+                spec.get().check().apply(field.getValue()).ifPresent(p -> faults.add(p.at(path)));
+            }
+        }
+    }
+
+    private static String rootMessage(Throwable failure) {
+        Throwable current = failure;
+        while (current.getCause() != null) {
+            current = current.getCause();
+        }
+        return current.getMessage();
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.note/src/main/java/org/coriandercrank/note/internal/FieldSpec.java
@@ -0,0 +1,90 @@
+package org.coriandercrank.note.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import org.coriandercrank.note.NoteFault;
+import org.coriandercrank.note.NoteFault.Kind;
+import org.coriandercrank.note.ReleaseNote.Subject;
+
+/**
+ * A field that an entry may have. Immutable.
+ *
+ * @param check the fault of a value at a path, if it has one
+ */
+record FieldSpec(String name, Function<JsonNode, Optional<Problem>> check) {
+    /** A fault without its path. Immutable. */
+    record Problem(Kind kind, String message) {
+        NoteFault at(String path) {
+            return new NoteFault(path, kind, message);
+        }
+    }
+
+    private static final int MAX_NAME_LENGTH = 64;
+
+    private static final List<FieldSpec> SERVICE_FIELDS = List.of(
+            name("name"),
+            flag("keyed"),
+            methods("repeatableMethods"),
+            integer("defaultDeadlineMs", 1, 600_000),
+            integer("maxDeadlineMs", 1, 600_000),
+            integer("maxBodyBytes", 0, 8_388_608),
+            integer("maxQueueLength", 0, 10_000),
+            integer("maxKeySharePercent", 1, 100),
+            name("placementPolicy"),
+            name("balancingPolicy"));
+
+    private static final List<FieldSpec> BACKEND_FIELDS =
+            List.of(name("backendName"), integer("weightPercent", 0, 1_000), flag("drain"));
+
+    static List<FieldSpec> of(Subject subject) {
+        return subject == Subject.SERVICE ? SERVICE_FIELDS : BACKEND_FIELDS;
+    }
+
+    private static FieldSpec name(String field) {
+        return new FieldSpec(field, value -> {
+            if (!value.isTextual()) {
+                return problem(Kind.WRONG_TYPE, "must be a text");
+            }
+            boolean valid = value.asText().matches("[A-Za-z0-9._-]{1," + MAX_NAME_LENGTH + "}");
+            return valid
+                    ? Optional.empty()
+                    : problem(Kind.OUT_OF_RANGE, "must have 1 to " + MAX_NAME_LENGTH + " characters [A-Za-z0-9._-]");
+        });
+    }
+
+    private static FieldSpec flag(String field) {
+        return new FieldSpec(
+                field,
+                value -> value.isBoolean() ? Optional.empty() : problem(Kind.WRONG_TYPE, "must be true or false"));
+    }
+
+    private static FieldSpec integer(String field, long min, long max) {
+        return new FieldSpec(field, value -> {
+            if (!value.isIntegralNumber()) {
+                return problem(Kind.WRONG_TYPE, "must be a whole number");
+            }
+            boolean inRange = value.canConvertToLong() && value.asLong() >= min && value.asLong() <= max;
+            return inRange ? Optional.empty() : problem(Kind.OUT_OF_RANGE, "must be between " + min + " and " + max);
+        });
+    }
+
+    private static FieldSpec methods(String field) {
+        return new FieldSpec(field, value -> {
+            if (!value.isArray()) {
+                return problem(Kind.WRONG_TYPE, "must be a list of HTTP methods");
+            }
+            for (JsonNode method : value) {
+                if (!method.isTextual() || !method.asText().matches("[A-Z]{1,16}")) {
+                    return problem(Kind.OUT_OF_RANGE, "must be a list of HTTP methods in upper case");
+                }
+            }
+            return Optional.empty();
+        });
+    }
+
+    private static Optional<Problem> problem(Kind kind, String message) {
+        return Optional.of(new Problem(kind, message));
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.note/src/main/java/org/coriandercrank/note/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Field tables and the overlay of note entries on the configuration. */
+package org.coriandercrank.note.internal;
