Add crankctl

Cause: operators need to check, submit and follow release notes and to see who owns what. Change: commands note check, submit, status, list, show, diff and status, members, owners, explain; stable exit codes; JSON output.

--- /dev/null
+++ b/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/internal/CtlResult.java
@@ -0,0 +1,40 @@
+package org.coriandercrank.ctl.internal;
+
+import java.util.List;
+import org.coriandercrank.kernel.code.ResultCode;
+
+/**
+ * Result of a command. Immutable.
+ *
+ * @param value what {@code --json true} prints
+ * @param lines what is printed otherwise
+ */
+public record CtlResult(ResultCode code, Object value, List<String> lines) {
+    private static final int EXIT_OTHER = 1;
+    private static final int EXIT_SETTINGS = 2;
+    private static final int EXIT_NOTE_REFUSED = 3;
+    private static final int EXIT_NOTE_CONFLICT = 4;
+    private static final int EXIT_NOT_IN_FORCE = 5;
+    private static final int EXIT_STORE = 6;
+
+    public CtlResult {
+        lines = List.copyOf(lines);
+    }
+
+    static CtlResult ok(Object value, List<String> lines) {
+        return new CtlResult(ResultCode.OK, value, lines);
+    }
+
+    /** Stable exit code of the process. */
+    public int exitCode() {
+        return switch (code) {
+            case OK -> 0;
+            case SETTING_INVALID -> EXIT_SETTINGS;
+            case NOTE_UNREADABLE, NOTE_INVALID, NOTE_ID_REUSED -> EXIT_NOTE_REFUSED;
+            case NOTE_CONFLICT -> EXIT_NOTE_CONFLICT;
+            case NOTE_NOT_IN_FORCE -> EXIT_NOT_IN_FORCE;
+            case STORE_UNAVAILABLE, WRITE_UNANSWERED -> EXIT_STORE;
+            default -> EXIT_OTHER;
+        };
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/internal/CtlSettings.java
@@ -0,0 +1,88 @@
+package org.coriandercrank.ctl.internal;
+
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.settings.Faults;
+import org.coriandercrank.kernel.settings.Settings;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.spi.ExplicitBooleanOptionHandler;
+
+/** Settings of {@code crankctl}. Not thread safe; read-only after loading. */
+public final class CtlSettings implements Settings {
+    private static final long MAX_WAIT_MS = 600_000;
+
+    @Option(name = "--store", metaVar = "IP:PORT", usage = "address of the object store")
+    private String store = "127.0.0.1:7100";
+
+    @Option(name = "--store-adapter", metaVar = "NAME", usage = "name of the store adapter")
+    private String storeAdapter = "http";
+
+    @Option(name = "--json", usage = "print JSON", handler = ExplicitBooleanOptionHandler.class)
+    private boolean json;
+
+    @Option(name = "--file", metaVar = "PATH", usage = "release note; - for standard input")
+    private String file = "-";
+
+    @Option(name = "--wait-ms", metaVar = "MS", usage = "time to wait for a note to be in force; 0: do not wait")
+    private long waitMs = 10_000;
+
+    @Option(name = "--timeout-ms", metaVar = "MS", usage = "time for the store to answer")
+    private long timeoutMs = 15_000;
+
+    @Option(name = "--note", metaVar = "ID", usage = "id of a release note")
+    private String note = "";
+
+    @Option(name = "--service", metaVar = "NAME", usage = "name of a service")
+    private String service = "";
+
+    @Option(name = "--key", metaVar = "KEY", usage = "key of a service")
+    private String key = "";
+
+    private HostAddress storeAddress;
+
+    @Override
+    public void check(Faults faults) {
+        storeAddress = faults.parse("--store", store, HostAddress::parse);
+        faults.requireRange("--wait-ms", waitMs, 0, MAX_WAIT_MS);
+        faults.requireRange("--timeout-ms", timeoutMs, 1, MAX_WAIT_MS);
+        if (!service.isEmpty()) {
+            faults.attempt("--service", () -> new ServiceName(service));
+        }
+    }
+
+    public HostAddress storeHostAddress() {
+        return storeAddress;
+    }
+
+    public String storeAdapterName() {
+        return storeAdapter;
+    }
+
+    public boolean printJson() {
+        return json;
+    }
+
+    public String noteFile() {
+        return file;
+    }
+
+    long waitMs() {
+        return waitMs;
+    }
+
+    public long storeTimeoutMs() {
+        return timeoutMs;
+    }
+
+    String note() {
+        return note;
+    }
+
+    String service() {
+        return service;
+    }
+
+    String key() {
+        return key;
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/internal/Fleet.java
@@ -0,0 +1,126 @@
+package org.coriandercrank.ctl.internal;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import org.coriandercrank.http.HttpCall;
+import org.coriandercrank.http.HttpClient;
+import org.coriandercrank.http.HttpClientOptions;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.config.Configuration;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.plugin.PluginRegistry;
+import org.coriandercrank.kernel.plugin.PluginRegistry.Kind;
+import org.coriandercrank.kernel.status.DaemonStatus;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.kernel.store.ObjectNames;
+import org.coriandercrank.kernel.store.ObjectStore;
+import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.kernel.store.TableCodec;
+import org.coriandercrank.kernel.table.AssignmentTable;
+import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.MemberState;
+import org.coriandercrank.note.NoteApplication;
+
+/** What the store and the daemons say at present. Thread safe; methods block. */
+public final class Fleet {
+    private static final int STATUS_OK = 200;
+    private static final long STATUS_TIMEOUT_MS = 1_000;
+
+    /** The configuration and its revision. Immutable. */
+    public record CurrentConfiguration(Revision revision, Configuration configuration) {}
+
+    /** A member and what its daemon answered, if it did. Immutable. */
+    public record LiveMember(Member member, Optional<DaemonStatus> status) {}
+
+    private final ObjectStore store;
+    private final EventLoopGroup group;
+    private final PluginRegistry plugins;
+
+    public Fleet(ObjectStore store, EventLoopGroup group, PluginRegistry plugins) {
+        this.store = store;
+        this.group = group;
+        this.plugins = plugins;
+    }
+
+    ObjectStore store() {
+        return store;
+    }
+
+    CurrentConfiguration configuration() {
+        return await(store.get(ObjectNames.CONFIGURATION))
+                .map(object -> new CurrentConfiguration(
+                        object.revision(), JsonCodec.decode(object.value(), Configuration.class)))
+                .orElse(new CurrentConfiguration(Revision.NONE, Configuration.EMPTY));
+    }
+
+    List<Member> members() {
+        return await(store.list(ObjectNames.MEMBERS_PREFIX)).changes().stream()
+                .map(object -> JsonCodec.decode(object.value(), Member.class))
+                .toList();
+    }
+
+    List<AssignmentTable> tables() {
+        return await(store.list(ObjectNames.ASSIGNMENTS_PREFIX)).changes().stream()
+                .map(object -> TableCodec.decode(object.value()))
+                .toList();
+    }
+
+    Optional<AssignmentTable> table(ServiceName service) {
+        return await(store.get(ObjectNames.assignments(service))).map(object -> TableCodec.decode(object.value()));
+    }
+
+    List<StoredObject> notes() {
+        return await(store.list(ObjectNames.NOTES_PREFIX)).changes();
+    }
+
+    /** Members that are not sealed, with the status of their daemons, asked in parallel. */
+    List<LiveMember> liveMembers() {
+        List<CompletableFuture<LiveMember>> asked = new ArrayList<>();
+        for (Member member : members()) {
+            if (member.state() != MemberState.SEALED) {
+                asked.add(status(member).thenApply(status -> new LiveMember(member, status)));
+            }
+        }
+        return asked.stream().map(CompletableFuture::join).toList();
+    }
+
+    /** What notes are checked against. */
+    NoteApplication.Environment noteEnvironment() {
+        Configuration configuration = configuration().configuration();
+        Set<ServiceName> servicesInUse = members().stream()
+                .filter(member -> member.state() == MemberState.ACTIVE)
+                .flatMap(member -> member.backend().stream())
+                .filter(backend -> !configuration.isDraining(backend.name()))
+                .map(backend -> backend.service())
+                .collect(Collectors.toSet());
+        return new NoteApplication.Environment(
+                servicesInUse, plugins.names(Kind.PLACEMENT), plugins.names(Kind.BALANCING));
+    }
+
+    private CompletableFuture<Optional<DaemonStatus>> status(Member member) {
+        HttpClient client =
+                new HttpClient(group, member.adminAddress(), HttpClientOptions.DEFAULTS.withMaxConnections(1));
+        return client.call(HttpCall.of("GET", "/v1/status"), STATUS_TIMEOUT_MS).handle((reply, failure) -> {
+            client.close();
+            if (failure != null || reply.status() != STATUS_OK) {
+                return Optional.<DaemonStatus>empty();
+            }
+            return Optional.of(JsonCodec.decode(reply.body(), DaemonStatus.class))
+                    .filter(status -> status.member().equals(member.id()));
+        });
+    }
+
+    private static <T> T await(CompletableFuture<T> future) {
+        try {
+            return future.join();
+        } catch (RuntimeException e) {
+            throw CrankException.of(e);
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/internal/NoteCommands.java
@@ -0,0 +1,206 @@
+package org.coriandercrank.ctl.internal;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.coriandercrank.ctl.internal.Fleet.CurrentConfiguration;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.config.AcceptedNote;
+import org.coriandercrank.kernel.config.Configuration;
+import org.coriandercrank.kernel.id.NoteId;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.note.NoteApplication;
+import org.coriandercrank.note.NoteFault;
+import org.coriandercrank.note.NoteParser;
+import org.coriandercrank.note.NoteRecord;
+import org.coriandercrank.note.ReleaseNote;
+import org.coriandercrank.note.SubmitNote;
+import org.coriandercrank.note.SubmitResult;
+
+/** Commands {@code note ...}. Not thread safe. */
+public final class NoteCommands {
+    private static final long POLL_PERIOD_MS = 100;
+
+    private final CtlSettings settings;
+    private final Fleet fleet;
+    private final Supplier<String> noteText;
+    private final Progress progress;
+
+    /** Prints a line while a command goes on. */
+    @FunctionalInterface
+    public interface Progress {
+        void report(String line);
+    }
+
+    public NoteCommands(CtlSettings settings, Fleet fleet, Supplier<String> noteText, Progress progress) {
+        this.settings = settings;
+        this.fleet = fleet;
+        this.noteText = noteText;
+        this.progress = progress;
+    }
+
+    /** Checks a note against the current configuration without submitting it. */
+    public CtlResult check() {
+        CurrentConfiguration current = fleet.configuration();
+        NoteParser parser = new NoteParser();
+        Optional<ReleaseNote> note = parser.parse(noteText.get());
+        if (note.isEmpty()) {
+            return faults(ResultCode.NOTE_INVALID, parser.faults());
+        }
+        NoteApplication application = new NoteApplication(current.configuration(), fleet.noteEnvironment());
+        if (application.apply(note.get()).isEmpty()) {
+            return faults(ResultCode.NOTE_INVALID, application.faults());
+        }
+        if (!note.get().basedOn().equals(current.revision())) {
+            return conflict(current.revision(), List.of());
+        }
+        return CtlResult.ok(
+                Map.of("valid", true, "revision", current.revision()),
+                List.of("valid against revision " + current.revision()));
+    }
+
+    /** Submits a note and waits until it is in force on all live daemons or the time is over. */
+    public CtlResult submit() {
+        SubmitResult result =
+                new SubmitNote(fleet.store(), fleet.noteEnvironment(), settings.storeTimeoutMs()).call(noteText.get());
+        if (result.code() == ResultCode.NOTE_CONFLICT) {
+            return conflict(result.revision(), result.newerNotes());
+        }
+        if (result.code() != ResultCode.OK) {
+            return result.faults().isEmpty()
+                    ? new CtlResult(
+                            result.code(),
+                            result,
+                            List.of(result.code() + ": " + result.code().description()))
+                    : faults(result.code(), result.faults());
+        }
+        progress.report("accepted at revision " + result.revision());
+        return settings.waitMs() == 0
+                ? CtlResult.ok(result, List.of("accepted at revision " + result.revision()))
+                : waitInForce(result.revision());
+    }
+
+    /** On how many live daemons a note, or the current configuration, is in force. */
+    public CtlResult status() {
+        CurrentConfiguration current = fleet.configuration();
+        Revision revision = current.revision();
+        if (!settings.note().isEmpty()) {
+            NoteId id = new NoteId(settings.note());
+            if (!current.configuration().wasAccepted(id)) {
+                return new CtlResult(
+                        ResultCode.NOTE_INVALID,
+                        Map.of("accepted", false),
+                        List.of("note " + id + " was not accepted"));
+            }
+            revision = record(id).map(NoteRecord::accepted).orElse(revision);
+        }
+        InForce inForce = InForce.of(revision, fleet.liveMembers());
+        ResultCode code = inForce.everywhere() ? ResultCode.OK : ResultCode.NOTE_NOT_IN_FORCE;
+        return new CtlResult(code, inForce, List.of(inForce.line()));
+    }
+
+    public CtlResult list() {
+        Configuration configuration = fleet.configuration().configuration();
+        List<String> lines = new ArrayList<>();
+        List<NoteRecord> records = fleet.notes().stream()
+                .map(NoteCommands::decode)
+                .sorted(Comparator.comparing(NoteRecord::accepted))
+                .toList();
+        for (NoteRecord note : records) {
+            boolean accepted = configuration.wasAccepted(note.id()) || note.fate() == NoteRecord.Fate.ACCEPTED;
+            lines.add(note.id() + " "
+                    + (accepted ? "ACCEPTED at " + note.accepted() : note.fate().name()) + " based on "
+                    + note.basedOn());
+        }
+        return CtlResult.ok(records, lines);
+    }
+
+    public CtlResult show() {
+        return record(new NoteId(settings.note()))
+                .map(note -> CtlResult.ok(note, List.of(note.id() + " " + note.fate(), note.text())))
+                .orElseGet(() -> new CtlResult(
+                        ResultCode.NOTE_INVALID, Map.of("found", false), List.of("no note " + settings.note())));
+    }
+
+    /** What a note would change in the current configuration. */
+    public CtlResult diff() {
+        Configuration current = fleet.configuration().configuration();
+        NoteParser parser = new NoteParser();
+        NoteApplication application = new NoteApplication(current, fleet.noteEnvironment());
+        Optional<Configuration> next = parser.parse(noteText.get()).flatMap(application::apply);
+        if (next.isEmpty()) {
+            List<NoteFault> all = new ArrayList<>(parser.faults());
+            all.addAll(application.faults());
+            return faults(ResultCode.NOTE_INVALID, all);
+        }
+        List<String> lines = new ArrayList<>();
+        addDifference(current.services(), next.get().services(), lines);
+        addDifference(current.backends(), next.get().backends(), lines);
+        return CtlResult.ok(lines, lines);
+    }
+
+    private static void addDifference(List<?> before, List<?> after, List<String> lines) {
+        before.stream().filter(entry -> !after.contains(entry)).forEach(entry -> lines.add("- " + text(entry)));
+        after.stream().filter(entry -> !before.contains(entry)).forEach(entry -> lines.add("+ " + text(entry)));
+    }
+
+    private CtlResult waitInForce(Revision revision) {
+        long deadlineNanos = System.nanoTime() + settings.waitMs() * 1_000_000;
+        String lastLine = "";
+        while (true) {
+            InForce inForce = InForce.of(revision, fleet.liveMembers());
+            if (inForce.everywhere()) {
+                return CtlResult.ok(inForce, List.of(inForce.line()));
+            }
+            if (System.nanoTime() - deadlineNanos > 0) {
+                return new CtlResult(ResultCode.NOTE_NOT_IN_FORCE, inForce, List.of(inForce.line()));
+            }
+            if (!inForce.line().equals(lastLine)) {
+                lastLine = inForce.line();
+                progress.report(lastLine);
+            }
+            sleep();
+        }
+    }
+
+    private static void sleep() {
+        try {
+            Thread.sleep(POLL_PERIOD_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", e);
+        }
+    }
+
+    private Optional<NoteRecord> record(NoteId id) {
+        return fleet.notes().stream()
+                .map(NoteCommands::decode)
+                .filter(note -> note.id().equals(id))
+                .findFirst();
+    }
+
+    private static NoteRecord decode(StoredObject object) {
+        return JsonCodec.decode(object.value(), NoteRecord.class);
+    }
+
+    private static String text(Object value) {
+        return new String(JsonCodec.encode(value), java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    private static CtlResult faults(ResultCode code, List<NoteFault> faults) {
+        return new CtlResult(
+                code, faults, faults.stream().map(NoteFault::toString).toList());
+    }
+
+    private static CtlResult conflict(Revision current, List<AcceptedNote> newerNotes) {
+        List<String> lines = new ArrayList<>();
+        lines.add("conflict: the configuration is at revision " + current);
+        newerNotes.forEach(note -> lines.add("accepted since: " + note.id() + " touched " + note.touched()));
+        return new CtlResult(ResultCode.NOTE_CONFLICT, Map.of("revision", current, "newerNotes", newerNotes), lines);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/internal/StatusCommands.java
@@ -0,0 +1,147 @@
+package org.coriandercrank.ctl.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.coriandercrank.ctl.internal.Fleet.CurrentConfiguration;
+import org.coriandercrank.ctl.internal.Fleet.LiveMember;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.Key;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.ownership.GateStatus.ServingRange;
+import org.coriandercrank.kernel.status.DaemonStatus;
+import org.coriandercrank.kernel.table.AssignmentTable;
+import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.RangeAssignment;
+
+/** Commands that show the state of the system. Not thread safe. */
+public final class StatusCommands {
+    private final CtlSettings settings;
+    private final Fleet fleet;
+
+    public StatusCommands(CtlSettings settings, Fleet fleet) {
+        this.settings = settings;
+        this.fleet = fleet;
+    }
+
+    public CtlResult status() {
+        CurrentConfiguration current = fleet.configuration();
+        List<LiveMember> live = fleet.liveMembers();
+        InForce inForce = InForce.of(current.revision(), live);
+        List<String> lines = new ArrayList<>();
+        lines.add(inForce.line());
+        current.configuration()
+                .services()
+                .forEach(service -> lines.add("service " + service.name() + " keyed=" + service.keyed() + " placement="
+                        + service.placementPolicy()));
+        live.forEach(member -> lines.add(memberLine(member)));
+        return CtlResult.ok(Map.of("configuration", inForce, "members", live), lines);
+    }
+
+    public CtlResult members() {
+        List<Member> members = fleet.members();
+        List<String> lines = members.stream()
+                .map(m -> m.id() + " " + m.state() + " " + m.region() + "/" + m.failureDomain() + " callers="
+                        + m.callerAddress() + " backend="
+                        + m.backend().map(b -> b.name()).orElse("-") + " witnesses=" + m.witnesses())
+                .toList();
+        return CtlResult.ok(members, lines);
+    }
+
+    public CtlResult owners() {
+        List<String> lines = new ArrayList<>();
+        List<AssignmentTable> tables = fleet.tables().stream()
+                .filter(t -> settings.service().isEmpty() || t.service().value().equals(settings.service()))
+                .toList();
+        for (AssignmentTable table : tables) {
+            lines.add("service " + table.service() + " generation " + table.generation());
+            for (RangeAssignment a : table.assignments()) {
+                lines.add("  " + a.range() + " owner=" + a.owner() + " fence=" + a.fence()
+                        + (a.previousOwners().isEmpty() ? "" : " previous=" + a.previousOwners()));
+            }
+        }
+        return CtlResult.ok(tables, lines);
+    }
+
+    /** Who owns a key, since which fence, and whether it can be served now. */
+    public CtlResult explain() {
+        if (settings.service().isEmpty() || settings.key().isEmpty()) {
+            return new CtlResult(
+                    ResultCode.SETTING_INVALID, Map.of(), List.of("explain needs --service NAME and --key KEY"));
+        }
+        ServiceName service = new ServiceName(settings.service());
+        Key key = new Key(settings.key());
+        Optional<RangeAssignment> assignment = fleet.table(service).flatMap(table -> table.find(key.hash()));
+        if (assignment.isEmpty()) {
+            Explanation none = new Explanation(service, key, null, null, null, List.of(), false, "no owner");
+            return CtlResult.ok(none, List.of("key " + key + " of " + service + " has no owner"));
+        }
+        Explanation explanation = explain(service, key, assignment.get());
+        return CtlResult.ok(
+                explanation,
+                List.of(
+                        "key " + key + " hash " + key.hash() + " range "
+                                + assignment.get().range(),
+                        "owner " + explanation.owner() + " since fence " + explanation.fence()
+                                + (explanation.previousOwners().isEmpty()
+                                        ? ""
+                                        : ", waits for " + explanation.previousOwners()),
+                        (explanation.served() ? "served now" : "not served now") + ": " + explanation.reason()));
+    }
+
+    /** Answer of {@link #explain}. Immutable. */
+    public record Explanation(
+            ServiceName service,
+            Key key,
+            KeyRange range,
+            MemberId owner,
+            Generation fence,
+            List<MemberId> previousOwners,
+            boolean served,
+            String reason) {}
+
+    private Explanation explain(ServiceName service, Key key, RangeAssignment assignment) {
+        Optional<DaemonStatus> status = fleet.liveMembers().stream()
+                .filter(live -> live.member().id().equals(assignment.owner()))
+                .findFirst()
+                .flatMap(LiveMember::status);
+        String reason = whyNotServed(status, key, assignment);
+        return new Explanation(
+                service,
+                key,
+                assignment.range(),
+                assignment.owner(),
+                assignment.fence(),
+                assignment.previousOwners(),
+                reason.isEmpty(),
+                reason.isEmpty() ? "the owner serves the range and its lease holds" : reason);
+    }
+
+    private static String whyNotServed(Optional<DaemonStatus> status, Key key, RangeAssignment assignment) {
+        if (status.isEmpty()) {
+            return "the daemon of the owner does not answer";
+        }
+        if (status.get().leaseRemainingMs() <= 0) {
+            return "the lease of the owner does not hold";
+        }
+        for (ServingRange serving : status.get().serving()) {
+            if (serving.range().contains(key.hash()) && serving.fence().equals(assignment.fence())) {
+                return "";
+            }
+        }
+        return "the owner does not serve the range yet";
+    }
+
+    private static String memberLine(LiveMember live) {
+        String id = live.member().id() + " " + live.member().state();
+        return live.status()
+                .map(s -> id + " lease=" + s.leaseRemainingMs() + "ms configuration=" + s.configurationRevision()
+                        + " ranges=" + s.serving().size() + " queued=" + s.queued() + " inFlight=" + s.inFlight()
+                        + (s.planner() ? " planner" : "") + (s.relay() ? " relay" : ""))
+                .orElse(id + " unreachable");
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operator program {@code crankctl}: release notes and status. */
+package org.coriandercrank.ctl;
