--- /dev/null
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/DaemonSettings.java
@@ -0,0 +1,182 @@
+package org.coriandercrank.daemon.internal;
+
+import java.util.logging.Level;
+import org.coriandercrank.kernel.id.FailureDomain;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.Region;
+import org.coriandercrank.kernel.settings.Faults;
+import org.coriandercrank.kernel.settings.Settings;
+import org.kohsuke.args4j.Option;
+
+/** Settings of {@code crankd}. Not thread safe; read-only after loading. */
+public final class DaemonSettings implements Settings {
+    private static final int MAX_HOST_NAME_LENGTH = 48;
+    private static final int MAX_LOG_LINES_PER_SECOND = 1_000_000;
+
+    @Option(name = "--host-name", metaVar = "NAME", usage = "name of this host; start of the member id")
+    private String hostName;
+
+    @Option(name = "--region", metaVar = "NAME", usage = "region of this host")
+    private String region;
+
+    @Option(name = "--failure-domain", metaVar = "NAME", usage = "failure domain of this host")
+    private String failureDomain;
+
+    @Option(name = "--peer-listen", metaVar = "IP:PORT", usage = "address for links from other daemons")
+    private String peerListen;
+
+    @Option(
+            name = "--peer-advertise",
+            metaVar = "IP:PORT",
+            usage = "address that other daemons use; default: the address listened on")
+    private String peerAdvertise = "";
+
+    @Option(name = "--caller-listen", metaVar = "IP:PORT", usage = "address for callers")
+    private String callerListen;
+
+    @Option(name = "--admin-listen", metaVar = "IP:PORT", usage = "address for operators, metrics, backend server")
+    private String adminListen;
+
+    @Option(name = "--store", metaVar = "IP:PORT", usage = "address of the object store")
+    private String store;
+
+    @Option(name = "--store-adapter", metaVar = "NAME", usage = "name of the store adapter")
+    private String storeAdapter = "http";
+
+    @Option(name = "--store-timeout-ms", metaVar = "MS", usage = "time-out of a call of the store")
+    private long storeTimeoutMs = 1_000;
+
+    @Option(name = "--backend-adapter", metaVar = "NAME", usage = "name of the backend server adapter")
+    private String backendAdapter = "http";
+
+    @Option(name = "--ttl-ms", metaVar = "MS", usage = "time for which a vote on the lease counts")
+    private long ttlMs = 2_000;
+
+    @Option(name = "--heartbeat-ms", metaVar = "MS", usage = "period of heartbeats to witnesses")
+    private long heartbeatMs = 500;
+
+    @Option(name = "--margin-percent", metaVar = "PERCENT", usage = "waiting time of takers relative to the TTL")
+    private int marginPercent = 105;
+
+    @Option(name = "--drain-timeout-ms", metaVar = "MS", usage = "longest time of a planned stop")
+    private long drainTimeoutMs = 30_000;
+
+    @Option(name = "--io-threads", metaVar = "N", usage = "threads for network input and output")
+    private int ioThreads = 2;
+
+    @Option(name = "--log-level", metaVar = "LEVEL", usage = "SEVERE, WARNING, INFO, FINE")
+    private String logLevel = "INFO";
+
+    @Option(
+            name = "--routing-log-lines-per-second",
+            metaVar = "N",
+            usage = "most lines per second for routing decisions; 0 writes none")
+    private int routingLogLinesPerSecond = 200;
+
+    private Region parsedRegion;
+    private FailureDomain parsedFailureDomain;
+    private HostAddress parsedPeerListen;
+    private HostAddress parsedPeerAdvertise;
+    private HostAddress parsedCallerListen;
+    private HostAddress parsedAdminListen;
+    private HostAddress parsedStore;
+    private Level parsedLogLevel;
+
+    @Override
+    public void check(Faults faults) {
+        faults.parse("--host-name", hostName, MemberId::new);
+        if (hostName != null && hostName.length() > MAX_HOST_NAME_LENGTH) {
+            faults.add("--host-name", "must have at most " + MAX_HOST_NAME_LENGTH + " characters");
+        }
+        parsedRegion = faults.parse("--region", region, Region::new);
+        parsedFailureDomain = faults.parse("--failure-domain", failureDomain, FailureDomain::new);
+        parsedPeerListen = faults.parse("--peer-listen", peerListen, HostAddress::parse);
+        parsedPeerAdvertise = peerAdvertise.isEmpty()
+                ? parsedPeerListen
+                : faults.parse("--peer-advertise", peerAdvertise, HostAddress::parse);
+        parsedCallerListen = faults.parse("--caller-listen", callerListen, HostAddress::parse);
+        parsedAdminListen = faults.parse("--admin-listen", adminListen, HostAddress::parse);
+        parsedStore = faults.parse("--store", store, HostAddress::parse);
+        parsedLogLevel = faults.parse("--log-level", logLevel, Level::parse);
+        faults.requireRange("--store-timeout-ms", storeTimeoutMs, 10, 60_000);
+        faults.requireRange("--ttl-ms", ttlMs, 200, 60_000);
+        faults.requireRange("--heartbeat-ms", heartbeatMs, 10, ttlMs / 2);
+        faults.requireRange("--margin-percent", marginPercent, 101, 200);
+        faults.requireRange("--drain-timeout-ms", drainTimeoutMs, 0, 600_000);
+        faults.requireRange("--io-threads", ioThreads, 1, 64);
+        faults.requireRange("--routing-log-lines-per-second", routingLogLinesPerSecond, 0, MAX_LOG_LINES_PER_SECOND);
+    }
+
+    public String hostName() {
+        return hostName;
+    }
+
+    public Region region() {
+        return parsedRegion;
+    }
+
+    public FailureDomain failureDomain() {
+        return parsedFailureDomain;
+    }
+
+    public HostAddress peerListen() {
+        return parsedPeerListen;
+    }
+
+    public HostAddress peerAdvertise() {
+        return parsedPeerAdvertise;
+    }
+
+    public HostAddress callerListen() {
+        return parsedCallerListen;
+    }
+
+    public HostAddress adminListen() {
+        return parsedAdminListen;
+    }
+
+    public HostAddress store() {
+        return parsedStore;
+    }
+
+    public String storeAdapter() {
+        return storeAdapter;
+    }
+
+    public long storeTimeoutMs() {
+        return storeTimeoutMs;
+    }
+
+    public String backendAdapter() {
+        return backendAdapter;
+    }
+
+    public long ttlMs() {
+        return ttlMs;
+    }
+
+    public long heartbeatMs() {
+        return heartbeatMs;
+    }
+
+    public int marginPercent() {
+        return marginPercent;
+    }
+
+    public long drainTimeoutMs() {
+        return drainTimeoutMs;
+    }
+
+    public int ioThreads() {
+        return ioThreads;
+    }
+
+    public Level logLevel() {
+        return parsedLogLevel;
+    }
+
+    public int routingLogLinesPerSecond() {
+        return routingLogLinesPerSecond;
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/LocalGate.java
@@ -0,0 +1,109 @@
+package org.coriandercrank.daemon.internal;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
+import org.coriandercrank.gate.Gate;
+import org.coriandercrank.kernel.backend.BackendServer;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.RequestId;
+import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.message.OutcomeAnswer;
+import org.coriandercrank.kernel.message.OutcomeQuery;
+import org.coriandercrank.kernel.ownership.GateStatus;
+import org.coriandercrank.kernel.ownership.InheritedRecords;
+import org.coriandercrank.kernel.ownership.OwnerGate;
+import org.coriandercrank.kernel.placement.RangeLoad;
+import org.coriandercrank.kernel.request.CallerAnswer;
+import org.coriandercrank.kernel.request.CallerRequest;
+import org.coriandercrank.kernel.table.BackendInfo;
+import org.coriandercrank.kernel.table.KeyRange;
+
+/**
+ * The gate of this host, which exists from the first announcement of a backend server on. Thread safe. Before that,
+ * requests are refused and outcome queries get {@code UNKNOWN}.
+ */
+final class LocalGate implements OwnerGate, AutoCloseable {
+    private static final GateStatus NO_GATE = new GateStatus(false, false, 0, 0, List.of());
+
+    private final Function<ServiceName, Gate> factory;
+    private final AtomicReference<Gate> gate = new AtomicReference<>();
+
+    LocalGate(Function<ServiceName, Gate> factory) {
+        this.factory = factory;
+    }
+
+    @Override
+    public CompletableFuture<CallerAnswer> submit(CallerRequest request) {
+        return find().map(g -> g.submit(request))
+                .orElseGet(() -> CompletableFuture.completedFuture(
+                        CallerAnswer.of(ResultCode.NOT_OWNER, "no backend server beside this daemon")));
+    }
+
+    @Override
+    public void cancel(RequestId requestId) {
+        find().ifPresent(g -> g.cancel(requestId));
+    }
+
+    @Override
+    public CompletableFuture<OutcomeAnswer> resolve(OutcomeQuery query) {
+        return find().map(g -> g.resolve(query))
+                .orElseGet(() ->
+                        CompletableFuture.completedFuture(OutcomeAnswer.of(OutcomeAnswer.State.UNKNOWN)));
+    }
+
+    /** Creates the gate on the first call; later calls must be for the same service. */
+    @Override
+    public void attach(BackendInfo info, BackendServer server) {
+        Gate current = gate.get();
+        if (current == null) {
+            current = factory.apply(info.service());
+            gate.set(current);
+        }
+        current.attach(info, server);
+    }
+
+    @Override
+    public CompletableFuture<Void> acquire(KeyRange range, Generation fence, InheritedRecords inherited) {
+        return find().map(g -> g.acquire(range, fence, inherited)).orElseGet(LocalGate::noBackend);
+    }
+
+    @Override
+    public CompletableFuture<InheritedRecords> release(KeyRange range) {
+        return find().map(g -> g.release(range))
+                .orElseGet(() -> CompletableFuture.completedFuture(InheritedRecords.NONE));
+    }
+
+    @Override
+    public CompletableFuture<Void> drain() {
+        return find().map(Gate::drain).orElseGet(() -> CompletableFuture.completedFuture(null));
+    }
+
+    @Override
+    public List<RangeLoad> loads() {
+        return find().map(Gate::loads).orElse(List.of());
+    }
+
+    @Override
+    public GateStatus status() {
+        return find().map(Gate::status).orElse(NO_GATE);
+    }
+
+    @Override
+    public void close() {
+        find().ifPresent(Gate::close);
+    }
+
+    private Optional<Gate> find() {
+        return Optional.ofNullable(gate.get());
+    }
+
+    private static <T> CompletableFuture<T> noBackend() {
+        return CompletableFuture.failedFuture(
+                new CrankException(ResultCode.BACKEND_UNAVAILABLE, "no backend server beside this daemon"));
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Assembly of the parts of a daemon. */
+package org.coriandercrank.daemon.internal;
--- /dev/null
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon program {@code crankd}. */
+package org.coriandercrank.daemon;
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/PeerNetwork.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/PeerNetwork.java
@@ -30,7 +30,7 @@
             PeerOptions options,
             MeterRegistry metrics) {
         listener = new PeerListener(group, listen, self, handlers, metrics);
-        links = new LinkTable(group, self, options, metrics);
+        links = new LinkTable(group, self, listen.ip(), options, metrics);
     }
 
     public HostAddress address() {
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/LinkTable.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/LinkTable.java
@@ -12,14 +12,14 @@
 /** The open outgoing links of a daemon. Thread safe; at most one link per target. */
 public final class LinkTable implements AutoCloseable {
     private final EventLoopGroup group;
-    private final MemberId self;
+    private final LinkSource source;
     private final PeerOptions options;
     private final TrafficMeter meter;
     private final Map<PeerTarget, PeerLink> links = new ConcurrentHashMap<>();
 
-    public LinkTable(EventLoopGroup group, MemberId self, PeerOptions options, MeterRegistry metrics) {
+    public LinkTable(EventLoopGroup group, MemberId self, String localIp, PeerOptions options, MeterRegistry metrics) {
         this.group = group;
-        this.self = self;
+        this.source = new LinkSource(self, localIp);
         this.options = options;
         this.meter = new TrafficMeter(metrics);
         metrics.gaugeMapSize("crank.peer.links", List.of(), links);
@@ -31,7 +31,7 @@
     }
 
     private PeerLink open(PeerTarget newTarget) {
-        PeerLink link = new PeerLink(self, newTarget, options, meter, group.next(), () -> links.remove(newTarget));
+        PeerLink link = new PeerLink(source, newTarget, options, meter, group.next(), () -> links.remove(newTarget));
         link.open();
         return link;
     }
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -22,7 +23,6 @@
 import java.util.concurrent.TimeUnit;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
-import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.message.CallFailure;
 import org.coriandercrank.kernel.message.Hello;
 import org.coriandercrank.kernel.message.Message;
@@ -45,7 +45,7 @@
     private record Outstanding(
             Message message, Class<? extends Message> answerType, CompletableFuture<Message> result) {}
 
-    private final MemberId self;
+    private final LinkSource source;
     private final PeerTarget target;
     private final PeerOptions options;
     private final TrafficMeter meter;
@@ -64,13 +64,13 @@
     private boolean pinged;
 
     PeerLink(
-            MemberId self,
+            LinkSource source,
             PeerTarget target,
             PeerOptions options,
             TrafficMeter meter,
             EventLoop loop,
             Runnable whenClosed) {
-        this.self = self;
+        this.source = source;
         this.target = target;
         this.options = options;
         this.meter = meter;
@@ -113,7 +113,10 @@
                         ch.pipeline().addLast(new FrameCodec(meter)).addLast(new Inbound());
                     }
                 })
-                .connect(target.address().ip(), target.address().port());
+                .connect(
+                        new InetSocketAddress(
+                                target.address().ip(), target.address().port()),
+                        new InetSocketAddress(source.ip(), 0));
         channel = connecting.channel();
         connecting.addListener(done -> connected(connecting));
     }
@@ -125,7 +128,7 @@
             fail(ResultCode.PEER_UNREACHABLE, String.valueOf(connecting.cause().getMessage()));
         } else {
             silentSinceNanos = System.nanoTime();
-            channel.writeAndFlush(new Frame(Frame.ONE_WAY, new Hello(self, PROTOCOL_VERSION)));
+            channel.writeAndFlush(new Frame(Frame.ONE_WAY, new Hello(source.member(), PROTOCOL_VERSION)));
             check = loop.scheduleWithFixedDelay(
                     this::checkSilence, CHECK_PERIOD_MS, CHECK_PERIOD_MS, TimeUnit.MILLISECONDS);
         }
--- /dev/null
+++ b/org.coriandercrank.testkit.test/src/main/java/org/coriandercrank/testkit/ChildProcess.java
@@ -0,0 +1,130 @@
+package org.coriandercrank.testkit;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A Java program of this project as a child process, with its output in a file. Not thread safe. Signals go to the id
+ * of exactly this process.
+ */
+public final class ChildProcess implements AutoCloseable {
+    private static final long STOP_WAIT_SECONDS = 15;
+
+    private final String name;
+    private final Path outputFile;
+    private final Process process;
+
+    private ChildProcess(String name, Path outputFile, Process process) {
+        this.name = name;
+        this.outputFile = outputFile;
+        this.process = process;
+    }
+
+    /** Starts a main class with the class path of this process. */
+    public static ChildProcess start(String name, Path directory, String mainClass, List<String> arguments) {
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx128m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                mainClass));
+        command.addAll(arguments);
+        Path outputFile = directory.resolve(name + ".log");
+        try {
+            Process process = new ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(outputFile.toFile()))
+                    .start();
+            return new ChildProcess(name, outputFile, process);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public long pid() {
+        return process.pid();
+    }
+
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
+    public String output() {
+        try {
+            return Files.readString(outputFile);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Ends the process at once, without its cooperation. */
+    public void kill() {
+        process.destroyForcibly();
+        waitForEnd();
+    }
+
+    /** Asks the process to end and waits for it; returns its exit code. */
+    public int stop() {
+        process.destroy();
+        return waitForEnd();
+    }
+
+    /** Asks the process to end without waiting. */
+    public void requestStop() {
+        process.destroy();
+    }
+
+    /** Waits for the end of the process and returns its exit code. */
+    public int waitForEnd() {
+        try {
+            if (!process.waitFor(STOP_WAIT_SECONDS, TimeUnit.SECONDS)) {
+                process.destroyForcibly();
+                process.waitFor();
+            }
+            return process.exitValue();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", e);
+        }
+    }
+
+    public void freeze() {
+        signal("STOP");
+    }
+
+    public void resume() {
+        signal("CONT");
+    }
+
+    private void signal(String signal) {
+        try {
+            new ProcessBuilder("kill", "-" + signal, Long.toString(pid()))
+                    .start()
+                    .waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        if (process.isAlive()) {
+            resume();
+            kill();
+        }
+    }
+}
--- a/org.coriandercrank.testkit.test/src/main/java/org/coriandercrank/testkit/FaultProxy.java
+++ b/org.coriandercrank.testkit.test/src/main/java/org/coriandercrank/testkit/FaultProxy.java
@@ -33,6 +33,7 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Set<ProxyConnection> connections = ConcurrentHashMap.newKeySet();
     private final Set<Direction> blocked = ConcurrentHashMap.newKeySet();
+    private final Set<String> blockedSources = ConcurrentHashMap.newKeySet();
     private final AtomicLong bytes = new AtomicLong();
     private final Channel listener;
     private volatile HostAddress target;
@@ -76,7 +77,13 @@
     /** Holds back all bytes of a direction, also of new connections. */
     public void block(Direction direction) {
         blocked.add(direction);
-        connections.forEach(connection -> connection.update(blocked));
+        updateAll();
+    }
+
+    /** Holds back all bytes of connections that come from an IP. */
+    public void blockSource(String ip) {
+        blockedSources.add(ip);
+        updateAll();
     }
 
     public void blockBoth() {
@@ -99,7 +106,8 @@
         refusing = false;
         delayMs = 0;
         blocked.clear();
-        connections.forEach(connection -> connection.update(blocked));
+        blockedSources.clear();
+        updateAll();
     }
 
     /** Bytes passed on in both directions. */
@@ -107,6 +115,14 @@
         return bytes.get();
     }
 
+    private void updateAll() {
+        connections.forEach(connection -> connection.update(blocks(connection)));
+    }
+
+    private Set<Direction> blocks(ProxyConnection connection) {
+        return blockedSources.contains(connection.sourceIp()) ? Set.of(Direction.values()) : Set.copyOf(blocked);
+    }
+
     private void accept(SocketChannel front) {
         if (refusing) {
             front.close();
@@ -138,7 +154,7 @@
         ProxyConnection connection = new ProxyConnection(front, back, () -> delayMs, bytes::addAndGet);
         connections.add(connection);
         front.closeFuture().addListener(done -> connections.remove(connection));
-        connection.start(blocked);
+        connection.start(blocks(connection));
     }
 
     @Override
--- a/org.coriandercrank.testkit.test/src/main/java/org/coriandercrank/testkit/ProxyConnection.java
+++ b/org.coriandercrank.testkit.test/src/main/java/org/coriandercrank/testkit/ProxyConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Set;
@@ -31,6 +32,11 @@
         this.fromTarget = new Pipe(back, front);
     }
 
+    String sourceIp() {
+        InetSocketAddress source = (InetSocketAddress) front.remoteAddress();
+        return source == null ? "" : source.getAddress().getHostAddress();
+    }
+
     void start(Set<Direction> blocked) {
         front.pipeline().addLast(toTarget);
         back.pipeline().addLast(fromTarget);
