Classify unencodable HTTP calls as not sent; add aborts, warm pool, server limit

Cause: a call that Netty refuses to encode threw inside the event loop, so its future failed only after the whole timeout and as possibly sent. The stand-ins and the backend adapter also need answers that are lost or cut, a pool that is opened ahead of load and a limit on served connections. Change: encode before the call counts as outstanding; HttpAbortException; HttpClient.warm; HttpServer.listen with maxConnections, openConnections and peakConnections. Existing signatures are unchanged.

--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ClientConnectionHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ClientConnectionHandler.java
@@ -49,6 +49,14 @@
                     new HttpCallException(Stage.NOT_SENT, "connection to " + target + " was closed", null));
             return;
         }
+        FullHttpRequest request;
+        try {
+            request = request(target, call);
+        } catch (IllegalArgumentException e) {
+            whenFree.run();
+            result.completeExceptionally(new HttpCallException(Stage.NOT_SENT, "call is not valid HTTP", e));
+            return;
+        }
         outstanding = result;
         release = whenFree;
         timeout = channel.eventLoop()
@@ -56,7 +64,7 @@
                         () -> failAndClose(channel, "no answer from " + target + " within " + timeoutMs + " ms", null),
                         timeoutMs,
                         TimeUnit.MILLISECONDS);
-        channel.writeAndFlush(request(target, call));
+        channel.writeAndFlush(request);
     }
 
     private static FullHttpRequest request(HostAddress target, HttpCall call) {
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClient.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClient.java
@@ -88,6 +88,26 @@
         return entry.result;
     }
 
+    /** Opens connections until {@code count} are open or being opened, within the limit of the pool. */
+    public void warm(int count) {
+        int missing;
+        synchronized (lock) {
+            missing = closed ? 0 : Math.max(0, Math.min(count, options.maxConnections()) - open);
+            open += missing;
+        }
+        for (int i = 0; i < missing; i++) {
+            bootstrap.connect(target.ip(), target.port()).addListener((io.netty.channel.ChannelFutureListener)
+                    future -> {
+                        if (future.isSuccess()) {
+                            future.channel().closeFuture().addListener(done -> connectionClosed());
+                            release(future.channel());
+                        } else {
+                            connectionClosed();
+                        }
+                    });
+        }
+    }
+
     public int openConnections() {
         synchronized (lock) {
             return open;
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpHandler.java
@@ -9,7 +9,8 @@
      * Starts handling a call.
      *
      * @param closed completes when the caller's connection closes before the answer was written
-     * @return the answer; a failed future is answered with status 500
+     * @return the answer; a failed future is answered with status 500, or closes the connection if it fails with
+     *     {@link HttpAbortException}
      */
     CompletableFuture<HttpReply> handle(HttpCall call, CompletableFuture<Void> closed);
 }
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpServer.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpServer.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.coriandercrank.kernel.id.HostAddress;
 
 /**
@@ -25,7 +26,15 @@
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final Channel listener;
 
-    private HttpServer(EventLoopGroup group, HostAddress listen, HttpServerOptions options, HttpHandler handler)
+    private final AtomicInteger open = new AtomicInteger();
+    private final AtomicInteger peak = new AtomicInteger();
+
+    private HttpServer(
+            EventLoopGroup group,
+            HostAddress listen,
+            HttpServerOptions options,
+            int maxConnections,
+            HttpHandler handler)
             throws InterruptedException {
         listener = new ServerBootstrap()
                 .group(group)
@@ -36,6 +45,13 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
+                        int count = open.incrementAndGet();
+                        channel.closeFuture().addListener(done -> open.decrementAndGet());
+                        if (count > maxConnections) {
+                            channel.close();
+                            return;
+                        }
+                        peak.accumulateAndGet(count, Math::max);
                         connections.add(channel);
                         channel.pipeline()
                                 .addLast(new HttpServerCodec(
@@ -51,8 +67,18 @@
     /** Listens at an address; port 0 takes a free port. Blocks until the port is bound. */
     public static HttpServer listen(
             EventLoopGroup group, HostAddress listen, HttpServerOptions options, HttpHandler handler) {
+        return listen(group, listen, options, Integer.MAX_VALUE, handler);
+    }
+
+    /** As above; a connection beyond {@code maxConnections} is closed at once. */
+    public static HttpServer listen(
+            EventLoopGroup group,
+            HostAddress listen,
+            HttpServerOptions options,
+            int maxConnections,
+            HttpHandler handler) {
         try {
-            return new HttpServer(group, listen, options, handler);
+            return new HttpServer(group, listen, options, maxConnections, handler);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IllegalStateException("interrupted while binding " + listen, e);
@@ -64,6 +90,15 @@
         return new HostAddress(bound.getAddress().getHostAddress(), bound.getPort());
     }
 
+    public int openConnections() {
+        return open.get();
+    }
+
+    /** Most connections that were served at the same time since the start. */
+    public int peakConnections() {
+        return peak.get();
+    }
+
     /** Accepts no further connections; open ones go on. */
     public void stopAccepting() {
         listener.close().syncUninterruptibly();
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
@@ -6,6 +6,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -21,8 +23,10 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 
 /**
  * One connection of {@link HttpServer}. Confined to its event loop. Requests are handled one at a time, which keeps
@@ -110,8 +114,40 @@
                 head.method().name(), head.uri(), HttpHeadersSupport.fromNetty(head.headers()), body.toByteArray());
         closed = new CompletableFuture<>();
         handleSafely(call)
-                .whenComplete((reply, failure) -> context.executor()
-                        .execute(() -> write(context, replyOrError(reply, failure), keepAlive, headOnly)));
+                .whenComplete((reply, failure) ->
+                        context.executor().execute(() -> finish(context, reply, failure, keepAlive, headOnly)));
+    }
+
+    private void finish(
+            ChannelHandlerContext context, HttpReply reply, Throwable failure, boolean keepAlive, boolean headOnly) {
+        if (failure != null && unwrap(failure) instanceof HttpAbortException abort) {
+            closed = null;
+            abort(context, abort);
+        } else {
+            write(context, replyOrError(reply, failure), keepAlive, headOnly);
+        }
+    }
+
+    private static Throwable unwrap(Throwable failure) {
+        return failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+    }
+
+    /** The rest of a cut answer is missing, so the announced content length exceeds what is written. */
+    private void abort(ChannelHandlerContext context, HttpAbortException abort) {
+        rejected = true;
+        if (abort.cutReply().isEmpty()) {
+            context.close();
+            return;
+        }
+        HttpReply reply = abort.cutReply().get();
+        DefaultHttpResponse response =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status()));
+        HttpHeadersSupport.toNetty(reply.headers(), response.headers());
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length + 1);
+        context.write(response);
+        context.writeAndFlush(new DefaultHttpContent(
+                        Unpooled.wrappedBuffer(Arrays.copyOf(reply.body(), reply.body().length / 2))))
+                .addListener(ChannelFutureListener.CLOSE);
     }
 
     private CompletableFuture<HttpReply> handleSafely(HttpCall call) {
