Add object store stand-in and HTTP adapters

Cause: the daemon needs an object store and a backend server behind the kernel interfaces. The validity of a grant counts from its sending on the server's own clock, because a frozen server can find an old grant in its receive buffer.

--- /dev/null
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpBackendServer.java
@@ -0,0 +1,154 @@
+package org.coriandercrank.adapters;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.EventLoopGroup;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.coriandercrank.adapters.internal.BackendReplies;
+import org.coriandercrank.adapters.internal.ServerClock;
+import org.coriandercrank.adapters.internal.UrlNames;
+import org.coriandercrank.http.HttpCall;
+import org.coriandercrank.http.HttpClient;
+import org.coriandercrank.http.HttpClientOptions;
+import org.coriandercrank.http.HttpReply;
+import org.coriandercrank.kernel.backend.BackendCall;
+import org.coriandercrank.kernel.backend.BackendHealth;
+import org.coriandercrank.kernel.backend.BackendServer;
+import org.coriandercrank.kernel.backend.Grant;
+import org.coriandercrank.kernel.id.RequestId;
+import org.coriandercrank.kernel.request.CallerAnswer;
+import org.coriandercrank.kernel.request.CallerRequest;
+import org.coriandercrank.kernel.request.Header;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.kernel.table.BackendInfo;
+import org.coriandercrank.kernel.time.TimerService;
+
+/**
+ * Backend server over HTTP; the protocol is in {@code docs/PROTOCOL_BACKEND.md}.
+ *
+ * <p>Thread safe. Invariants: requests and control calls together use at most {@code maxConnections} connections; a
+ * request is written to at most one connection and never repeated. Control calls have up to two connections of their
+ * own, so that they do not wait behind requests; only a server that allows a single connection shares it.
+ */
+public final class HttpBackendServer implements BackendServer {
+    private static final int MAX_CONTROL_CONNECTIONS = 2;
+
+    /** From this limit on, two connections for control calls are a small share. */
+    private static final int CONNECTIONS_FOR_TWO_CONTROL = 8;
+
+    private static final int CONNECT_TIMEOUT_MS = 500;
+    private static final int MAX_BODY_BYTES = 16_777_216;
+
+    /** Below the 60 s after which common servers close idle connections, so that a reused one is rarely stale. */
+    private static final long IDLE_CLOSE_MS = 30_000;
+
+    private static final int MAX_WAITING_CONTROL_CALLS = 1_024;
+    private static final long CONTROL_TIMEOUT_MS = 1_000;
+    private static final long WARM_PERIOD_MS = 5_000;
+
+    /** Time given to a server to report at the deadline that it did not execute the call. */
+    private static final long DEADLINE_GRACE_MS = 100;
+
+    private final HttpClient requests;
+    private final HttpClient control;
+    private final int requestConnections;
+    private final int warmConnections;
+    private final TimerService.Subscription warming;
+    private final ServerClock serverClock;
+
+    /** Connects; the group and the timers are the property of the caller. */
+    public HttpBackendServer(EventLoopGroup group, TimerService timers, BackendInfo info) {
+        int max = info.maxConnections();
+        int controlConnections = max == 1 ? 0 : max < CONNECTIONS_FOR_TWO_CONTROL ? 1 : MAX_CONTROL_CONNECTIONS;
+        requestConnections = max - controlConnections;
+        warmConnections = Math.min(info.slots(), requestConnections);
+        requests = new HttpClient(group, info.address(), options(requestConnections, requestConnections));
+        control = controlConnections == 0
+                ? requests
+                : new HttpClient(group, info.address(), options(controlConnections, MAX_WAITING_CONTROL_CALLS));
+        serverClock = new ServerClock(timers.clock());
+        requests.warm(warmConnections);
+        warming = timers.every(WARM_PERIOD_MS, Runnable::run, () -> requests.warm(warmConnections));
+    }
+
+    private static HttpClientOptions options(int maxConnections, int maxWaiting) {
+        return new HttpClientOptions(maxConnections, maxWaiting, CONNECT_TIMEOUT_MS, MAX_BODY_BYTES, IDLE_CLOSE_MS);
+    }
+
+    @Override
+    public CompletableFuture<CallerAnswer> execute(BackendCall call) {
+        CallerRequest request = call.request();
+        HttpCall httpCall = new HttpCall(request.method(), request.path(), headers(call), request.body());
+        return BackendReplies.execution(
+                request.id(), requests.call(httpCall, request.remainingMs() + DEADLINE_GRACE_MS));
+    }
+
+    /** Headers of the protocol replace those of the caller with the same names. */
+    private static List<Header> headers(BackendCall call) {
+        CallerRequest request = call.request();
+        List<Header> headers = new ArrayList<>(request.headers().size() + 4);
+        for (Header header : request.headers()) {
+            if (!BackendReplies.REQUEST_HEADERS.contains(header.name())) {
+                headers.add(header);
+            }
+        }
+        headers.add(new Header(BackendReplies.REQUEST_ID, request.id().value()));
+        headers.add(new Header(BackendReplies.DEADLINE_MS, Long.toString(request.remainingMs())));
+        request.key().ifPresent(key -> {
+            headers.add(new Header(BackendReplies.KEY, UrlNames.encode(key.value())));
+            headers.add(new Header(BackendReplies.FENCE, call.fence().toString()));
+        });
+        return headers;
+    }
+
+    @Override
+    public void cancel(RequestId requestId) {
+        controlCall(HttpCall.of("POST", "/control/cancel/" + requestId));
+    }
+
+    @Override
+    public CompletableFuture<Long> grant(Grant grant) {
+        if (!serverClock.isKnown()) {
+            return controlCall(HttpCall.of("GET", "/control/clock")).thenCompose(reply -> sendGrant(grant));
+        }
+        return sendGrant(grant);
+    }
+
+    private CompletableFuture<Long> sendGrant(Grant grant) {
+        HttpCall call = new HttpCall("PUT", "/control/grant", serverClock.sentAtHeader(), JsonCodec.encode(grant));
+        return controlCall(call).thenApply(BackendReplies::sequence);
+    }
+
+    @Override
+    public CompletableFuture<Void> drain() {
+        return controlCall(HttpCall.of("POST", "/control/drain")).thenAccept(BackendReplies::requireOk);
+    }
+
+    @Override
+    public CompletableFuture<BackendHealth> health() {
+        return controlCall(HttpCall.of("GET", "/health")).thenApply(reply -> {
+            BackendReplies.requireOk(reply);
+            JsonNode node = JsonCodec.decode(reply.body(), JsonNode.class);
+            return new BackendHealth(
+                    node.path("healthy").asBoolean(),
+                    node.path("draining").asBoolean(),
+                    node.path("load").asInt());
+        });
+    }
+
+    private CompletableFuture<HttpReply> controlCall(HttpCall call) {
+        return BackendReplies.control(control.call(call, CONTROL_TIMEOUT_MS)).whenComplete((reply, failure) -> {
+            if (failure == null) {
+                serverClock.observe(reply);
+            }
+        });
+    }
+
+    @Override
+    public void close() {
+        warming.cancel();
+        requests.close();
+        control.close();
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpObjectStore.java
@@ -0,0 +1,119 @@
+package org.coriandercrank.adapters;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.QueryStringEncoder;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.coriandercrank.adapters.internal.StoreReplies;
+import org.coriandercrank.adapters.internal.UrlNames;
+import org.coriandercrank.http.HttpCall;
+import org.coriandercrank.http.HttpClient;
+import org.coriandercrank.http.HttpClientOptions;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.request.Header;
+import org.coriandercrank.kernel.store.ObjectStore;
+import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.kernel.store.WatchBatch;
+
+/**
+ * Object store over HTTP; the protocol is in {@code docs/PROTOCOL_STORE.md}.
+ *
+ * <p>Thread safe. Each method sends at most one HTTP request; nothing is repeated. Watches have connections of their
+ * own, so that waiting watches never delay other calls.
+ */
+public final class HttpObjectStore implements ObjectStore {
+    /** Largest value that the store takes. */
+    public static final int MAX_VALUE_BYTES = 1_048_576;
+
+    private static final int CALL_CONNECTIONS = 8;
+    private static final int WATCH_CONNECTIONS = 8;
+
+    /** A listing holds values in base64 and can exceed the limit of one object many times. */
+    private static final int MAX_ANSWER_BYTES = 67_108_864;
+
+    private static final int CONNECT_TIMEOUT_MS = 500;
+    private static final int MAX_WAITING = 1_024;
+    private static final long IDLE_CLOSE_MS = 30_000;
+
+    private final HttpClient calls;
+    private final HttpClient watches;
+    private final long callTimeoutMs;
+
+    /**
+     * A client; connections are opened on demand.
+     *
+     * @param group I/O threads, property of the caller
+     * @param callTimeoutMs time until a call without an answer fails; for a watch it is added to the waiting time
+     */
+    public HttpObjectStore(EventLoopGroup group, HostAddress address, long callTimeoutMs) {
+        this.callTimeoutMs = callTimeoutMs;
+        HttpClientOptions options = new HttpClientOptions(
+                CALL_CONNECTIONS, MAX_WAITING, CONNECT_TIMEOUT_MS, MAX_ANSWER_BYTES, IDLE_CLOSE_MS);
+        this.calls = new HttpClient(group, address, options);
+        this.watches = new HttpClient(group, address, options.withMaxConnections(WATCH_CONNECTIONS));
+    }
+
+    @Override
+    public CompletableFuture<Optional<StoredObject>> get(String name) {
+        return StoreReplies.read(
+                calls.call(HttpCall.of("GET", objectTarget(name)), callTimeoutMs),
+                reply -> StoreReplies.object(name, reply));
+    }
+
+    @Override
+    public CompletableFuture<WatchBatch> list(String prefix) {
+        QueryStringEncoder target = new QueryStringEncoder("/v1/list");
+        target.addParam("prefix", prefix);
+        return StoreReplies.read(calls.call(HttpCall.of("GET", target.toString()), callTimeoutMs), StoreReplies::batch);
+    }
+
+    @Override
+    public CompletableFuture<Revision> put(String name, byte[] value, Revision expected) {
+        if (value.length > MAX_VALUE_BYTES) {
+            return CompletableFuture.failedFuture(new CrankException(
+                    ResultCode.STORE_UNAVAILABLE,
+                    "value of " + name + " has " + value.length + " bytes, limit " + MAX_VALUE_BYTES));
+        }
+        return StoreReplies.write(name, calls.call(write("PUT", name, value, expected), callTimeoutMs));
+    }
+
+    @Override
+    public CompletableFuture<Void> delete(String name, Revision expected) {
+        return StoreReplies.write(name, calls.call(write("DELETE", name, new byte[0], expected), callTimeoutMs))
+                .thenApply(revision -> null);
+    }
+
+    @Override
+    public CompletableFuture<WatchBatch> watch(String prefix, Revision after, long waitMs) {
+        QueryStringEncoder target = new QueryStringEncoder("/v1/watch");
+        target.addParam("prefix", prefix);
+        target.addParam("after", after.toString());
+        target.addParam("wait-ms", Long.toString(waitMs));
+        return StoreReplies.read(
+                watches.call(HttpCall.of("GET", target.toString()), waitMs + callTimeoutMs), StoreReplies::batch);
+    }
+
+    @Override
+    public void close() {
+        calls.close();
+        watches.close();
+    }
+
+    private static HttpCall write(String method, String name, byte[] value, Revision expected) {
+        return new HttpCall(
+                method,
+                objectTarget(name),
+                List.of(
+                        new Header("content-type", "application/octet-stream"),
+                        new Header(StoreReplies.EXPECTED_HEADER, expected.toString())),
+                value);
+    }
+
+    private static String objectTarget(String name) {
+        return "/v1/objects/" + UrlNames.encodePath(name);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/BackendReplies.java
@@ -0,0 +1,108 @@
+package org.coriandercrank.adapters.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.coriandercrank.http.HttpCallException;
+import org.coriandercrank.http.HttpCallException.Stage;
+import org.coriandercrank.http.HttpReply;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.RequestId;
+import org.coriandercrank.kernel.request.CallerAnswer;
+import org.coriandercrank.kernel.store.JsonCodec;
+
+/**
+ * Maps answers and failures of a backend server to result codes. Stateless.
+ *
+ * <p>A call is reported as not executed only if it was not sent or the server said so in {@code Crank-Not-Run}.
+ */
+public final class BackendReplies {
+    public static final String REQUEST_ID = "crank-request-id";
+    public static final String KEY = "crank-key";
+    public static final String FENCE = "crank-fence";
+    public static final String DEADLINE_MS = "crank-deadline-ms";
+
+    /** Headers that the adapter sets and a caller cannot. */
+    public static final Set<String> REQUEST_HEADERS = Set.of(REQUEST_ID, KEY, FENCE, DEADLINE_MS);
+
+    private static final String NOT_RUN = "crank-not-run";
+    private static final String REASON = "crank-reason";
+
+    /** Statuses by which a server or something in front of it says that it has no result of the call. */
+    private static final Set<Integer> NO_RESULT_STATUSES = Set.of(502, 503, 504);
+
+    private static final int FIRST_STATUS = 200;
+    private static final int LAST_STATUS = 599;
+
+    private BackendReplies() {}
+
+    /** Outcome of an execution. */
+    public static CompletableFuture<CallerAnswer> execution(RequestId id, CompletableFuture<HttpReply> call) {
+        return call.handle((reply, failure) -> {
+            if (failure != null) {
+                throw failure(id.value(), failure);
+            }
+            if (reply.header(NOT_RUN).filter("true"::equals).isPresent()) {
+                throw refusal(id, reply);
+            }
+            if (reply.status() < FIRST_STATUS
+                    || reply.status() > LAST_STATUS
+                    || NO_RESULT_STATUSES.contains(reply.status())) {
+                throw new CrankException(
+                        ResultCode.OUTCOME_UNKNOWN, id + ": backend server answered " + reply.status());
+            }
+            return CallerAnswer.executed(reply.status(), reply.headers(), reply.body());
+        });
+    }
+
+    private static CrankException refusal(RequestId id, HttpReply reply) {
+        String reason = reply.header(REASON).orElse("none");
+        ResultCode code = switch (reason) {
+            case "fence", "range", "validity" -> ResultCode.FENCE_REJECTED;
+            case "overload" -> ResultCode.OVERLOADED;
+            default -> ResultCode.BACKEND_UNAVAILABLE;
+        };
+        return new CrankException(code, id + ": backend server did not execute, reason " + reason);
+    }
+
+    /** Answer of a control call; its failures tell whether the call was sent. */
+    public static CompletableFuture<HttpReply> control(CompletableFuture<HttpReply> call) {
+        return call.handle((reply, failure) -> {
+            if (failure != null) {
+                throw failure("control call", failure);
+            }
+            return reply;
+        });
+    }
+
+    private static CrankException failure(String subject, Throwable failure) {
+        boolean notSent = failure instanceof HttpCallException call && call.stage() == Stage.NOT_SENT;
+        return new CrankException(
+                notSent ? ResultCode.BACKEND_UNAVAILABLE : ResultCode.OUTCOME_UNKNOWN,
+                subject + ": " + failure.getMessage(),
+                failure);
+    }
+
+    /** Sequence in the answer to a grant, accepted (200) or rejected as old (409). */
+    public static long sequence(HttpReply reply) {
+        if (reply.status() != 409) {
+            requireOk(reply);
+        }
+        JsonNode sequence = JsonCodec.decode(reply.body(), JsonNode.class).path("sequence");
+        if (!sequence.isIntegralNumber()) {
+            throw new CrankException(ResultCode.OUTCOME_UNKNOWN, "answer to a grant has no sequence");
+        }
+        return sequence.asLong();
+    }
+
+    /** Fails unless the server accepted a control call. */
+    public static void requireOk(HttpReply reply) {
+        if (reply.status() != 200) {
+            boolean notRun = reply.header(NOT_RUN).filter("true"::equals).isPresent();
+            throw new CrankException(
+                    notRun ? ResultCode.BACKEND_UNAVAILABLE : ResultCode.OUTCOME_UNKNOWN,
+                    "control call answered with status " + reply.status());
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/StoreReplies.java
@@ -0,0 +1,119 @@
+package org.coriandercrank.adapters.internal;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.coriandercrank.http.HttpCallException;
+import org.coriandercrank.http.HttpCallException.Stage;
+import org.coriandercrank.http.HttpReply;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.kernel.store.WatchBatch;
+
+/**
+ * Maps answers and failures of the store's protocol to values and result codes. Stateless.
+ *
+ * <p>A write is reported as without effect only if the request was not sent or the store said so; every other failure
+ * of a write, an unreadable answer included, is {@code WRITE_UNANSWERED}.
+ */
+public final class StoreReplies {
+    public static final String EXPECTED_HEADER = "crank-expected-revision";
+
+    private static final String REVISION_HEADER = "crank-revision";
+    private static final String NOT_RUN_HEADER = "crank-not-run";
+
+    private StoreReplies() {}
+
+    /** Outcome of a read; a read has no effect, so every lost answer is {@code STORE_UNAVAILABLE}. */
+    public static <T> CompletableFuture<T> read(
+            CompletableFuture<HttpReply> call, Function<HttpReply, T> successReader) {
+        return call.handle((reply, failure) -> {
+            if (failure != null) {
+                throw new CrankException(ResultCode.STORE_UNAVAILABLE, "read failed: " + failure.getMessage(), failure);
+            }
+            if (reply.status() >= 500 && reply.status() < 600) {
+                throw new CrankException(ResultCode.STORE_UNAVAILABLE, "store answered " + reply.status());
+            }
+            return successReader.apply(reply);
+        });
+    }
+
+    /** Outcome of a conditional write: the new revision. */
+    public static CompletableFuture<Revision> write(String name, CompletableFuture<HttpReply> call) {
+        return call.handle((reply, failure) -> {
+            if (failure != null) {
+                throw writeFailure(name, failure);
+            }
+            if (reply.status() == 200) {
+                return revision(reply)
+                        .orElseThrow(() -> new CrankException(
+                                ResultCode.WRITE_UNANSWERED, "answer to write of " + name + " has no revision"));
+            }
+            throw refusal(name, reply);
+        });
+    }
+
+    private static CrankException writeFailure(String name, Throwable failure) {
+        boolean notSent = failure instanceof HttpCallException call && call.stage() == Stage.NOT_SENT;
+        return new CrankException(
+                notSent ? ResultCode.STORE_UNAVAILABLE : ResultCode.WRITE_UNANSWERED,
+                "write of " + name + ": " + failure.getMessage(),
+                failure);
+    }
+
+    private static CrankException refusal(String name, HttpReply reply) {
+        int status = reply.status();
+        if (status == 409) {
+            return new CrankException(
+                    ResultCode.REVISION_CONFLICT,
+                    name + " has revision "
+                            + revision(reply).map(Revision::toString).orElse("unknown"));
+        }
+        boolean noEffect = reply.header(NOT_RUN_HEADER).filter("true"::equals).isPresent() || status == 413;
+        return new CrankException(
+                noEffect ? ResultCode.STORE_UNAVAILABLE : ResultCode.WRITE_UNANSWERED,
+                "write of " + name + " answered with status " + status);
+    }
+
+    /** The object of a get, or empty for status 404. */
+    public static Optional<StoredObject> object(String name, HttpReply reply) {
+        if (reply.status() == 404 && reply.header(REVISION_HEADER).isPresent()) {
+            return Optional.empty();
+        }
+        requireOk(reply);
+        Revision revision = revision(reply)
+                .orElseThrow(() -> new CrankException(ResultCode.STORE_MALFORMED, "answer has no revision"));
+        return Optional.of(StoredObject.of(name, revision, reply.body()));
+    }
+
+    /** The batch of a listing or watch. */
+    public static WatchBatch batch(HttpReply reply) {
+        requireOk(reply);
+        WatchBatch batch = JsonCodec.decode(reply.body(), WatchBatch.class);
+        boolean incomplete = batch.upTo() == null
+                || batch.changes().stream()
+                        .anyMatch(
+                                object -> object.name() == null || object.revision() == null || object.value() == null);
+        if (incomplete) {
+            throw new CrankException(ResultCode.STORE_MALFORMED, "listing lacks a field");
+        }
+        return batch;
+    }
+
+    private static void requireOk(HttpReply reply) {
+        if (reply.status() != 200) {
+            throw new CrankException(ResultCode.STORE_MALFORMED, "unexpected status " + reply.status());
+        }
+    }
+
+    private static Optional<Revision> revision(HttpReply reply) {
+        try {
+            return reply.header(REVISION_HEADER).map(Long::parseLong).map(Revision::new);
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/UrlNames.java
@@ -0,0 +1,19 @@
+package org.coriandercrank.adapters.internal;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+
+/** Percent encoding of names in paths and headers. Stateless. */
+public final class UrlNames {
+    private UrlNames() {}
+
+    /** Encodes all but unreserved characters. */
+    public static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+    }
+
+    /** As {@link #encode}, but keeps slashes. */
+    public static String encodePath(String text) {
+        return encode(text).replace("%2F", "/");
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Parts of the HTTP adapters. */
+package org.coriandercrank.adapters.internal;
--- /dev/null
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP adapters of the object store and the backend server. */
+package org.coriandercrank.adapters;
--- /dev/null
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/CrankStore.java
@@ -0,0 +1,74 @@
+package org.coriandercrank.standin;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.coriandercrank.http.HttpReply;
+import org.coriandercrank.http.HttpServer;
+import org.coriandercrank.http.HttpServerOptions;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.ring.DutyThread;
+import org.coriandercrank.kernel.time.SystemTimerService;
+import org.coriandercrank.kernel.time.TimerService;
+import org.coriandercrank.standin.internal.FaultSet;
+import org.coriandercrank.standin.internal.StoreService;
+import org.coriandercrank.standin.internal.StoreState;
+
+/**
+ * The program {@code crank-store}: an in-memory object store with conditional writes, watches and faults on demand.
+ *
+ * <p>Thread safe. Holds nothing across a restart.
+ */
+public final class CrankStore implements AutoCloseable {
+    /** Largest value of an object. */
+    public static final int MAX_VALUE_BYTES = 1_048_576;
+
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int IO_THREADS = 2;
+    private static final int RING_CAPACITY = 16_384;
+
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
+    private final DutyThread duty = new DutyThread("store", RING_CAPACITY);
+    private final TimerService timers = new SystemTimerService();
+    private final HttpServer server;
+
+    private CrankStore(StoreSettings settings) {
+        StoreService service = new StoreService(
+                duty,
+                timers,
+                new StoreState(settings.historyEntries),
+                new FaultSet(timers.clock(), settings.faultSeed));
+        HttpServerOptions options = new HttpServerOptions(
+                8_192, 16_384, MAX_VALUE_BYTES, status -> HttpReply.text(status, "request rejected\n"));
+        server = HttpServer.listen(group, HostAddress.parse(settings.listen), options, service);
+    }
+
+    /** Starts a store; returns when it listens. */
+    public static CrankStore start(StoreSettings settings) {
+        return new CrankStore(settings);
+    }
+
+    public HostAddress address() {
+        return server.address();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+        timers.close();
+        duty.close();
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    /** Runs until the process is stopped. */
+    public static void main(String[] arguments) {
+        StandInMain.run(new StoreSettings(), List.of(arguments), settings -> {
+            CrankStore store = start(settings);
+            logger.atInfo().log("event=store-started listen=%s", store.address());
+            return store;
+        });
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/StoreSettings.java
@@ -0,0 +1,38 @@
+package org.coriandercrank.standin;
+
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.settings.Faults;
+import org.coriandercrank.kernel.settings.Settings;
+import org.kohsuke.args4j.Option;
+
+/** Settings of {@code crank-store}. Not thread safe; not changed after loading. */
+public final class StoreSettings implements Settings {
+    private static final int MAX_HISTORY_ENTRIES = 10_000_000;
+
+    @Option(name = "--listen", usage = "address of the HTTP server, ip:port")
+    String listen = "127.0.0.1:7100";
+
+    @Option(name = "--history-entries", usage = "changes that a watch can reach back to")
+    int historyEntries = 10_000;
+
+    @Option(name = "--fault-seed", usage = "seed of faults with a probability")
+    long faultSeed = 1;
+
+    /** Settings with another listen address; port 0 takes a free port. */
+    public static StoreSettings listeningOn(HostAddress address) {
+        StoreSettings settings = new StoreSettings();
+        settings.listen = address.toString();
+        return settings;
+    }
+
+    public StoreSettings withHistoryEntries(int entries) {
+        historyEntries = entries;
+        return this;
+    }
+
+    @Override
+    public void check(Faults faults) {
+        faults.parse("--listen", listen, HostAddress::parse);
+        faults.requireRange("--history-entries", historyEntries, 1, MAX_HISTORY_ENTRIES);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/Fault.java
@@ -0,0 +1,20 @@
+package org.coriandercrank.standin.internal;
+
+/**
+ * A fault as submitted to {@code POST /admin/faults}. Immutable.
+ *
+ * @param durationMs time after which the fault ends; 0 for no end
+ * @param delayMs delay of {@link FaultKind#SLOW} and {@link FaultKind#DELAYED_WRITE}
+ * @param probability share of calls that are hit; 0 for all
+ * @param count calls that are hit before the fault ends; 0 for no bound
+ */
+public record Fault(FaultKind kind, long durationMs, long delayMs, double probability, int count) {
+    public Fault {
+        if (kind == null) {
+            throw new IllegalArgumentException("kind is required");
+        }
+        if (durationMs < 0 || delayMs < 0 || count < 0 || !(probability >= 0 && probability <= 1)) {
+            throw new IllegalArgumentException("durationMs, delayMs, count and probability must be in range");
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/Replies.java
@@ -0,0 +1,30 @@
+package org.coriandercrank.standin.internal;
+
+import java.util.List;
+import java.util.Map;
+import org.coriandercrank.http.HttpReply;
+import org.coriandercrank.kernel.request.Header;
+import org.coriandercrank.kernel.store.JsonCodec;
+
+/** Common replies of the stand-ins. Stateless. */
+final class Replies {
+    private static final String NOT_RUN_HEADER = "crank-not-run";
+    private static final String REASON_HEADER = "crank-reason";
+
+    private Replies() {}
+
+    static HttpReply json(int status, Object value) {
+        return HttpReply.json(status, JsonCodec.encode(value));
+    }
+
+    /** A refusal of a call that certainly had and will have no effect. */
+    static HttpReply notRun(int status, String reason) {
+        return new HttpReply(
+                status,
+                List.of(
+                        new Header("content-type", "application/json"),
+                        new Header(NOT_RUN_HEADER, "true"),
+                        new Header(REASON_HEADER, reason)),
+                JsonCodec.encode(Map.of("reason", reason)));
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/StoreService.java
@@ -0,0 +1,245 @@
+package org.coriandercrank.standin.internal;
+
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.coriandercrank.http.HttpAbortException;
+import org.coriandercrank.http.HttpCall;
+import org.coriandercrank.http.HttpHandler;
+import org.coriandercrank.http.HttpReply;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.request.Header;
+import org.coriandercrank.kernel.ring.DutyThread;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.kernel.store.WatchBatch;
+import org.coriandercrank.kernel.time.TimerService;
+
+/**
+ * HTTP front of {@link StoreState}; see {@code docs/PROTOCOL_STORE.md}. Thread safe: all work runs on the duty, which
+ * alone touches the state.
+ */
+public final class StoreService implements HttpHandler {
+    private static final String OBJECTS_PATH = "/v1/objects/";
+    private static final String REVISION_HEADER = "crank-revision";
+    private static final String EXPECTED_HEADER = "crank-expected-revision";
+    private static final long MAX_WAIT_MS = 600_000;
+
+    /** A watch that waits for a change. Confined to the duty. */
+    private record Waiter(String prefix, long after, CompletableFuture<HttpReply> result) {}
+
+    private final DutyThread duty;
+    private final TimerService timers;
+    private final StoreState state;
+    private final FaultSet faults;
+    private final Set<Waiter> waiters = new LinkedHashSet<>();
+    private final Map<String, Long> calls = new TreeMap<>();
+    private long conflicts;
+    private long refused;
+
+    public StoreService(DutyThread duty, TimerService timers, StoreState state, FaultSet faults) {
+        this.duty = duty;
+        this.timers = timers;
+        this.state = state;
+        this.faults = faults;
+    }
+
+    @Override
+    public CompletableFuture<HttpReply> handle(HttpCall call, CompletableFuture<Void> closed) {
+        CompletableFuture<HttpReply> result = new CompletableFuture<>();
+        if (!duty.offer(() -> serve(call, closed, result))) {
+            result.complete(Replies.notRun(503, "overload"));
+        }
+        return result;
+    }
+
+    private void serve(HttpCall call, CompletableFuture<Void> closed, CompletableFuture<HttpReply> result) {
+        try {
+            QueryStringDecoder target = new QueryStringDecoder(call.target());
+            if (target.path().startsWith("/admin/")) {
+                result.complete(admin(call));
+            } else {
+                data(call, target, closed, result);
+            }
+        } catch (IllegalArgumentException | CrankException e) {
+            result.complete(Replies.notRun(400, "malformed"));
+        }
+    }
+
+    private HttpReply admin(HttpCall call) {
+        switch (call.method() + " " + call.path()) {
+            case "POST /admin/faults" -> {
+                faults.add(JsonCodec.decode(call.body(), Fault.class));
+                abortWaitersIfDown();
+                return Replies.json(200, faults.list());
+            }
+            case "GET /admin/faults" -> {
+                return Replies.json(200, faults.list());
+            }
+            case "GET /admin/stats" -> {
+                return Replies.json(
+                        200, new StoreStats(state.revision(), state.size(), calls, conflicts, refused, waiters.size()));
+            }
+            default -> {
+                return HttpReply.text(404, "not found\n");
+            }
+        }
+    }
+
+    private void abortWaitersIfDown() {
+        boolean down = faults.list().stream()
+                .anyMatch(fault -> fault.kind() == FaultKind.DOWN || fault.kind() == FaultKind.CLOSED);
+        if (down) {
+            waiters.forEach(waiter -> waiter.result.completeExceptionally(HttpAbortException.unanswered()));
+            waiters.clear();
+        }
+    }
+
+    private void data(
+            HttpCall call,
+            QueryStringDecoder target,
+            CompletableFuture<Void> closed,
+            CompletableFuture<HttpReply> result) {
+        String operation = operation(call, target);
+        Runnable work = switch (operation) {
+            case "get" -> () -> result.complete(get(name(target)));
+            case "list" -> {
+                String prefix = parameter(target, "prefix");
+                yield () -> result.complete(Replies.json(200, state.list(prefix)));
+            }
+            case "watch" -> watch(target, closed, result);
+            default -> write(operation, call, name(target), result);
+        };
+        calls.merge(operation, 1L, Long::sum);
+        if (faults.hits(FaultKind.DOWN) || faults.hits(FaultKind.SHED)) {
+            refused++;
+            result.complete(Replies.notRun(503, "down"));
+        } else if (faults.hits(FaultKind.CLOSED)) {
+            refused++;
+            result.completeExceptionally(HttpAbortException.unanswered());
+        } else {
+            Optional<Fault> slow = faults.hit(FaultKind.SLOW);
+            if (slow.isPresent()) {
+                timers.once(slow.get().delayMs(), duty, work);
+            } else {
+                work.run();
+            }
+        }
+    }
+
+    private static String operation(HttpCall call, QueryStringDecoder target) {
+        boolean object = target.path().startsWith(OBJECTS_PATH);
+        String method = call.method();
+        if (object && Set.of("GET", "PUT", "DELETE").contains(method)) {
+            return method.toLowerCase(Locale.ROOT);
+        }
+        return switch (method + " " + target.path()) {
+            case "GET /v1/list" -> "list";
+            case "GET /v1/watch" -> "watch";
+            default -> throw new IllegalArgumentException("unknown operation");
+        };
+    }
+
+    private static String name(QueryStringDecoder target) {
+        String name = target.path().substring(OBJECTS_PATH.length());
+        if (name.isEmpty()) {
+            throw new IllegalArgumentException("object name is empty");
+        }
+        return name;
+    }
+
+    private static String parameter(QueryStringDecoder target, String name) {
+        List<String> values = target.parameters().get(name);
+        if (values == null) {
+            throw new IllegalArgumentException("parameter " + name + " is missing");
+        }
+        return values.get(0);
+    }
+
+    private HttpReply get(String name) {
+        return state.get(name)
+                .map(object -> new HttpReply(200, List.of(revisionHeader(object.revision())), object.value()))
+                .orElseGet(() -> new HttpReply(404, List.of(revisionHeader(Revision.NONE)), new byte[0]));
+    }
+
+    private static Header revisionHeader(Revision revision) {
+        return new Header(REVISION_HEADER, revision.toString());
+    }
+
+    /** The check and the effect of a write happen in one step of the duty, at the end of a delay. */
+    private Runnable write(String operation, HttpCall call, String name, CompletableFuture<HttpReply> result) {
+        Revision expected = new Revision(Long.parseLong(call.header(EXPECTED_HEADER)
+                .orElseThrow(() -> new IllegalArgumentException("expected revision is missing"))));
+        Supplier<Optional<Revision>> effect = "put".equals(operation)
+                ? () -> state.put(name, call.body(), expected)
+                : () -> state.delete(name, expected);
+        return () -> {
+            Optional<Fault> delayed = faults.hit(FaultKind.DELAYED_WRITE);
+            if (delayed.isPresent()) {
+                timers.once(delayed.get().delayMs(), duty, () -> apply(name, effect));
+                return;
+            }
+            HttpReply reply = apply(name, effect);
+            if (faults.hits(FaultKind.UNANSWERED)) {
+                result.completeExceptionally(HttpAbortException.unanswered());
+            } else if (faults.hits(FaultKind.CUT_ANSWER)) {
+                result.completeExceptionally(HttpAbortException.midAnswer(reply));
+            } else {
+                result.complete(reply);
+            }
+        };
+    }
+
+    private HttpReply apply(String name, Supplier<Optional<Revision>> effect) {
+        Optional<Revision> written = effect.get();
+        if (written.isEmpty()) {
+            conflicts++;
+            return new HttpReply(409, List.of(revisionHeader(state.revisionOf(name))), new byte[0]);
+        }
+        notifyWatches(name);
+        return new HttpReply(200, List.of(revisionHeader(written.get())), new byte[0]);
+    }
+
+    private void notifyWatches(String name) {
+        List<Waiter> matching = new ArrayList<>();
+        for (Waiter waiter : waiters) {
+            if (name.startsWith(waiter.prefix)) {
+                matching.add(waiter);
+            }
+        }
+        matching.forEach(this::answerWatch);
+    }
+
+    private void answerWatch(Waiter waiter) {
+        if (waiters.remove(waiter)) {
+            waiter.result.complete(Replies.json(200, state.changes(waiter.prefix, waiter.after)));
+        }
+    }
+
+    private Runnable watch(
+            QueryStringDecoder target, CompletableFuture<Void> closed, CompletableFuture<HttpReply> result) {
+        String prefix = parameter(target, "prefix");
+        long after = Long.parseLong(parameter(target, "after"));
+        long waitMs = Math.min(MAX_WAIT_MS, Long.parseLong(parameter(target, "wait-ms")));
+        return () -> {
+            WatchBatch batch = state.changes(prefix, after);
+            if (batch.reset() || !batch.changes().isEmpty() || waitMs <= 0) {
+                result.complete(Replies.json(200, batch));
+                return;
+            }
+            Waiter waiter = new Waiter(prefix, after, result);
+            waiters.add(waiter);
+            TimerService.Subscription timeout = timers.once(waitMs, duty, () -> answerWatch(waiter));
+            result.whenComplete((reply, failure) -> timeout.cancel());
+            closed.thenRun(() -> duty.offer(() -> waiters.remove(waiter)));
+        };
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/StoreState.java
@@ -0,0 +1,127 @@
+package org.coriandercrank.standin.internal;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.kernel.store.WatchBatch;
+
+/**
+ * Objects, the global revision counter and the bounded history of changes. Not thread safe; confined to the duty of the
+ * store.
+ *
+ * <p>Invariants: the counter grows by one with each successful put or delete; the history holds every change after
+ * {@code historyStart}, without values, so its memory does not depend on the size of objects.
+ */
+public final class StoreState {
+    private record Change(String name, long revision) {}
+
+    private final NavigableMap<String, StoredObject> objects = new TreeMap<>();
+    private final Deque<Change> history = new ArrayDeque<>();
+    private final int historyEntries;
+    private long revision;
+    private long historyStart;
+
+    public StoreState(int historyEntries) {
+        this.historyEntries = historyEntries;
+    }
+
+    public long revision() {
+        return revision;
+    }
+
+    public int size() {
+        return objects.size();
+    }
+
+    public Optional<StoredObject> get(String name) {
+        return Optional.ofNullable(objects.get(name));
+    }
+
+    /** Revision of an object; {@link Revision#NONE} if it does not exist. */
+    public Revision revisionOf(String name) {
+        return get(name).map(StoredObject::revision).orElse(Revision.NONE);
+    }
+
+    /** Writes an object; empty if it does not have the expected revision. */
+    public Optional<Revision> put(String name, byte[] value, Revision expected) {
+        if (!revisionOf(name).equals(expected)) {
+            return Optional.empty();
+        }
+        Revision written = record(name);
+        objects.put(name, StoredObject.of(name, written, value));
+        return Optional.of(written);
+    }
+
+    /** Deletes an object; empty if it does not exist or does not have the expected revision. */
+    public Optional<Revision> delete(String name, Revision expected) {
+        if (expected.equals(Revision.NONE) || !revisionOf(name).equals(expected)) {
+            return Optional.empty();
+        }
+        objects.remove(name);
+        return Optional.of(record(name));
+    }
+
+    private Revision record(String name) {
+        revision++;
+        history.addLast(new Change(name, revision));
+        if (history.size() > historyEntries) {
+            historyStart = history.removeFirst().revision;
+        }
+        return new Revision(revision);
+    }
+
+    /** All objects under a prefix, by ascending revision; {@code reset} is true. */
+    public WatchBatch list(String prefix) {
+        List<StoredObject> found = new ArrayList<>();
+        for (StoredObject object : objects.tailMap(prefix, true).values()) {
+            if (!object.name().startsWith(prefix)) {
+                break;
+            }
+            found.add(object);
+        }
+        found.sort(Comparator.comparing(StoredObject::revision));
+        return new WatchBatch(new Revision(revision), found, true);
+    }
+
+    /**
+     * Changes under a prefix after a revision; the whole listing if the history does not reach back that far or the
+     * revision is from before a restart of the store.
+     */
+    public WatchBatch changes(String prefix, long after) {
+        if (after < historyStart || after > revision) {
+            return list(prefix);
+        }
+        List<StoredObject> found = new ArrayList<>();
+        Set<String> seen = new HashSet<>();
+        Iterator<Change> newestFirst = history.descendingIterator();
+        while (newestFirst.hasNext()) {
+            Change change = newestFirst.next();
+            if (change.revision <= after) {
+                break;
+            }
+            if (change.name.startsWith(prefix) && seen.add(change.name)) {
+                found.add(latest(change));
+            }
+        }
+        Collections.reverse(found);
+        return new WatchBatch(new Revision(revision), found, false);
+    }
+
+    private StoredObject latest(Change change) {
+        StoredObject object = objects.get(change.name);
+        return object != null
+                ? object
+                : new StoredObject(change.name, new Revision(change.revision), new byte[0], true);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Implementation of the stand-ins. */
+package org.coriandercrank.standin.internal;
