Add keyed backend server stand-in

Change: crank-backend with slots, grants, fences, cancellation, deadlines, drain, cold start, lagging or false health, faults and a ledger; the effect of a request is applied at the end of its service time, directly after the checks.

--- a/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpBackendServer.java
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpBackendServer.java
@@ -50,6 +50,9 @@
     /** Time given to a server to report at the deadline that it did not execute the call. */
     private static final long DEADLINE_GRACE_MS = 100;
 
+    /** The server process was replaced since its clock was last seen; its answer carries the new clock. */
+    private static final int STATUS_OTHER_CLOCK = 412;
+
     private final HttpClient requests;
     private final HttpClient control;
     private final int requestConnections;
@@ -109,15 +112,17 @@
 
     @Override
     public CompletableFuture<Long> grant(Grant grant) {
-        if (!serverClock.isKnown()) {
-            return controlCall(HttpCall.of("GET", "/control/clock")).thenCompose(reply -> sendGrant(grant));
-        }
-        return sendGrant(grant);
+        CompletableFuture<HttpReply> answer = serverClock.isKnown()
+                ? sendGrant(grant)
+                : controlCall(HttpCall.of("GET", "/control/clock")).thenCompose(reply -> sendGrant(grant));
+        return answer.thenCompose(reply -> reply.status() == STATUS_OTHER_CLOCK
+                        ? sendGrant(grant)
+                        : CompletableFuture.completedFuture(reply))
+                .thenApply(BackendReplies::sequence);
     }
 
-    private CompletableFuture<Long> sendGrant(Grant grant) {
-        HttpCall call = new HttpCall("PUT", "/control/grant", serverClock.sentAtHeader(), JsonCodec.encode(grant));
-        return controlCall(call).thenApply(BackendReplies::sequence);
+    private CompletableFuture<HttpReply> sendGrant(Grant grant) {
+        return controlCall(new HttpCall("PUT", "/control/grant", serverClock.sentAtHeader(), JsonCodec.encode(grant)));
     }
 
     @Override
--- /dev/null
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/CrankBackend.java
@@ -0,0 +1,83 @@
+package org.coriandercrank.standin;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.coriandercrank.http.HttpServer;
+import org.coriandercrank.http.HttpServerOptions;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.ring.DutyThread;
+import org.coriandercrank.kernel.table.BackendInfo;
+import org.coriandercrank.kernel.time.SystemTimerService;
+import org.coriandercrank.kernel.time.TimerService;
+import org.coriandercrank.standin.internal.Announcer;
+import org.coriandercrank.standin.internal.BackendService;
+
+/**
+ * The program {@code crank-backend}: a keyed backend server that checks grants and records each execution.
+ *
+ * <p>Thread safe. Holds nothing across a restart but the ledger file.
+ */
+public final class CrankBackend implements AutoCloseable {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int IO_THREADS = 2;
+    private static final int RING_CAPACITY = 65_536;
+
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
+    private final DutyThread duty = new DutyThread("backend", RING_CAPACITY);
+    private final TimerService timers = new SystemTimerService();
+    private final BackendService service;
+    private final HttpServer server;
+    private final BackendInfo info;
+    private final Optional<Announcer> announcer;
+
+    private CrankBackend(BackendSettings settings) {
+        service = new BackendService(settings.options(), duty, timers);
+        server = HttpServer.listen(
+                group,
+                HostAddress.parse(settings.listen),
+                HttpServerOptions.DEFAULTS,
+                settings.maxConnections,
+                service);
+        service.reportConnections(server::openConnections, server::peakConnections);
+        info = settings.info(server.address());
+        announcer = settings.daemon.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new Announcer(group, duty, timers, HostAddress.parse(settings.daemon), info));
+    }
+
+    /** Starts a server; returns when it listens. */
+    public static CrankBackend start(BackendSettings settings) {
+        return new CrankBackend(settings);
+    }
+
+    /** What the server announces, with the address to which it is bound. */
+    public BackendInfo info() {
+        return info;
+    }
+
+    @Override
+    public void close() {
+        announcer.ifPresent(Announcer::close);
+        server.close();
+        timers.close();
+        duty.close();
+        service.close();
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    /** Runs until the process is stopped. */
+    public static void main(String[] arguments) {
+        StandInMain.run(new BackendSettings(), List.of(arguments), settings -> {
+            CrankBackend backend = start(settings);
+            logger.atInfo().log(
+                    "event=backend-started name=%s listen=%s",
+                    settings.name, backend.info().address());
+            return backend;
+        });
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/Execution.java
@@ -0,0 +1,59 @@
+package org.coriandercrank.standin.internal;
+
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.coriandercrank.http.HttpCall;
+import org.coriandercrank.http.HttpReply;
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.Key;
+import org.coriandercrank.kernel.id.RequestId;
+import org.coriandercrank.kernel.time.TimerService.Subscription;
+
+/** A request at the backend server, from arrival to answer. Not thread safe; confined to the duty of the server. */
+final class Execution {
+    private static final long NANOS_PER_MS = 1_000_000;
+    private static final long MAX_DEADLINE_MS = 86_400_000;
+
+    final RequestId id;
+    final Optional<Key> key;
+    final Generation fence;
+    final HttpCall call;
+    final CompletableFuture<HttpReply> result;
+    /** Empty if the request has no deadline. */
+    final Optional<Long> deadlineMs;
+
+    final long deadlineNanos;
+
+    boolean done;
+    boolean running;
+    long order;
+    long startNanos;
+    long startWallMs;
+    Subscription deadlineTimer = () -> {};
+
+    /** Fails with {@link IllegalArgumentException} if a header of the protocol is malformed. */
+    Execution(HttpCall call, long nowNanos, CompletableFuture<HttpReply> result) {
+        this.call = call;
+        this.result = result;
+        id = new RequestId(call.header("crank-request-id").orElseThrow(IllegalArgumentException::new));
+        key = call.header("crank-key").map(Execution::decode).map(Key::new);
+        fence = new Generation(call.header("crank-fence").map(Long::parseLong).orElse(0L));
+        deadlineMs = call.header("crank-deadline-ms").map(Long::parseLong).map(ms -> Math.min(ms, MAX_DEADLINE_MS));
+        deadlineNanos = deadlineMs.map(ms -> nowNanos + ms * NANOS_PER_MS).orElse(Long.MAX_VALUE);
+    }
+
+    private static String decode(String text) {
+        return URLDecoder.decode(text.replace("+", "%2B"), StandardCharsets.UTF_8);
+    }
+
+    /** Name under which the value is stored: the key, or the path without query for a request without key. */
+    String valueName() {
+        return key.map(Key::value).orElseGet(call::path);
+    }
+
+    boolean deadlinePassed(long nowNanos) {
+        return deadlineMs.isPresent() && nowNanos - deadlineNanos >= 0;
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/GrantTable.java
@@ -0,0 +1,70 @@
+package org.coriandercrank.standin.internal;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.coriandercrank.kernel.backend.Grant;
+import org.coriandercrank.kernel.backend.Grant.GrantedRange;
+import org.coriandercrank.kernel.id.KeyHash;
+import org.coriandercrank.kernel.table.BackendInfo.Capability;
+
+/**
+ * The grant in force and the checks that depend on it. Not thread safe; confined to the duty of the server.
+ *
+ * <p>Invariant: the sequence never decreases. Without {@link Capability#FENCE} neither fences nor ranges are checked,
+ * without {@link Capability#VALIDITY} a grant never lapses.
+ */
+final class GrantTable {
+    private static final long NANOS_PER_MS = 1_000_000;
+
+    private final Set<Capability> capabilities;
+    private List<GrantedRange> ranges = List.of();
+    private long sequence;
+    private long validUntilNanos;
+    private boolean granted;
+
+    GrantTable(Set<Capability> capabilities) {
+        this.capabilities = capabilities.isEmpty() ? EnumSet.noneOf(Capability.class) : EnumSet.copyOf(capabilities);
+    }
+
+    long sequence() {
+        return sequence;
+    }
+
+    /**
+     * Replaces the grant; false if its sequence is older than the present one.
+     *
+     * @param sentAtNanos when the grant was sent, on the clock of this process
+     */
+    boolean replace(Grant grant, long sentAtNanos) {
+        if (grant.sequence() < sequence) {
+            return false;
+        }
+        sequence = grant.sequence();
+        ranges = grant.ranges();
+        validUntilNanos = sentAtNanos + grant.validityMs() * NANOS_PER_MS;
+        granted = true;
+        return true;
+    }
+
+    /** Why a request must not be executed at an instant: {@code validity}, {@code range} or {@code fence}. */
+    Optional<String> refusal(Execution execution, long nowNanos) {
+        if (execution.key.isEmpty()) {
+            return Optional.empty();
+        }
+        if (capabilities.contains(Capability.VALIDITY) && (!granted || nowNanos - validUntilNanos >= 0)) {
+            return Optional.of("validity");
+        }
+        if (!capabilities.contains(Capability.FENCE)) {
+            return Optional.empty();
+        }
+        KeyHash hash = execution.key.get().hash();
+        for (GrantedRange range : ranges) {
+            if (range.range().contains(hash)) {
+                return range.fence().isNewerThan(execution.fence) ? Optional.of("fence") : Optional.empty();
+            }
+        }
+        return Optional.of("range");
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/Ledger.java
@@ -0,0 +1,69 @@
+package org.coriandercrank.standin.internal;
+
+import java.io.ByteArrayOutputStream;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.coriandercrank.kernel.store.JsonCodec;
+
+/**
+ * Record of executions. The file has every entry; memory has the latest. Not thread safe; confined to the duty of the
+ * server. A line is handed to the operating system before the answer is sent, so it survives a kill of the process.
+ */
+public final class Ledger implements AutoCloseable {
+    private static final int MAX_ENTRIES_IN_MEMORY = 100_000;
+
+    private final Deque<byte[]> lines = new ArrayDeque<>();
+    private final OutputStream file;
+    private long total;
+
+    /** Appends to a file; an empty name means no file. */
+    public Ledger(String fileName) {
+        try {
+            file = fileName.isEmpty() ? OutputStream.nullOutputStream() : new FileOutputStream(fileName, true);
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot open ledger file " + fileName, e);
+        }
+    }
+
+    public void append(LedgerEntry entry) {
+        ByteArrayOutputStream line = new ByteArrayOutputStream(256);
+        line.writeBytes(JsonCodec.encode(entry));
+        line.write('\n');
+        byte[] bytes = line.toByteArray();
+        try {
+            file.write(bytes);
+            file.flush();
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot write the ledger file", e);
+        }
+        lines.addLast(bytes);
+        if (lines.size() > MAX_ENTRIES_IN_MEMORY) {
+            lines.removeFirst();
+        }
+        total++;
+    }
+
+    public long total() {
+        return total;
+    }
+
+    /** JSON lines of the latest 100,000 entries, in the order of their effect. */
+    public byte[] toJsonLines() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        lines.forEach(out::writeBytes);
+        return out.toByteArray();
+    }
+
+    @Override
+    public void close() {
+        try {
+            file.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot close the ledger file", e);
+        }
+    }
+}
