--- /dev/null
+++ b/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/ObjectStoreContract.java
@@ -0,0 +1,175 @@
+package org.coriandercrank.adapters;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.store.ObjectStore;
+import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.kernel.store.WatchBatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What every adapter of the object store must do; a subclass supplies a store that can be made to fail. */
+abstract class ObjectStoreContract {
+    /** Faults of the store that the contract needs. */
+    enum StoreFault {
+        NONE,
+        UNREACHABLE,
+        DOWN,
+        CLOSED,
+        SLOW,
+        UNANSWERED,
+        DELAYED_WRITE,
+        CUT_ANSWER
+    }
+
+    enum Operation {
+        GET,
+        LIST,
+        WATCH,
+        PUT,
+        DELETE
+    }
+
+    /** Time-out of calls; a slow or delayed call takes {@link #FAULT_DELAY_MS}. */
+    static final long CALL_TIMEOUT_MS = 150;
+
+    static final long FAULT_DELAY_MS = 400;
+
+    private static final String NAME = "members/a b+%2F-1";
+    private static final byte[] OLD = bytes("old");
+    private static final byte[] NEW = bytes("new");
+
+    /** A client of the store under test. */
+    abstract ObjectStore store();
+
+    abstract void inject(StoreFault fault) throws Exception;
+
+    static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private CompletableFuture<?> start(Operation operation, Revision expected) {
+        return switch (operation) {
+            case GET -> store().get(NAME);
+            case LIST -> store().list("members/");
+            case WATCH -> store().watch("members/", Revision.NONE, 0);
+            case PUT -> store().put(NAME, NEW, expected);
+            case DELETE -> store().delete(NAME, expected);
+        };
+    }
+
+    /** Guards against a lost write reported as without effect, and against a refusal reported as in doubt. */
+    @ParameterizedTest
+    @CsvSource({
+        "NONE,          GET,    OK,                 false",
+        "NONE,          LIST,   OK,                 false",
+        "NONE,          WATCH,  OK,                 false",
+        "NONE,          PUT,    OK,                 true",
+        "NONE,          DELETE, OK,                 true",
+        "UNREACHABLE,   GET,    STORE_UNAVAILABLE,  false",
+        "UNREACHABLE,   PUT,    STORE_UNAVAILABLE,  false",
+        "UNREACHABLE,   DELETE, STORE_UNAVAILABLE,  false",
+        "DOWN,          GET,    STORE_UNAVAILABLE,  false",
+        "DOWN,          WATCH,  STORE_UNAVAILABLE,  false",
+        "DOWN,          PUT,    STORE_UNAVAILABLE,  false",
+        "DOWN,          DELETE, STORE_UNAVAILABLE,  false",
+        "CLOSED,        LIST,   STORE_UNAVAILABLE,  false",
+        "CLOSED,        WATCH,  STORE_UNAVAILABLE,  false",
+        "CLOSED,        PUT,    WRITE_UNANSWERED,   false",
+        "CLOSED,        DELETE, WRITE_UNANSWERED,   false",
+        "SLOW,          GET,    STORE_UNAVAILABLE,  false",
+        "SLOW,          PUT,    WRITE_UNANSWERED,   true",
+        "SLOW,          DELETE, WRITE_UNANSWERED,   true",
+        "UNANSWERED,    PUT,    WRITE_UNANSWERED,   true",
+        "UNANSWERED,    DELETE, WRITE_UNANSWERED,   true",
+        "DELAYED_WRITE, PUT,    WRITE_UNANSWERED,   true",
+        "DELAYED_WRITE, DELETE, WRITE_UNANSWERED,   true",
+        "CUT_ANSWER,    GET,    STORE_UNAVAILABLE,  false",
+        "CUT_ANSWER,    LIST,   STORE_UNAVAILABLE,  false",
+        "CUT_ANSWER,    PUT,    WRITE_UNANSWERED,   true",
+        "CUT_ANSWER,    DELETE, WRITE_UNANSWERED,   true",
+    })
+    void reportsWhatHappened(StoreFault fault, Operation operation, ResultCode expected, boolean effect)
+            throws Exception {
+        Revision before = Outcomes.value(store().put(NAME, OLD, Revision.NONE));
+        inject(fault);
+        assertThat(Outcomes.code(start(operation, before))).isEqualTo(expected);
+        inject(StoreFault.NONE);
+        if (effect) {
+            Outcomes.eventually(() -> !currentRevision().equals(before));
+        } else {
+            Thread.sleep(fault == StoreFault.NONE ? 0 : FAULT_DELAY_MS / 4);
+            assertThat(currentRevision()).isEqualTo(before);
+        }
+    }
+
+    private Revision currentRevision() {
+        return store().get(NAME).join().map(StoredObject::revision).orElse(Revision.NONE);
+    }
+
+    /** Guards against a write that overwrites a state it did not see. */
+    @ParameterizedTest
+    @CsvSource({"PUT, 0", "PUT, 1", "PUT, 99", "DELETE, 0", "DELETE, 1", "DELETE, 99"})
+    void refusesOtherRevision(Operation operation, long expected) throws Exception {
+        Revision first = Outcomes.value(store().put(NAME, OLD, Revision.NONE));
+        Revision second = Outcomes.value(store().put(NAME, NEW, first));
+        assertThat(second.isNewerThan(first)).isTrue();
+        Revision stated = expected == 1 ? first : new Revision(expected);
+        assertThat(Outcomes.code(start(operation, stated))).isEqualTo(ResultCode.REVISION_CONFLICT);
+        assertThat(currentRevision()).isEqualTo(second);
+    }
+
+    /** Guards against a value changed on its way, and against a needless limit below 1 MB. */
+    @Test
+    void keepsValuesUpToTheLimit() throws Exception {
+        byte[] value = new byte[1_000_000];
+        value[7] = -1;
+        Outcomes.value(store().put(NAME, value, Revision.NONE));
+        assertThat(Outcomes.value(store().get(NAME)).orElseThrow().value()).isEqualTo(value);
+        assertThat(Outcomes.code(store().put("large", new byte[2_000_000], Revision.NONE)))
+                .isEqualTo(ResultCode.STORE_UNAVAILABLE);
+        assertThat(Outcomes.value(store().get("large"))).isEmpty();
+    }
+
+    /** Guards against a listing that misses objects or takes in other prefixes. */
+    @Test
+    void listsOnePrefixByRevision() throws Exception {
+        Outcomes.value(store().put("members/b", OLD, Revision.NONE));
+        Outcomes.value(store().put("members/a", OLD, Revision.NONE));
+        Revision last = Outcomes.value(store().put("notes/a", OLD, Revision.NONE));
+        WatchBatch listing = Outcomes.value(store().list("members/"));
+        assertThat(listing.changes()).extracting(StoredObject::name).containsExactly("members/b", "members/a");
+        assertThat(listing.upTo()).isEqualTo(last);
+    }
+
+    /** Guards against a watch that misses a change or a deletion made before or while it waits. */
+    @Test
+    void watchReportsChangesAndDeletions() throws Exception {
+        Revision first = Outcomes.value(store().put("members/a", OLD, Revision.NONE));
+        CompletableFuture<WatchBatch> waiting = store().watch("members/", first, 4_000);
+        Outcomes.value(store().put("notes/a", OLD, Revision.NONE));
+        Outcomes.value(store().put("members/b", NEW, Revision.NONE));
+        WatchBatch change = Outcomes.value(waiting);
+        assertThat(change.changes()).extracting(StoredObject::name).containsExactly("members/b");
+        Outcomes.value(store().delete("members/a", first));
+        WatchBatch deletion = Outcomes.value(store().watch("members/", change.upTo(), 4_000));
+        assertThat(deletion.changes()).extracting(StoredObject::deleted).containsExactly(true);
+        assertThat(Outcomes.value(store().watch("members/", deletion.upTo(), 30))
+                        .changes())
+                .isEmpty();
+    }
+
+    /** Guards against waiting watches that hold up other calls. */
+    @Test
+    void watchesDoNotDelayOtherCalls() throws Exception {
+        for (int i = 0; i < 40; i++) {
+            store().watch("members/", Revision.NONE, 1_000);
+        }
+        assertThat(Outcomes.code(store().get(NAME))).isEqualTo(ResultCode.OK);
+    }
+}
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/BackendSettings.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/BackendSettings.java
@@ -20,46 +20,46 @@
     private static final double MAX_COLD_START_FACTOR = 1_000;
 
     @Option(name = "--name", usage = "name of the server")
-    public String name = "backend";
+    String name = "backend";
 
     @Option(name = "--service", usage = "name of the service")
-    public String service = "";
+    String service = "";
 
     @Option(name = "--listen", usage = "address of the HTTP server, ip:port; also the announced address")
-    public String listen = "127.0.0.1:7200";
+    String listen = "127.0.0.1:7200";
 
     @Option(name = "--daemon", usage = "admin address of the daemon beside this server, ip:port; empty: none")
-    public String daemon = "";
+    String daemon = "";
 
     @Option(name = "--slots", usage = "requests executed at the same time")
-    public int slots = 18;
+    int slots = 18;
 
     @Option(name = "--max-connections", usage = "open connections; further ones are closed at once")
-    public int maxConnections = 110;
+    int maxConnections = 110;
 
     @Option(name = "--queue-limit", usage = "requests that may wait for a slot; further ones are shed")
-    public int queueLimit = 256;
+    int queueLimit = 256;
 
     @Option(name = "--service-ms", usage = "time that a request occupies a slot")
-    public long serviceMs = 2;
+    long serviceMs = 2;
 
     @Option(name = "--capabilities", usage = "comma list of fence, validity, cancel, deadline; none for an empty list")
-    public String capabilities = "fence,validity,cancel,deadline";
+    String capabilities = "fence,validity,cancel,deadline";
 
     @Option(name = "--cold-start-ms", usage = "time after the start during which requests take longer")
-    public long coldStartMs = 0;
+    long coldStartMs = 0;
 
     @Option(name = "--cold-start-factor", usage = "factor on the service time at the start, falling to 1")
-    public double coldStartFactor = 5;
+    double coldStartFactor = 5;
 
     @Option(name = "--health-lag-ms", usage = "age of what the health and load endpoints report")
-    public long healthLagMs = 0;
+    long healthLagMs = 0;
 
     @Option(name = "--ledger-file", usage = "file to which each execution is appended as a JSON line; empty: none")
-    public String ledgerFile = "";
+    String ledgerFile = "";
 
     @Option(name = "--fault-seed", usage = "seed of faults with a probability")
-    public long faultSeed = 1;
+    long faultSeed = 1;
 
     @Override
     public void check(Faults faults) {
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/StoreSettings.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/StoreSettings.java
@@ -18,18 +18,6 @@
     @Option(name = "--fault-seed", usage = "seed of faults with a probability")
     long faultSeed = 1;
 
-    /** Settings with another listen address; port 0 takes a free port. */
-    public static StoreSettings listeningOn(HostAddress address) {
-        StoreSettings settings = new StoreSettings();
-        settings.listen = address.toString();
-        return settings;
-    }
-
-    public StoreSettings withHistoryEntries(int entries) {
-        historyEntries = entries;
-        return this;
-    }
-
     @Override
     public void check(Faults faults) {
         faults.parse("--listen", listen, HostAddress::parse);
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/StoreService.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/StoreService.java
@@ -110,10 +110,10 @@
             CompletableFuture<HttpReply> result) {
         String operation = operation(call, target);
         Runnable work = switch (operation) {
-            case "get" -> () -> result.complete(get(name(target)));
+            case "get" -> () -> answer(result, get(name(target)));
             case "list" -> {
                 String prefix = parameter(target, "prefix");
-                yield () -> result.complete(Replies.json(200, state.list(prefix)));
+                yield () -> answer(result, Replies.json(200, state.list(prefix)));
             }
             case "watch" -> watch(target, closed, result);
             default -> write(operation, call, name(target), result);
@@ -190,14 +190,20 @@
             HttpReply reply = apply(name, effect);
             if (faults.hits(FaultKind.UNANSWERED)) {
                 result.completeExceptionally(HttpAbortException.unanswered());
-            } else if (faults.hits(FaultKind.CUT_ANSWER)) {
-                result.completeExceptionally(HttpAbortException.midAnswer(reply));
             } else {
-                result.complete(reply);
+                answer(result, reply);
             }
         };
     }
 
+    private void answer(CompletableFuture<HttpReply> result, HttpReply reply) {
+        if (faults.hits(FaultKind.CUT_ANSWER)) {
+            result.completeExceptionally(HttpAbortException.midAnswer(reply));
+        } else {
+            result.complete(reply);
+        }
+    }
+
     private HttpReply apply(String name, Supplier<Optional<Revision>> effect) {
         Optional<Revision> written = effect.get();
         if (written.isEmpty()) {
@@ -220,7 +226,7 @@
 
     private void answerWatch(Waiter waiter) {
         if (waiters.remove(waiter)) {
-            waiter.result.complete(Replies.json(200, state.changes(waiter.prefix, waiter.after)));
+            answer(waiter.result, Replies.json(200, state.changes(waiter.prefix, waiter.after)));
         }
     }
 
@@ -232,7 +238,7 @@
         return () -> {
             WatchBatch batch = state.changes(prefix, after);
             if (batch.reset() || !batch.changes().isEmpty() || waitMs <= 0) {
-                result.complete(Replies.json(200, batch));
+                answer(result, Replies.json(200, batch));
                 return;
             }
             Waiter waiter = new Waiter(prefix, after, result);
