--- /dev/null
+++ b/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/BackendServerContract.java
@@ -0,0 +1,264 @@
+package org.coriandercrank.adapters;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.coriandercrank.kernel.backend.BackendCall;
+import org.coriandercrank.kernel.backend.BackendHealth;
+import org.coriandercrank.kernel.backend.BackendServer;
+import org.coriandercrank.kernel.backend.Grant;
+import org.coriandercrank.kernel.backend.Grant.GrantedRange;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.Key;
+import org.coriandercrank.kernel.id.KeyHash;
+import org.coriandercrank.kernel.id.RequestId;
+import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.request.CallerAnswer;
+import org.coriandercrank.kernel.request.CallerRequest;
+import org.coriandercrank.kernel.request.Header;
+import org.coriandercrank.kernel.table.BackendInfo.Capability;
+import org.coriandercrank.kernel.table.KeyRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What every adapter of a backend server must do; a subclass supplies a server that can be made to fail. */
+abstract class BackendServerContract {
+    /** Faults of the server that the contract needs; {@code SLOW} adds {@link #SLOW_MS} to each execution. */
+    enum BackendFault {
+        NONE,
+        UNREACHABLE,
+        DOWN,
+        SHED,
+        CLOSED,
+        UNANSWERED,
+        CUT_ANSWER,
+        SLOW
+    }
+
+    /** Properties of the server under test. */
+    record Setup(int slots, int maxConnections, long serviceMs, Set<Capability> capabilities) {
+        static Setup withServiceMs(long serviceMs) {
+            return new Setup(4, 8, serviceMs, EnumSet.allOf(Capability.class));
+        }
+
+        Setup without(Capability capability) {
+            Set<Capability> rest = EnumSet.copyOf(capabilities);
+            rest.remove(capability);
+            return new Setup(slots, maxConnections, serviceMs, rest);
+        }
+    }
+
+    static final long SLOW_MS = 600;
+
+    private static final Key KEY = new Key("ticket 7/\u00e4");
+    private static final long VALIDITY_MS = 60_000;
+    private static final long DEADLINE_MS = 3_000;
+
+    /** Starts a server and connects to it. */
+    abstract BackendServer start(Setup setup);
+
+    abstract void inject(BackendFault fault) throws Exception;
+
+    /** Fences of the executions of a request that took effect, as the server recorded them. */
+    abstract List<Long> executions(RequestId id);
+
+    abstract int peakConnections();
+
+    static BackendCall call(String id, String method, String path, long fence, long remainingMs) {
+        return new BackendCall(
+                new CallerRequest(
+                        new RequestId(id),
+                        new ServiceName("counter-desk"),
+                        Optional.of(KEY),
+                        method,
+                        path,
+                        List.of(new Header("crank-fence", "999"), new Header("x-note", "kept")),
+                        "value".getBytes(StandardCharsets.UTF_8),
+                        remainingMs,
+                        Optional.empty(),
+                        OptionalLong.empty()),
+                new Generation(fence));
+    }
+
+    static BackendCall put(String id, long fence, long remainingMs) {
+        return call(id, "PUT", "/" + id, fence, remainingMs);
+    }
+
+    static Grant grant(long sequence, long fence, long validityMs) {
+        return new Grant(sequence, List.of(new GrantedRange(KeyRange.ALL, new Generation(fence))), validityMs);
+    }
+
+    private BackendServer startGranted(Setup setup) throws Exception {
+        BackendServer server = start(setup);
+        assertThat(Outcomes.value(server.grant(grant(1, 5, VALIDITY_MS)))).isEqualTo(1);
+        return server;
+    }
+
+    private void assertOutcome(BackendServer server, BackendCall call, ResultCode code, int count) throws Exception {
+        assertOutcome(call.request().id(), server.execute(call), code, count);
+    }
+
+    private void assertOutcome(RequestId id, CompletableFuture<CallerAnswer> answer, ResultCode code, int count)
+            throws Exception {
+        assertThat(Outcomes.code(answer)).isEqualTo(code);
+        assertThat(executions(id)).hasSize(count);
+    }
+
+    /** Guards against a lost answer reported as not executed, a refusal reported as in doubt, and a second sending. */
+    @ParameterizedTest
+    @CsvSource({
+        "NONE,        OK,                  1",
+        "UNREACHABLE, BACKEND_UNAVAILABLE, 0",
+        "DOWN,        BACKEND_UNAVAILABLE, 0",
+        "SHED,        OVERLOADED,          0",
+        "CLOSED,      OUTCOME_UNKNOWN,     0",
+        "UNANSWERED,  OUTCOME_UNKNOWN,     1",
+        "CUT_ANSWER,  OUTCOME_UNKNOWN,     1",
+    })
+    void reportsWhatHappened(BackendFault fault, ResultCode code, int count) throws Exception {
+        BackendServer server = startGranted(Setup.withServiceMs(2));
+        inject(fault);
+        assertOutcome(server, put("r1", 5, DEADLINE_MS), code, count);
+    }
+
+    /** Guards against an execution after the deadline that is reported as not run. */
+    @ParameterizedTest
+    @CsvSource({"true, BACKEND_UNAVAILABLE, 0", "false, OUTCOME_UNKNOWN, 1"})
+    void deadlineStopsOrLeavesDoubt(boolean honoured, ResultCode code, int count) throws Exception {
+        Setup setup = Setup.withServiceMs(2);
+        BackendServer server = startGranted(honoured ? setup : setup.without(Capability.DEADLINE));
+        inject(BackendFault.SLOW);
+        BackendCall call = put("r1", 5, 150);
+        assertThat(Outcomes.code(server.execute(call))).isEqualTo(code);
+        Thread.sleep(SLOW_MS);
+        assertThat(executions(call.request().id())).hasSize(count);
+    }
+
+    /** Guards against a server or adapter that lets an old fence or an ungranted key through. */
+    @ParameterizedTest
+    @CsvSource({
+        "4, true,  FENCE_REJECTED, 0",
+        "5, true,  OK,             1",
+        "6, true,  OK,             1",
+        "4, false, OK,             1",
+    })
+    void checksFence(long fence, boolean capable, ResultCode code, int count) throws Exception {
+        Setup setup = Setup.withServiceMs(2);
+        BackendServer server = startGranted(capable ? setup : setup.without(Capability.FENCE));
+        assertOutcome(server, put("r1", fence, DEADLINE_MS), code, count);
+        if (count == 1) {
+            assertThat(executions(new RequestId("r1"))).containsExactly(fence);
+        }
+    }
+
+    /** Guards against execution of a request whose grant ended before or while it was in execution. */
+    @ParameterizedTest
+    @ValueSource(strings = {"never granted", "lapsed", "lapses while running", "revoked while running", "other range"})
+    void rejectsWithoutGrant(String grantCase) throws Exception {
+        BackendServer server = start(Setup.withServiceMs(grantCase.endsWith("running") ? 300 : 1));
+        long validityMs = grantCase.startsWith("lapse") ? 100 : VALIDITY_MS;
+        if (grantCase.equals("other range")) {
+            KeyHash other = new KeyHash(KEY.hash().value() + 1);
+            Outcomes.value(server.grant(new Grant(
+                    1, List.of(new GrantedRange(new KeyRange(other, other), new Generation(5))), VALIDITY_MS)));
+        } else if (!grantCase.equals("never granted")) {
+            Outcomes.value(server.grant(grant(1, 5, validityMs)));
+        }
+        if (grantCase.equals("lapsed")) {
+            Thread.sleep(validityMs + 20);
+        }
+        CompletableFuture<CallerAnswer> answer = server.execute(put("r1", 5, DEADLINE_MS));
+        if (grantCase.startsWith("revoked")) {
+            Thread.sleep(100);
+            Outcomes.value(server.grant(new Grant(2, List.of(), VALIDITY_MS)));
+        }
+        assertOutcome(new RequestId("r1"), answer, ResultCode.FENCE_REJECTED, 0);
+    }
+
+    /** Guards against a late, older grant that takes back a newer one, and against a lost sequence. */
+    @Test
+    void refusesOlderGrant() throws Exception {
+        BackendServer server = start(Setup.withServiceMs(1));
+        assertThat(Outcomes.value(server.grant(grant(7, 9, VALIDITY_MS)))).isEqualTo(7);
+        assertThat(Outcomes.value(server.grant(grant(6, 5, VALIDITY_MS)))).isEqualTo(7);
+        assertOutcome(server, put("r1", 5, DEADLINE_MS), ResultCode.FENCE_REJECTED, 0);
+        assertThat(Outcomes.value(server.grant(grant(8, 9, VALIDITY_MS)))).isEqualTo(8);
+    }
+
+    /** Guards against a cancelled call that still takes effect although reported as not run. */
+    @ParameterizedTest
+    @CsvSource({"true, BACKEND_UNAVAILABLE, 0", "false, OK, 1"})
+    void cancelStopsACallInExecution(boolean capable, ResultCode code, int count) throws Exception {
+        Setup setup = Setup.withServiceMs(300);
+        BackendServer server = startGranted(capable ? setup : setup.without(Capability.CANCEL));
+        CompletableFuture<CallerAnswer> answer = server.execute(put("r1", 5, DEADLINE_MS));
+        Thread.sleep(100);
+        server.cancel(new RequestId("r1"));
+        assertOutcome(new RequestId("r1"), answer, code, count);
+    }
+
+    /** Guards against more connections than allowed, and against grants that wait behind requests. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 4, 8})
+    void staysWithinConnectionsWithoutDelayingGrants(int maxConnections) throws Exception {
+        BackendServer server =
+                startGranted(new Setup(maxConnections, maxConnections, 250, EnumSet.allOf(Capability.class)));
+        List<CompletableFuture<CallerAnswer>> answers = new ArrayList<>();
+        for (int i = 0; i < 3 * maxConnections; i++) {
+            answers.add(server.execute(put("r" + i, 5, DEADLINE_MS)));
+        }
+        long sentAtNanos = System.nanoTime();
+        assertThat(Outcomes.value(server.grant(grant(2, 5, VALIDITY_MS)))).isEqualTo(2);
+        assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAtNanos))
+                .isLessThan(200);
+        for (int i = 0; i < answers.size(); i++) {
+            ResultCode code = Outcomes.code(answers.get(i));
+            assertThat(code).isIn(ResultCode.OK, ResultCode.BACKEND_UNAVAILABLE);
+            assertThat(executions(new RequestId("r" + i))).hasSize(code == ResultCode.OK ? 1 : 0);
+        }
+        assertThat(peakConnections()).isLessThanOrEqualTo(maxConnections);
+    }
+
+    /** Guards against callers that reach control calls of the server through the path of a request. */
+    @ParameterizedTest
+    @CsvSource({"POST, /control/drain", "PUT, /control/grant", "GET, /ledger", "POST, /admin/faults"})
+    void requestNeverReachesControl(String method, String path) throws Exception {
+        BackendServer server = startGranted(Setup.withServiceMs(1));
+        Outcomes.value(server.execute(call("r1", method, path, 5, DEADLINE_MS)));
+        assertThat(executions(new RequestId("r1"))).containsExactly(5L);
+        assertThat(Outcomes.value(server.health()).draining()).isFalse();
+    }
+
+    /** Guards against values that change on their way or belong to another key. */
+    @Test
+    void storesAndReadsTheValueOfAKey() throws Exception {
+        BackendServer server = startGranted(Setup.withServiceMs(1));
+        Outcomes.value(server.execute(put("r1", 5, DEADLINE_MS)));
+        Outcomes.value(server.execute(call("r2", "POST", "/other/path", 5, DEADLINE_MS)));
+        CallerAnswer answer = Outcomes.value(server.execute(call("r3", "GET", "/", 5, DEADLINE_MS)));
+        assertThat(new String(answer.body(), StandardCharsets.UTF_8)).isEqualTo("valuevalue");
+    }
+
+    /** Guards against new work on a draining server. */
+    @Test
+    void drainRefusesNewWork() throws Exception {
+        BackendServer server = startGranted(Setup.withServiceMs(200));
+        CompletableFuture<CallerAnswer> before = server.execute(put("r1", 5, DEADLINE_MS));
+        Thread.sleep(50);
+        Outcomes.value(server.drain());
+        assertOutcome(server, put("r2", 5, DEADLINE_MS), ResultCode.BACKEND_UNAVAILABLE, 0);
+        assertOutcome(new RequestId("r1"), before, ResultCode.OK, 1);
+        assertThat(Outcomes.value(server.health())).isEqualTo(new BackendHealth(true, true, 0));
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/HttpBackendServerTest.java
@@ -0,0 +1,243 @@
+package org.coriandercrank.adapters;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+import org.coriandercrank.http.HttpCall;
+import org.coriandercrank.http.HttpClient;
+import org.coriandercrank.http.HttpClientOptions;
+import org.coriandercrank.http.HttpReply;
+import org.coriandercrank.http.HttpServer;
+import org.coriandercrank.http.HttpServerOptions;
+import org.coriandercrank.kernel.backend.BackendHealth;
+import org.coriandercrank.kernel.backend.BackendServer;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.id.RequestId;
+import org.coriandercrank.kernel.plugin.PluginRegistry;
+import org.coriandercrank.kernel.request.Header;
+import org.coriandercrank.kernel.settings.SettingsLoader;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.kernel.table.BackendInfo;
+import org.coriandercrank.standin.BackendSettings;
+import org.coriandercrank.standin.CrankBackend;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The contract over HTTP against {@code crank-backend}, and what is special to HTTP. */
+class HttpBackendServerTest extends BackendServerContract {
+    private static final PluginRegistry REGISTRY = PluginRegistry.load();
+    private static final HostAddress ANY_PORT = new HostAddress("127.0.0.1", 0);
+    private static final long TIMEOUT_MS = 2_000;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+    @TempDir
+    Path directory;
+
+    private CrankBackend program;
+    private HttpClient admin;
+    private BackendServer server;
+
+    @AfterEach
+    void stop() {
+        server.close();
+        program.close();
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    BackendServer start(Setup setup) {
+        String capabilities = setup.capabilities().stream()
+                .map(capability -> capability.name().toLowerCase(Locale.ROOT))
+                .collect(Collectors.joining(","));
+        // One more connection than announced serves this test's admin calls.
+        startProgram(
+                "--slots=" + setup.slots(),
+                "--max-connections=" + (setup.maxConnections() + 1),
+                "--service-ms=" + setup.serviceMs(),
+                "--capabilities=" + capabilities);
+        BackendInfo info = program.info();
+        return connect(new BackendInfo(
+                info.name(),
+                info.service(),
+                info.address(),
+                setup.slots(),
+                setup.maxConnections(),
+                info.capabilities()));
+    }
+
+    private BackendServer connect(BackendInfo info) {
+        server = REGISTRY.get(PluginRegistry.Kind.BACKEND, HttpAdapterPlugin.NAME)
+                .connect(info);
+        return server;
+    }
+
+    private void startProgram(String... flags) {
+        List<String> arguments = new ArrayList<>(List.of(flags));
+        arguments.add("--service=counter-desk");
+        arguments.add("--listen=127.0.0.1:0");
+        arguments.add("--ledger-file=" + directory.resolve("ledger"));
+        program = CrankBackend.start(SettingsLoader.load(new BackendSettings(), arguments, Map.of()));
+        admin = new HttpClient(group, program.info().address(), HttpClientOptions.DEFAULTS.withMaxConnections(1));
+    }
+
+    private HttpReply admin(String method, String path, String json) {
+        HttpReply reply =
+                admin.call(HttpCall.of(method, path, json), TIMEOUT_MS).join();
+        assertThat(reply.status()).isEqualTo(200);
+        return reply;
+    }
+
+    @Override
+    void inject(BackendFault fault) throws Exception {
+        if (fault == BackendFault.UNREACHABLE) {
+            program.close();
+            // Until the client has seen its warm connections close, a call is rightly in doubt.
+            Thread.sleep(100);
+        } else if (fault != BackendFault.NONE) {
+            String kind = fault.name().toLowerCase(Locale.ROOT).replace('_', '-');
+            admin("POST", "/admin/faults", "{\"kind\":\"" + kind + "\",\"delayMs\":" + SLOW_MS + "}");
+        }
+    }
+
+    @Override
+    List<Long> executions(RequestId id) {
+        try (var lines = Files.lines(directory.resolve("ledger"))) {
+            return lines.map(line ->
+                            JsonCodec.decode(line.getBytes(java.nio.charset.StandardCharsets.UTF_8), JsonNode.class))
+                    .filter(entry -> entry.path("requestId").asText().equals(id.value()))
+                    .map(entry -> entry.path("fence").asLong())
+                    .toList();
+        } catch (java.io.IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    @Override
+    int peakConnections() {
+        JsonNode stats = JsonCodec.decode(admin("GET", "/admin/stats", "").body(), JsonNode.class);
+        return stats.path("peakConnections").asInt() - admin.openConnections();
+    }
+
+    /** Guards against a grant from before a freeze that becomes valid when the server returns. */
+    @ParameterizedTest
+    @CsvSource({"0, OK", "900, OK", "1100, FENCE_REJECTED"})
+    void validityCountsFromSending(long ageMs, ResultCode expected) throws Exception {
+        BackendServer backend = start(Setup.withServiceMs(1));
+        String clock = admin("GET", "/control/clock", "").header("crank-clock").orElseThrow();
+        int colon = clock.indexOf(':');
+        long sentAtNanos = Long.parseLong(clock.substring(colon + 1)) - TimeUnit.MILLISECONDS.toNanos(ageMs);
+        HttpCall call = new HttpCall(
+                "PUT",
+                "/control/grant",
+                List.of(new Header("crank-sent-at", clock.substring(0, colon + 1) + sentAtNanos)),
+                JsonCodec.encode(grant(1, 5, 1_000)));
+        assertThat(admin.call(call, TIMEOUT_MS).join().status()).isEqualTo(200);
+        assertThat(Outcomes.code(backend.execute(put("r1", 5, TIMEOUT_MS)))).isEqualTo(expected);
+    }
+
+    /** Guards against a grant that is lost, or counted on a foreign clock, after the server process was replaced. */
+    @Test
+    void grantReachesAReplacedProcess() throws Exception {
+        BackendServer backend = start(Setup.withServiceMs(1));
+        Outcomes.value(backend.grant(grant(1, 5, 60_000)));
+        String address = program.info().address().toString();
+        program.close();
+        program = CrankBackend.start(SettingsLoader.load(
+                new BackendSettings(), List.of("--service=counter-desk", "--listen=" + address), Map.of()));
+        Outcomes.eventually(() -> backend.grant(grant(2, 5, 60_000))
+                .handle((sequence, e) -> e == null)
+                .join());
+        assertThat(Outcomes.code(backend.execute(put("r1", 5, TIMEOUT_MS)))).isEqualTo(ResultCode.OK);
+    }
+
+    /** Guards against an answer without a result of the call that is passed on as executed or as not executed. */
+    @ParameterizedTest
+    @CsvSource({
+        "200, ,         OK",
+        "404, ,         OK",
+        "500, ,         OK",
+        "502, ,         OUTCOME_UNKNOWN",
+        "503, ,         OUTCOME_UNKNOWN",
+        "503, none,     BACKEND_UNAVAILABLE",
+        "503, overload, OVERLOADED",
+        "409, fence,    FENCE_REJECTED",
+        "999, ,         OUTCOME_UNKNOWN",
+    })
+    void mapsAnswers(int status, String notRunReason, ResultCode expected) throws Exception {
+        startProgram();
+        List<Header> headers = notRunReason == null
+                ? List.of()
+                : List.of(new Header("crank-not-run", "true"), new Header("crank-reason", notRunReason));
+        HttpReply reply = new HttpReply(status, headers, new byte[0]);
+        try (HttpServer other = HttpServer.listen(
+                group,
+                ANY_PORT,
+                HttpServerOptions.DEFAULTS,
+                (call, closed) -> CompletableFuture.completedFuture(reply))) {
+            BackendInfo info = program.info();
+            connect(new BackendInfo(info.name(), info.service(), other.address(), 1, 1, info.capabilities()));
+            assertThat(Outcomes.code(server.execute(put("r1", 5, TIMEOUT_MS)))).isEqualTo(expected);
+        }
+    }
+
+    /** Guards against health reports that are truthful in tests of lagging or false ones. */
+    @Test
+    void healthLagsOrLies() throws Exception {
+        startProgram("--health-lag-ms=200", "--slots=1");
+        connect(program.info());
+        Outcomes.value(server.drain());
+        assertThat(Outcomes.value(server.health()).draining()).isFalse();
+        Outcomes.eventually(() -> server.health().join().draining());
+        admin("POST", "/admin/health", "{\"healthy\":false,\"draining\":false,\"load\":77}");
+        assertThat(Outcomes.value(server.health())).isEqualTo(new BackendHealth(false, false, 77));
+    }
+
+    /** Guards against a server that a daemon never learns of because it started or restarted later. */
+    @Test
+    void announcesItselfUntilAcceptedAndAgain() throws Exception {
+        AtomicInteger announcements = new AtomicInteger();
+        List<BackendInfo> seen = new ArrayList<>();
+        try (HttpServer daemon = HttpServer.listen(group, ANY_PORT, HttpServerOptions.DEFAULTS, (call, closed) -> {
+            seen.add(JsonCodec.decode(call.body(), BackendInfo.class));
+            int status = announcements.incrementAndGet() == 1 ? 503 : 200;
+            return CompletableFuture.completedFuture(HttpReply.text(status, call.path()));
+        })) {
+            startProgram("--daemon=" + daemon.address(), "--capabilities=fence");
+            connect(program.info());
+            Outcomes.eventually(() -> announcements.get() >= 3);
+            assertThat(seen).allMatch(program.info()::equals);
+        }
+    }
+
+    /** Guards against a ledger that a checker cannot read or that disagrees with the file. */
+    @Test
+    void ledgerListsExecutions() throws Exception {
+        BackendServer backend = start(Setup.withServiceMs(5));
+        Outcomes.value(backend.grant(grant(1, 5, 60_000)));
+        Outcomes.value(backend.execute(put("r1", 5, TIMEOUT_MS)));
+        String text = admin("GET", "/ledger", "").bodyText();
+        assertThat(text).isEqualTo(Files.readString(directory.resolve("ledger")));
+        JsonNode entry = JsonCodec.mapper().readTree(text);
+        assertThat(entry.path("key").asText()).isEqualTo("ticket 7/\u00e4");
+        assertThat(entry.path("order").asLong()).isEqualTo(1);
+        assertThat(entry.path("endNanos").asLong() - entry.path("startNanos").asLong())
+                .isGreaterThan(4_000_000);
+    }
+}
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/CrankBackend.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/CrankBackend.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.coriandercrank.http.HttpServer;
 import org.coriandercrank.http.HttpServerOptions;
 import org.coriandercrank.kernel.id.HostAddress;
@@ -31,6 +32,7 @@
     private final DutyThread duty = new DutyThread("backend", RING_CAPACITY);
     private final TimerService timers = new SystemTimerService();
     private final BackendService service;
+    private final AtomicBoolean closed = new AtomicBoolean();
     private final HttpServer server;
     private final BackendInfo info;
     private final Optional<Announcer> announcer;
@@ -62,6 +64,9 @@
 
     @Override
     public void close() {
+        if (closed.getAndSet(true)) {
+            return;
+        }
         announcer.ifPresent(Announcer::close);
         server.close();
         timers.close();
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/CrankStore.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/CrankStore.java
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.coriandercrank.http.HttpReply;
 import org.coriandercrank.http.HttpServer;
 import org.coriandercrank.http.HttpServerOptions;
@@ -33,6 +34,7 @@
             new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
     private final DutyThread duty = new DutyThread("store", RING_CAPACITY);
     private final TimerService timers = new SystemTimerService();
+    private final AtomicBoolean closed = new AtomicBoolean();
     private final HttpServer server;
 
     private CrankStore(StoreSettings settings) {
@@ -57,6 +59,9 @@
 
     @Override
     public void close() {
+        if (closed.getAndSet(true)) {
+            return;
+        }
         server.close();
         timers.close();
         duty.close();
