Add owner gate

The daemon needs one path to its backend server that admits, fences and runs requests at most once. First cut: compiles and passes the linters; no tests yet.

--- /dev/null
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/Gate.java
@@ -0,0 +1,115 @@
+package org.coriandercrank.gate;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
+import org.coriandercrank.gate.internal.GateCore;
+import org.coriandercrank.gate.internal.GateMetrics;
+import org.coriandercrank.gate.internal.GateRuntime;
+import org.coriandercrank.kernel.backend.BackendServer;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.RequestId;
+import org.coriandercrank.kernel.message.OutcomeAnswer;
+import org.coriandercrank.kernel.message.OutcomeQuery;
+import org.coriandercrank.kernel.ownership.GateStatus;
+import org.coriandercrank.kernel.ownership.InheritedRecords;
+import org.coriandercrank.kernel.ownership.OwnerGate;
+import org.coriandercrank.kernel.placement.RangeLoad;
+import org.coriandercrank.kernel.request.CallerAnswer;
+import org.coriandercrank.kernel.request.CallerRequest;
+import org.coriandercrank.kernel.ring.DutyThread;
+import org.coriandercrank.kernel.table.BackendInfo;
+import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.time.TimerService;
+
+/**
+ * The owner gate of a daemon, with a thread of its own.
+ *
+ * <p>Thread safe; no method blocks. Futures complete on the thread of the gate, so what depends on them must not
+ * block. When the ring of the gate is full, {@link #submit} answers OVERLOADED, {@link #resolve}, {@link #acquire},
+ * {@link #release} and {@link #drain} fail with OVERLOADED, and a cancellation is dropped.
+ */
+public final class Gate implements OwnerGate, AutoCloseable {
+    private static final long RING_FULL_RETRY_MS = 20;
+
+    private final TimerService timers;
+    private final DutyThread duty;
+    private final GateCore core;
+    private final TimerService.Subscription ticks;
+    private final AtomicBoolean closed = new AtomicBoolean();
+
+    private Gate(GateInputs inputs, GateOptions options) {
+        timers = inputs.timers();
+        duty = new DutyThread("gate", options.ringCapacity());
+        core = new GateCore(new GateRuntime(inputs, options, duty, new GateMetrics(inputs.meters()), closed::get));
+        ticks = timers.every(options.tickMs(), duty, core::tick);
+    }
+
+    /** Starts a gate without a backend server and without ranges. */
+    public static Gate start(GateInputs inputs, GateOptions options) {
+        return new Gate(inputs, options);
+    }
+
+    @Override
+    public CompletableFuture<CallerAnswer> submit(CallerRequest request) {
+        CompletableFuture<CallerAnswer> result = new CompletableFuture<>();
+        long arrivedAtNanos = timers.clock().nowNanos();
+        if (!duty.offer(() -> core.submit(request, arrivedAtNanos, result))) {
+            result.complete(CallerAnswer.retryLater(
+                    ResultCode.OVERLOADED, "the gate takes no request at present", RING_FULL_RETRY_MS));
+        }
+        return result;
+    }
+
+    @Override
+    public void cancel(RequestId requestId) {
+        duty.offer(() -> core.cancel(requestId));
+    }
+
+    @Override
+    public CompletableFuture<OutcomeAnswer> resolve(OutcomeQuery query) {
+        return duty.call(() -> core.resolve(query));
+    }
+
+    @Override
+    public void attach(BackendInfo info, BackendServer server) {
+        duty.execute(() -> core.attach(info, server));
+    }
+
+    @Override
+    public CompletableFuture<Void> acquire(KeyRange range, Generation fence, InheritedRecords inherited) {
+        return duty.call(() -> core.acquire(range, fence, inherited)).thenCompose(Function.identity());
+    }
+
+    @Override
+    public CompletableFuture<InheritedRecords> release(KeyRange range) {
+        return duty.call(() -> core.release(range)).thenCompose(Function.identity());
+    }
+
+    @Override
+    public CompletableFuture<Void> drain() {
+        return duty.call(core::drain).thenCompose(Function.identity());
+    }
+
+    @Override
+    public List<RangeLoad> loads() {
+        return core.loads();
+    }
+
+    @Override
+    public GateStatus status() {
+        return core.status();
+    }
+
+    /** Refuses what waits and ends the thread; calls at the backend server are left to end. */
+    @Override
+    public void close() {
+        if (closed.compareAndSet(false, true)) {
+            ticks.cancel();
+            duty.offer(core::close);
+            duty.close();
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateOptions.java
@@ -0,0 +1,157 @@
+package org.coriandercrank.gate;
+
+/**
+ * Settings of a gate. Immutable; limits are checked on construction.
+ *
+ * @param ringCapacity tasks that may wait for the thread of the gate
+ * @param tickMs period in which deadlines, grants and releases are examined
+ * @param grantValidityMs longest validity of a grant; what is left of the lease is a further bound
+ * @param grantTimeoutMs time after which an unanswered grant counts as failed
+ * @param grantRetryMs pause after a failed grant
+ * @param rampMs time in which the concurrency grows from a quarter of the slots to all of them after an attach
+ * @param overloadRecoveryMs time in which the concurrency returns to all slots after the server reported overload
+ * @param recordRetentionMs time for which outcome records are kept
+ * @param maxRecords most outcome records kept
+ * @param maxRecordBytes most bytes of outcome records kept
+ * @param maxTransferBytes most bytes of outcome records handed over with a released range
+ * @param barRetentionMs time for which a barred request id is refused, beyond the longest deadline of the service
+ * @param maxBars most barred ids; when reached, an outcome query gets UNKNOWN in place of BARRED
+ * @param ageMarginMs bound on the time a request travels from the caller to the gate, added to the stated age of its
+ *     idempotency key
+ * @param lostCallGraceMs time after its deadline at which a call has ended on a server that honours deadlines
+ * @param lostCallLifetimeMs time after its deadline at which a call with a lost answer is taken as ended on a server
+ *     that does not honour deadlines
+ * @param releaseWithoutProof whether a release may complete although the server neither answered the revoke nor
+ *     honours validity
+ */
+public record GateOptions(
+        int ringCapacity,
+        int tickMs,
+        int grantValidityMs,
+        int grantTimeoutMs,
+        int grantRetryMs,
+        int rampMs,
+        int overloadRecoveryMs,
+        int recordRetentionMs,
+        int maxRecords,
+        long maxRecordBytes,
+        long maxTransferBytes,
+        int barRetentionMs,
+        int maxBars,
+        int ageMarginMs,
+        int lostCallGraceMs,
+        int lostCallLifetimeMs,
+        boolean releaseWithoutProof) {
+    public static final GateOptions DEFAULTS = new GateOptions(
+            8_192,
+            5,
+            1_000,
+            300,
+            50,
+            5_000,
+            1_000,
+            600_000,
+            50_000,
+            16_777_216,
+            4_194_304,
+            60_000,
+            50_000,
+            250,
+            250,
+            60_000,
+            false);
+
+    public GateOptions {
+        checkPositive("ringCapacity", ringCapacity);
+        checkPositive("tickMs", tickMs);
+        checkPositive("grantValidityMs", grantValidityMs);
+        checkPositive("grantTimeoutMs", grantTimeoutMs);
+        checkPositive("grantRetryMs", grantRetryMs);
+        checkNotNegative("rampMs", rampMs);
+        checkPositive("overloadRecoveryMs", overloadRecoveryMs);
+        checkPositive("recordRetentionMs", recordRetentionMs);
+        checkPositive("maxRecords", maxRecords);
+        checkPositive("maxRecordBytes", maxRecordBytes);
+        checkNotNegative("maxTransferBytes", maxTransferBytes);
+        checkPositive("barRetentionMs", barRetentionMs);
+        checkPositive("maxBars", maxBars);
+        checkNotNegative("ageMarginMs", ageMarginMs);
+        checkNotNegative("lostCallGraceMs", lostCallGraceMs);
+        checkNotNegative("lostCallLifetimeMs", lostCallLifetimeMs);
+    }
+
+    public GateOptions withRampMs(int newRampMs) {
+        return new GateOptions(
+                ringCapacity,
+                tickMs,
+                grantValidityMs,
+                grantTimeoutMs,
+                grantRetryMs,
+                newRampMs,
+                overloadRecoveryMs,
+                recordRetentionMs,
+                maxRecords,
+                maxRecordBytes,
+                maxTransferBytes,
+                barRetentionMs,
+                maxBars,
+                ageMarginMs,
+                lostCallGraceMs,
+                lostCallLifetimeMs,
+                releaseWithoutProof);
+    }
+
+    public GateOptions withRecordLimits(int newRetentionMs, int newMaxRecords, long newMaxRecordBytes) {
+        return new GateOptions(
+                ringCapacity,
+                tickMs,
+                grantValidityMs,
+                grantTimeoutMs,
+                grantRetryMs,
+                rampMs,
+                overloadRecoveryMs,
+                newRetentionMs,
+                newMaxRecords,
+                newMaxRecordBytes,
+                maxTransferBytes,
+                barRetentionMs,
+                maxBars,
+                ageMarginMs,
+                lostCallGraceMs,
+                lostCallLifetimeMs,
+                releaseWithoutProof);
+    }
+
+    public GateOptions withReleaseWithoutProof(boolean newReleaseWithoutProof) {
+        return new GateOptions(
+                ringCapacity,
+                tickMs,
+                grantValidityMs,
+                grantTimeoutMs,
+                grantRetryMs,
+                rampMs,
+                overloadRecoveryMs,
+                recordRetentionMs,
+                maxRecords,
+                maxRecordBytes,
+                maxTransferBytes,
+                barRetentionMs,
+                maxBars,
+                ageMarginMs,
+                lostCallGraceMs,
+                lostCallLifetimeMs,
+                newReleaseWithoutProof);
+    }
+
+    private static void checkPositive(String field, long value) {
+        if (value < 1) {
+            throw new IllegalArgumentException(field + " must be at least 1, got " + value);
+        }
+    }
+
+    private static void checkNotNegative(String field, long value) {
+        if (value < 0) {
+            throw new IllegalArgumentException(field + " must not be negative, got " + value);
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeService.java
@@ -0,0 +1,293 @@
+package org.coriandercrank.gate.internal;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.coriandercrank.gate.internal.Execution.Backend;
+import org.coriandercrank.gate.internal.Execution.ReleaseRules;
+import org.coriandercrank.gate.internal.RangeEntry.State;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.KeyHash;
+import org.coriandercrank.kernel.ownership.InheritedRecords;
+import org.coriandercrank.kernel.table.KeyRange;
+
+/**
+ * Acquires and releases ranges.
+ *
+ * <p>Invariant: a release completes only when each call of its range that was in flight or lost at its start is
+ * settled, and each entry that it took out of service is revoked or has lapsed at the backend server. Calls made under
+ * a newer fence do not delay it. Not thread safe.
+ */
+final class RangeService {
+    /** A release in progress. */
+    private static final class Release {
+        private final KeyRange range;
+        private final Set<Execution> unsettled;
+        private final List<RangeEntry> entries = new ArrayList<>();
+        private final CompletableFuture<InheritedRecords> result = new CompletableFuture<>();
+
+        private Release(KeyRange range, Set<Execution> unsettled) {
+            this.range = range;
+            this.unsettled = unsettled;
+        }
+    }
+
+    private final GateRuntime runtime;
+    private final RangeTable ranges;
+    private final RecordTable records;
+    private final GrantDriver grants;
+    private final ReleaseRules rules;
+    private final List<Release> releases = new ArrayList<>();
+
+    RangeService(GateRuntime runtime, RangeTable ranges, RecordTable records, GrantDriver grants) {
+        this.runtime = runtime;
+        this.ranges = ranges;
+        this.records = records;
+        this.grants = grants;
+        rules = new ReleaseRules(
+                runtime.options().lostCallGraceMs(),
+                runtime.options().lostCallLifetimeMs(),
+                runtime.options().releaseWithoutProof());
+    }
+
+    CompletableFuture<Void> acquire(KeyRange range, Generation fence, InheritedRecords inherited, Backend backend) {
+        List<RangeEntry> live = liveOverlapping(range);
+        for (RangeEntry entry : live) {
+            if (entry.fence().equals(fence) && entry.range().contains(range)) {
+                runtime.logDecision(() -> line("acquire-repeated", range, fence));
+                return entry.acquired();
+            }
+        }
+        CrankException refusal = refusal(range, fence, live, backend);
+        if (refusal != null) {
+            runtime.logDecision(() -> line("acquire-refused", range, fence) + " code=" + refusal.code());
+            return CompletableFuture.failedFuture(refusal);
+        }
+        RangeEntry entry = newEntry(range, fence, inherited, live);
+        ranges.add(entry);
+        grants.requestGrant();
+        runtime.logDecision(() -> line("acquire", range, fence));
+        return entry.acquired();
+    }
+
+    private CrankException refusal(KeyRange range, Generation fence, List<RangeEntry> live, Backend backend) {
+        if (!runtime.rules().keyed()) {
+            return new CrankException(ResultCode.BAD_REQUEST, "the service is not divided by key");
+        }
+        if (backend == null) {
+            return new CrankException(ResultCode.BACKEND_UNAVAILABLE, "no backend server is attached");
+        }
+        if (!runtime.isLeaseValid()) {
+            return new CrankException(ResultCode.LEASE_LAPSED, "the lease is not valid");
+        }
+        if (ranges.isReleasedSince(range, fence)) {
+            return new CrankException(
+                    ResultCode.RANGE_MOVING, "the range was released under this fence or a newer one");
+        }
+        if (live.stream().anyMatch(e -> !fence.isNewerThan(e.fence()))) {
+            return new CrankException(
+                    ResultCode.NOT_OWNER, "part of the range is held under this fence or a newer one");
+        }
+        return null;
+    }
+
+    /** Replaces what is served of a range under older fences; records that the gate has itself stay complete. */
+    private RangeEntry newEntry(
+            KeyRange range, Generation fence, InheritedRecords inherited, List<RangeEntry> replaced) {
+        long nowNanos = runtime.nowNanos();
+        Horizon inheritedHorizon = Horizon.reachingBack(nowNanos, inherited.completeForMs());
+        Horizon ownHorizon = Horizon.UNLIMITED;
+        long ownSinceNanos = Long.MIN_VALUE;
+        List<KeyRange> served = new ArrayList<>();
+        for (RangeEntry old : replaced) {
+            if (old.state() == State.ACQUIRING) {
+                ranges.remove(old);
+                failAcquire(old, "the range was acquired under a newer fence");
+                continue;
+            }
+            RangeEntry part = ranges.cutOut(old, range);
+            ranges.remove(part);
+            served.add(part.range());
+            ownHorizon = ownHorizon.later(part.horizon());
+            ownSinceNanos = served.size() == 1 || part.servingSinceNanos() - ownSinceNanos > 0
+                    ? part.servingSinceNanos()
+                    : ownSinceNanos;
+        }
+        if (!served.isEmpty() && RangeTable.covers(served, range)) {
+            RangeEntry entry =
+                    RangeEntry.acquiring(range, fence, inherited, ownHorizon.earlier(inheritedHorizon), nowNanos);
+            entry.keepServingSince(ownSinceNanos);
+            return entry;
+        }
+        return RangeEntry.acquiring(range, fence, inherited, inheritedHorizon, nowNanos);
+    }
+
+    /**
+     * Starts a release.
+     *
+     * @param inFlight calls that run or were lost, of any range
+     */
+    CompletableFuture<InheritedRecords> release(KeyRange range, List<Execution> inFlight) {
+        Set<Execution> unsettled = new HashSet<>();
+        for (Execution call : inFlight) {
+            if (range.contains(call.hash())) {
+                unsettled.add(call);
+            }
+        }
+        Release release = new Release(range, unsettled);
+        for (RangeEntry overlapping : ranges.overlapping(range)) {
+            if (overlapping.state() == State.ACQUIRING) {
+                ranges.remove(overlapping);
+                ranges.addReleased(overlapping.part(RangeTable.intersection(overlapping.range(), range)));
+                records.putAll(overlapping.inherited(), runtime.nowNanos());
+                failAcquire(overlapping, "the range is released");
+                grants.requestGrant();
+                continue;
+            }
+            RangeEntry entry = ranges.cutOut(overlapping, range);
+            if (entry != overlapping) {
+                replaceInReleases(overlapping);
+            }
+            if (entry.state() == State.SERVING) {
+                ranges.advance(entry, State.RELEASING);
+            }
+            release.entries.add(entry);
+        }
+        releases.add(release);
+        runtime.logDecision(() -> "event=release range=" + range + " entries=" + release.entries.size() + " in-flight="
+                + unsettled.size());
+        return release.result;
+    }
+
+    /** Gives the releases that wait for a split entry its parts. */
+    private void replaceInReleases(RangeEntry split) {
+        for (Release release : releases) {
+            if (release.entries.remove(split)) {
+                for (RangeEntry part : ranges.overlapping(split.range())) {
+                    if (part.fence().equals(split.fence())) {
+                        release.entries.add(part);
+                    }
+                }
+            }
+        }
+    }
+
+    ReleaseRules rules() {
+        return rules;
+    }
+
+    /** Whether a key belongs to a range that is being released. */
+    boolean isReleasing(KeyHash hash) {
+        return releases.stream().anyMatch(r -> r.range.contains(hash));
+    }
+
+    boolean hasReleases() {
+        return !releases.isEmpty();
+    }
+
+    void tick(long nowNanos) {
+        if (!runtime.isLeaseValid()) {
+            for (RangeEntry entry : ranges.inState(State.ACQUIRING)) {
+                ranges.remove(entry);
+                grants.requestGrant();
+                entry.acquired()
+                        .completeExceptionally(new CrankException(ResultCode.LEASE_LAPSED, "the lease is not valid"));
+            }
+        }
+        for (Release release : releases) {
+            release.unsettled.removeIf(call -> call.isSettled(rules, isHoldLapsed(call.hash(), nowNanos), nowNanos));
+        }
+        for (RangeEntry entry : ranges.inState(State.RELEASING)) {
+            if (!awaitsCalls(entry, nowNanos)) {
+                ranges.advance(entry, State.REVOKING);
+                grants.requestGrant();
+            }
+        }
+    }
+
+    /** Completes the releases that have nothing left to wait for. */
+    void completeReleases(long nowNanos) {
+        for (Release release : List.copyOf(releases)) {
+            if (release.unsettled.isEmpty() && release.entries.stream().allMatch(e -> e.state() == State.REVOKED)) {
+                releases.remove(release);
+                complete(release, nowNanos);
+            }
+        }
+        for (RangeEntry entry : ranges.inState(State.REVOKED)) {
+            if (releases.stream().noneMatch(r -> r.entries.contains(entry))) {
+                ranges.remove(entry);
+            }
+        }
+    }
+
+    /** Inserts the records that came with the ranges that are now served, and tells those who wait for them. */
+    void completeAcquires(long nowNanos) {
+        for (RangeEntry entry : ranges.inState(State.SERVING)) {
+            if (!entry.acquired().isDone()) {
+                records.putAll(entry.inherited(), nowNanos);
+                runtime.logDecision(() -> line("serving", entry.range(), entry.fence()));
+                entry.acquired().complete(null);
+            }
+        }
+    }
+
+    private void complete(Release release, long nowNanos) {
+        for (RangeEntry entry : release.entries) {
+            ranges.addReleased(entry);
+        }
+        List<RangeTable.Released> known = ranges.releasedIn(release.range);
+        Horizon horizon = Horizon.UNLIMITED;
+        for (RangeTable.Released released : known) {
+            horizon = horizon.later(released.horizon());
+        }
+        boolean covered =
+                RangeTable.covers(known.stream().map(RangeTable.Released::range).toList(), release.range);
+        InheritedRecords exported = records.export(
+                release.range,
+                covered ? horizon : Horizon.since(nowNanos),
+                runtime.options().maxTransferBytes(),
+                nowNanos);
+        runtime.logDecision(() -> "event=released range=" + release.range + " records="
+                + exported.records().size() + " complete-for-ms=" + exported.completeForMs());
+        release.result.complete(exported);
+    }
+
+    /** Whether calls of an entry may still end before their deadline and its grace. */
+    private boolean awaitsCalls(RangeEntry entry, long nowNanos) {
+        for (Release release : releases) {
+            for (Execution call : release.unsettled) {
+                if (entry.range().contains(call.hash())
+                        && TimeUnit.NANOSECONDS.toMillis(nowNanos - call.deadlineNanos()) < rules.graceMs()) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    private boolean isHoldLapsed(KeyHash hash, long nowNanos) {
+        return ranges.entries().stream()
+                .filter(e -> e.state().compareTo(State.RELEASING) >= 0)
+                .filter(e -> e.range().contains(hash))
+                .allMatch(e -> e.isHoldLapsed(nowNanos));
+    }
+
+    private List<RangeEntry> liveOverlapping(KeyRange range) {
+        return ranges.overlapping(range).stream()
+                .filter(e -> e.state().compareTo(State.SERVING) <= 0)
+                .toList();
+    }
+
+    private static void failAcquire(RangeEntry entry, String reason) {
+        entry.acquired().completeExceptionally(new CrankException(ResultCode.RANGE_MOVING, reason));
+    }
+
+    private static String line(String event, KeyRange range, Generation fence) {
+        return "event=" + event + " range=" + range + " fence=" + fence;
+    }
+}
