Close HTTP connections on request of the answer

Cause: a draining server could not ask callers to leave, and a request that arrived on a closing connection while its last answer was still being written was handled although its own answer could never be written. Change: an answer with 'connection: close' closes the connection; after such an answer nothing more is read as a request.

--- /dev/null
+++ b/org.coriandercrank.http.test/src/test/java/org/coriandercrank/http/ClosingConnectionTest.java
@@ -0,0 +1,55 @@
+package org.coriandercrank.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.request.Header;
+import org.junit.jupiter.api.Test;
+
+class ClosingConnectionTest {
+    /** Large enough that the answer is still being written when the second request arrives. */
+    private static final int BODY_BYTES = 16_777_216;
+
+    private static final long UNTIL_FIRST_ANSWER_IS_WRITTEN_MS = 200;
+
+    /** Guards against requests that run although the connection is closed before their answer. */
+    @Test
+    void handlesNoRequestAfterAnAnswerThatClosesTheConnection() throws IOException, InterruptedException {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        AtomicInteger handled = new AtomicInteger();
+        HttpHandler handler = (call, closed) -> {
+            handled.incrementAndGet();
+            return CompletableFuture.completedFuture(
+                    new HttpReply(503, List.of(new Header("connection", "close")), new byte[BODY_BYTES]));
+        };
+        try (HttpServer server =
+                        HttpServer.listen(group, new HostAddress("127.0.0.1", 0), HttpServerOptions.DEFAULTS, handler);
+                Socket socket = new Socket(
+                        InetAddress.getLoopbackAddress(), server.address().port())) {
+            byte[] request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+            socket.getOutputStream().write(request);
+            Thread.sleep(UNTIL_FIRST_ANSWER_IS_WRITTEN_MS);
+            socket.getOutputStream().write(request);
+            Thread.sleep(UNTIL_FIRST_ANSWER_IS_WRITTEN_MS);
+            byte[] answer = socket.getInputStream().readAllBytes();
+
+            assertThat(new String(answer, 0, 200, StandardCharsets.US_ASCII))
+                    .startsWith("HTTP/1.1 503")
+                    .containsIgnoringCase("connection: close");
+            assertThat(answer).hasSizeGreaterThan(BODY_BYTES);
+            assertThat(handled).hasValue(1);
+        } finally {
+            group.shutdownGracefully();
+        }
+    }
+}
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpReply.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpReply.java
@@ -28,6 +28,11 @@
         return HttpHeadersSupport.first(headers, name);
     }
 
+    /** Whether the header {@code connection: close} asks the server to close the connection after this answer. */
+    boolean asksForClose() {
+        return header("connection").map("close"::equalsIgnoreCase).orElse(false);
+    }
+
     public String bodyText() {
         return new String(body, StandardCharsets.UTF_8);
     }
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
@@ -130,8 +130,9 @@
         return HttpReply.text(STATUS_INTERNAL, "internal error\n");
     }
 
-    private void write(ChannelHandlerContext context, HttpReply reply, boolean keepAlive, boolean headOnly) {
+    private void write(ChannelHandlerContext context, HttpReply reply, boolean callerKeepAlive, boolean headOnly) {
         closed = null;
+        boolean keepAlive = callerKeepAlive && !reply.asksForClose();
         FullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(reply.status()),
@@ -143,6 +144,8 @@
         if (keepAlive) {
             resume(context);
         } else {
+            // A request that follows on a closing connection could run without its answer ever being written.
+            rejected = true;
             written.addListener(ChannelFutureListener.CLOSE);
         }
     }
