Add CallerRequest.withId

Cause: ingress sends further attempts of a request under ids of their own. Change: copy of a request with another id. Conclusion: no existing signature changes.

--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/request/CallerRequest.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/request/CallerRequest.java
@@ -36,6 +36,11 @@
         }
     }
 
+    public CallerRequest withId(RequestId newId) {
+        return new CallerRequest(
+                newId, service, key, method, path, headers, body, remainingMs, idempotencyKey, idempotencyKeyAgeMs);
+    }
+
     public CallerRequest withRemainingMs(long newRemainingMs) {
         return new CallerRequest(
                 id, service, key, method, path, headers, body, newRemainingMs, idempotencyKey, idempotencyKeyAgeMs);
