Add the caller side of a daemon

Cause: callers need one place that finds the owner of a key and says what became of a request. Change: HTTP protocol of callers, routing to the owner gate with bounded holds, outcome queries after lost answers, retry budget, balancing policies, exclusion of servers with two thresholds, handlers for messages of other daemons. Conclusion: first usable cut.

--- /dev/null
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
@@ -0,0 +1,211 @@
+package org.coriandercrank.ingress;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.coriandercrank.http.HttpCall;
+import org.coriandercrank.http.HttpReply;
+import org.coriandercrank.http.HttpServer;
+import org.coriandercrank.http.HttpServerOptions;
+import org.coriandercrank.ingress.internal.balancing.Balancer;
+import org.coriandercrank.ingress.internal.protocol.AnswerRenderer;
+import org.coriandercrank.ingress.internal.protocol.ParsedRequest;
+import org.coriandercrank.ingress.internal.protocol.RequestIds;
+import org.coriandercrank.ingress.internal.protocol.RequestParser;
+import org.coriandercrank.ingress.internal.routing.DispatchContext;
+import org.coriandercrank.ingress.internal.routing.DispatchResult;
+import org.coriandercrank.ingress.internal.routing.ForwardHandlers;
+import org.coriandercrank.ingress.internal.routing.IngressMetrics;
+import org.coriandercrank.ingress.internal.routing.RequestDispatch;
+import org.coriandercrank.ingress.internal.routing.RetryBudget;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.id.RequestId;
+import org.coriandercrank.kernel.request.CallerAnswer;
+import org.coriandercrank.kernel.ring.DutyThread;
+
+/**
+ * The caller side of a daemon: takes callers' HTTP requests, routes each to the gate of its owner and answers it.
+ *
+ * <p>Thread safe. Requests are parsed on I/O threads; all further state of requests belongs to one duty thread. A
+ * planned stop calls {@link #stopAccepting()}, waits for {@link #drain()} and then calls {@link #close()}.
+ */
+public final class Ingress implements AutoCloseable {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int RING_SLOTS_PER_REQUEST = 4;
+    private static final String NO_SERVICE = "none";
+
+    private final IngressDependencies parts;
+    private final IngressOptions options;
+    private final RequestIds ids = new RequestIds();
+    private final RequestParser parser = new RequestParser(ids);
+    private final AnswerRenderer renderer;
+    private final IngressMetrics metrics;
+    private final DutyThread duty;
+    private final DispatchContext context;
+    private final AtomicInteger inFlight = new AtomicInteger();
+    private final CompletableFuture<Void> idleWhileDraining = new CompletableFuture<>();
+    private volatile boolean draining;
+    private volatile int excludedServers;
+    private volatile HttpServer server;
+
+    /** Registers the handlers for requests, cancellations and outcome queries of other daemons. */
+    public Ingress(IngressDependencies parts, IngressOptions options) {
+        this.parts = parts;
+        this.options = options;
+        this.renderer = new AnswerRenderer(options.retryAfterMs());
+        this.metrics = new IngressMetrics(parts.meters());
+        this.duty = new DutyThread("ingress", RING_SLOTS_PER_REQUEST * options.maxInFlight());
+        Balancer balancer = new Balancer(parts.region(), parts.failureDomain(), options.health(), new Random());
+        RetryBudget budget = new RetryBudget(
+                options.retryBudgetPercent(),
+                options.retryBudgetMinPerSecond(),
+                parts.timers().clock().nowNanos());
+        this.context = new DispatchContext(parts, options, duty, balancer, budget, metrics);
+        metrics.registerGauges(inFlight::get, () -> excludedServers);
+        ForwardHandlers.register(parts.handlers(), parts.gate(), parts.view());
+    }
+
+    /** Listens for callers; port 0 takes a free port. Blocks until the port is bound and returns it. */
+    public HostAddress start(HostAddress listen) {
+        HttpServerOptions limits = HttpServerOptions.DEFAULTS;
+        server = HttpServer.listen(
+                parts.ioGroup(),
+                listen,
+                new HttpServerOptions(
+                        limits.maxInitialLineBytes(),
+                        limits.maxHeaderBytes(),
+                        limits.maxBodyBytes(),
+                        status -> rejection(status, limits)),
+                this::handle);
+        return server.address();
+    }
+
+    /** Accepts no further connections; requests on open ones are still served. */
+    public void stopAccepting() {
+        if (server != null) {
+            server.stopAccepting();
+        }
+    }
+
+    /**
+     * Refuses new requests with {@code DRAINING} and asks callers to close their connections. Completes when all
+     * earlier requests are answered and the time for writing the answers has passed.
+     */
+    public CompletableFuture<Void> drain() {
+        draining = true;
+        completeIfIdle();
+        CompletableFuture<Void> written = new CompletableFuture<>();
+        idleWhileDraining.thenRun(
+                () -> parts.timers().once(options.drainLingerMs(), Runnable::run, () -> written.complete(null)));
+        return written;
+    }
+
+    /** Callers' requests that have no answer yet. */
+    public int inFlight() {
+        return inFlight.get();
+    }
+
+    @Override
+    public void close() {
+        if (server != null) {
+            server.close();
+        }
+        duty.close();
+    }
+
+    private CompletableFuture<HttpReply> handle(HttpCall call, CompletableFuture<Void> closed) {
+        long receivedAtNanos = parts.timers().clock().nowNanos();
+        ParsedRequest parsed = parser.parse(call, parts.view().current());
+        if (parsed.refusal().isPresent()) {
+            return refuse(parsed, parsed.refusal().get(), receivedAtNanos);
+        }
+        int now = inFlight.incrementAndGet();
+        if (draining || now > options.maxInFlight()) {
+            release();
+            CallerAnswer refusal = draining
+                    ? CallerAnswer.of(ResultCode.DRAINING, "this daemon is leaving; use another one")
+                    : CallerAnswer.of(ResultCode.OVERLOADED, "this daemon holds too many requests");
+            return refuse(parsed, refusal, receivedAtNanos);
+        }
+        CompletableFuture<DispatchResult> result = new CompletableFuture<>();
+        RequestDispatch dispatch =
+                new RequestDispatch(context, parsed.accepted().orElseThrow(), receivedAtNanos, result);
+        if (!duty.offer(() -> start(dispatch, result))) {
+            release();
+            return refuse(
+                    parsed,
+                    CallerAnswer.of(ResultCode.OVERLOADED, "this daemon cannot take the request"),
+                    receivedAtNanos);
+        }
+        closed.thenRun(() -> duty.offer(dispatch::cancel));
+        return result.handle((answer, failure) -> {
+            release();
+            return failure == null
+                    ? reply(parsed.id(), answer)
+                    : reply(parsed.id(), new DispatchResult(internal(failure), Optional.empty()));
+        });
+    }
+
+    private void start(RequestDispatch dispatch, CompletableFuture<DispatchResult> result) {
+        try {
+            dispatch.start();
+            excludedServers = context.balancer().excludedCount();
+        } catch (RuntimeException e) {
+            result.completeExceptionally(e);
+        }
+    }
+
+    private HttpReply reply(RequestId id, DispatchResult result) {
+        if (result.answer().code() == ResultCode.CANCELLED || result.answer().code() == ResultCode.CANCELLED_RUNNING) {
+            parts.decisions()
+                    .log(() -> "event=caller-gone request=" + id + " result="
+                            + result.answer().code());
+        }
+        return renderer.render(id, result.answer(), result.owner(), draining);
+    }
+
+    private static CallerAnswer internal(Throwable failure) {
+        CrankException cause = CrankException.of(failure);
+        logger.atSevere().withCause(cause).log("event=dispatch-failed");
+        return CallerAnswer.of(ResultCode.INTERNAL, "unexpected error");
+    }
+
+    private CompletableFuture<HttpReply> refuse(ParsedRequest parsed, CallerAnswer refusal, long receivedAtNanos) {
+        String service = parsed.accepted().map(a -> a.service().name().value()).orElse(NO_SERVICE);
+        metrics.finished(service, refusal.code(), parts.timers().clock().nowNanos() - receivedAtNanos);
+        parts.decisions()
+                .log(() -> "event=refuse service=" + service + " request=" + parsed.id() + " result=" + refusal.code());
+        return CompletableFuture.completedFuture(renderer.render(parsed.id(), refusal, Optional.empty(), draining));
+    }
+
+    private HttpReply rejection(int status, HttpServerOptions limits) {
+        CallerAnswer answer = switch (status) {
+            case 413 ->
+                CallerAnswer.of(
+                        ResultCode.BODY_TOO_LARGE, "body: at most " + limits.maxBodyBytes() + " bytes are allowed");
+            case 431 ->
+                CallerAnswer.of(
+                        ResultCode.HEADER_TOO_LARGE,
+                        "header: the request line may have " + limits.maxInitialLineBytes() + " bytes, all fields "
+                                + limits.maxHeaderBytes());
+            default -> CallerAnswer.of(ResultCode.BAD_REQUEST, "request: is not valid HTTP/1.1");
+        };
+        metrics.finished(NO_SERVICE, answer.code(), 0);
+        return renderer.render(ids.generate(), answer, Optional.empty(), true);
+    }
+
+    private void release() {
+        inFlight.decrementAndGet();
+        completeIfIdle();
+    }
+
+    private void completeIfIdle() {
+        if (draining && inFlight.get() == 0) {
+            idleWhileDraining.complete(null);
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/IngressOptions.java
@@ -0,0 +1,51 @@
+package org.coriandercrank.ingress;
+
+/**
+ * Limits of the caller side. Immutable.
+ *
+ * @param maxInFlight callers' requests held at the same time; one more is refused with {@code OVERLOADED}
+ * @param maxSends sends of one request, including refused ones
+ * @param maxAttemptIds attempt ids of one request, see {@code docs/design/routing.md}
+ * @param moveWaitMs time that a request is held for a newer table or while its range moves
+ * @param ownerLostWaitMs time that a request is held while its owner is lost
+ * @param backoffMs first pause before a refused send is repeated; doubles up to {@code maxBackoffMs}
+ * @param queryTimeoutMs time given to one outcome query
+ * @param answerGraceMs time after the deadline in which the exact answer of the gate is awaited
+ * @param retryAfterMs {@code Retry-After} of refusals that name none
+ * @param retryBudgetPercent retries allowed per hundred requests
+ * @param retryBudgetMinPerSecond retries allowed per second in addition
+ * @param drainLingerMs time between the last answer and the end of a drain, for answers still being written
+ */
+public record IngressOptions(
+        int maxInFlight,
+        int maxSends,
+        int maxAttemptIds,
+        long moveWaitMs,
+        long ownerLostWaitMs,
+        long backoffMs,
+        long maxBackoffMs,
+        long queryTimeoutMs,
+        long answerGraceMs,
+        long retryAfterMs,
+        int retryBudgetPercent,
+        int retryBudgetMinPerSecond,
+        long drainLingerMs,
+        HealthRules health) {
+    public static final IngressOptions DEFAULTS = new IngressOptions(
+            8_192, 24, 4, 1_500, 1_000, 5, 100, 1_000, 100, 1_000, 10, 10, 100, HealthRules.DEFAULTS);
+
+    public IngressOptions {
+        if (maxInFlight < 1 || maxSends < 1 || maxAttemptIds < 1 || maxAttemptIds > 99) {
+            throw new IllegalArgumentException("maxInFlight, maxSends and maxAttemptIds (at most 99) must be positive");
+        }
+        if (moveWaitMs < 0 || ownerLostWaitMs < 0 || answerGraceMs < 0 || drainLingerMs < 0) {
+            throw new IllegalArgumentException("waits must not be negative");
+        }
+        if (backoffMs < 1 || maxBackoffMs < backoffMs || queryTimeoutMs < 1 || retryAfterMs < 1) {
+            throw new IllegalArgumentException("backoffs, queryTimeoutMs and retryAfterMs must be positive");
+        }
+        if (retryBudgetPercent < 0 || retryBudgetMinPerSecond < 0) {
+            throw new IllegalArgumentException("retry budget must not be negative");
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/RoundRobinPolicy.java
@@ -0,0 +1,17 @@
+package org.coriandercrank.ingress.internal.balancing;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
+import org.coriandercrank.kernel.placement.BalancingCandidate;
+import org.coriandercrank.kernel.placement.BalancingPolicy;
+
+/** Chooses the servers in turn, without regard to load and weight; a baseline. Thread safe. */
+public final class RoundRobinPolicy implements BalancingPolicy {
+    private final AtomicInteger next = new AtomicInteger();
+
+    @Override
+    public int choose(List<BalancingCandidate> candidates, RandomGenerator random) {
+        return Math.floorMod(next.getAndIncrement(), candidates.size());
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of servers for services not divided by key. */
+package org.coriandercrank.ingress.internal.balancing;
--- /dev/null
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/protocol/AnswerRenderer.java
@@ -0,0 +1,91 @@
+package org.coriandercrank.ingress.internal.protocol;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.coriandercrank.http.HttpReply;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.RequestId;
+import org.coriandercrank.kernel.request.CallerAnswer;
+import org.coriandercrank.kernel.request.Header;
+
+/**
+ * Renders answers for callers. Thread safe.
+ *
+ * <p>Header fields of a backend server whose name starts with {@code crank-} are dropped, so that only the system
+ * states codes and outcomes.
+ */
+public final class AnswerRenderer {
+    private static final String RESERVED_PREFIX = "crank-";
+    private static final String RETRY_AFTER = "retry-after";
+    private static final long MS_PER_SECOND = 1_000;
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final long defaultRetryAfterMs;
+
+    /** Body of an answer that the system itself gives. */
+    private record ErrorBody(int code, String name, String outcome, String detail, String requestId) {}
+
+    public AnswerRenderer(long defaultRetryAfterMs) {
+        this.defaultRetryAfterMs = defaultRetryAfterMs;
+    }
+
+    /**
+     * @param owner the member that answered, if the request reached one
+     * @param closeConnection whether the caller should open a new connection, to another daemon
+     */
+    public HttpReply render(RequestId id, CallerAnswer answer, Optional<MemberId> owner, boolean closeConnection) {
+        boolean executed = answer.code() == ResultCode.OK;
+        List<Header> headers = new ArrayList<>();
+        if (executed) {
+            answer.headers().stream()
+                    .filter(h -> !h.name().startsWith(RESERVED_PREFIX))
+                    .forEach(headers::add);
+        } else {
+            headers.add(new Header("content-type", "application/json"));
+        }
+        headers.add(new Header("crank-result", Integer.toString(answer.code().number())));
+        headers.add(new Header("crank-outcome", answer.outcome().headerValue()));
+        headers.add(new Header("crank-request-id", id.value()));
+        owner.ifPresent(member -> headers.add(new Header("crank-owner", member.value())));
+        if (answer.code() == ResultCode.METHOD_NOT_ALLOWED) {
+            headers.add(new Header("allow", "GET, HEAD, POST, PUT, PATCH, DELETE"));
+        }
+        if (closeConnection) {
+            headers.add(new Header("connection", "close"));
+        }
+        retryAfterMs(answer).ifPresent(ms -> {
+            long seconds = Math.max(1, (ms + MS_PER_SECOND - 1) / MS_PER_SECOND);
+            headers.removeIf(h -> h.name().equals(RETRY_AFTER));
+            headers.add(new Header(RETRY_AFTER, Long.toString(seconds)));
+            headers.add(new Header("crank-retry-after-ms", Long.toString(ms)));
+        });
+        return new HttpReply(answer.status(), headers, executed ? answer.body() : errorBody(id, answer));
+    }
+
+    private OptionalLong retryAfterMs(CallerAnswer answer) {
+        if (answer.retryAfterMs().isPresent() || !answer.code().isRetryLater()) {
+            return answer.retryAfterMs();
+        }
+        return OptionalLong.of(defaultRetryAfterMs);
+    }
+
+    private static byte[] errorBody(RequestId id, CallerAnswer answer) {
+        ErrorBody body = new ErrorBody(
+                answer.code().number(),
+                answer.code().name(),
+                answer.outcome().headerValue(),
+                new String(answer.body(), StandardCharsets.UTF_8),
+                id.value());
+        try {
+            return MAPPER.writeValueAsBytes(body);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("an error body of plain strings must be writable", e);
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/protocol/ParsedRequest.java
@@ -0,0 +1,31 @@
+package org.coriandercrank.ingress.internal.protocol;
+
+import java.util.Optional;
+import org.coriandercrank.kernel.config.ServiceConfig;
+import org.coriandercrank.kernel.id.RequestId;
+import org.coriandercrank.kernel.request.CallerAnswer;
+import org.coriandercrank.kernel.request.CallerRequest;
+
+/**
+ * Result of parsing: either a request with the rules of its service, or a refusal. Immutable.
+ *
+ * @param id the caller's request id, or a generated one if the caller gave none or a malformed one
+ */
+public record ParsedRequest(RequestId id, Optional<Accepted> accepted, Optional<CallerAnswer> refusal) {
+    /** A well-formed request and the rules of its service. Immutable. */
+    public record Accepted(CallerRequest request, ServiceConfig service) {}
+
+    public ParsedRequest {
+        if (accepted.isPresent() == refusal.isPresent()) {
+            throw new IllegalArgumentException("need exactly one of request and refusal");
+        }
+    }
+
+    static ParsedRequest accepted(CallerRequest request, ServiceConfig service) {
+        return new ParsedRequest(request.id(), Optional.of(new Accepted(request, service)), Optional.empty());
+    }
+
+    static ParsedRequest refused(RequestId id, CallerAnswer refusal) {
+        return new ParsedRequest(id, Optional.empty(), Optional.of(refusal));
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/ForwardHandlers.java
@@ -0,0 +1,35 @@
+package org.coriandercrank.ingress.internal.routing;
+
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.message.CancelRequest;
+import org.coriandercrank.kernel.message.ForwardAnswer;
+import org.coriandercrank.kernel.message.ForwardRequest;
+import org.coriandercrank.kernel.message.OutcomeQuery;
+import org.coriandercrank.kernel.ownership.OwnerGate;
+import org.coriandercrank.kernel.ownership.RoutingView;
+import org.coriandercrank.kernel.peer.PeerHandlers;
+import org.coriandercrank.kernel.table.AssignmentTable;
+
+/** Passes messages of other daemons to the local owner gate. Stateless. */
+public final class ForwardHandlers {
+    private ForwardHandlers() {}
+
+    public static void register(PeerHandlers handlers, OwnerGate gate, RoutingView view) {
+        handlers.register(
+                ForwardRequest.class,
+                (sender, message) -> gate.submit(message.request())
+                        .thenApply(answer -> new ForwardAnswer(
+                                answer, generation(view, message.request().service()))));
+        handlers.register(CancelRequest.class, (sender, message) -> {
+            gate.cancel(message.requestId());
+            return null;
+        });
+        handlers.register(OutcomeQuery.class, (sender, message) -> gate.resolve(message));
+    }
+
+    /** Read after the answer, so that a refusal never comes with a generation that the gate did not know yet. */
+    private static Generation generation(RoutingView view, ServiceName service) {
+        return view.current().table(service).map(AssignmentTable::generation).orElse(Generation.NONE);
+    }
+}
