Fix spill to the other region and late tasks

Cause: the locality filter compared the other region only with the own failure domain, so it sent requests there while the own region was idle enough (found by the table in BalancingTest: loads 13, 5, 0 chose the other region). Timer tasks of a closed ingress would be repeated until the timer service closes. A caller that left while the outcome of a lost attempt was asked for did not cancel that attempt. Change: compare the other region with the whole own region; drop tasks after close; keep a lost attempt as the one to cancel; log refused answers once.

--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
@@ -19,6 +19,7 @@
 import org.coriandercrank.ingress.internal.routing.ForwardHandlers;
 import org.coriandercrank.ingress.internal.routing.IngressMetrics;
 import org.coriandercrank.ingress.internal.routing.RequestDispatch;
+import org.coriandercrank.ingress.internal.routing.RequestExecutor;
 import org.coriandercrank.ingress.internal.routing.RetryBudget;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
@@ -44,7 +45,7 @@
     private final RequestParser parser = new RequestParser(ids);
     private final AnswerRenderer renderer;
     private final IngressMetrics metrics;
-    private final DutyThread duty;
+    private final RequestExecutor duty;
     private final DispatchContext context;
     private final AtomicInteger inFlight = new AtomicInteger();
     private final CompletableFuture<Void> idleWhileDraining = new CompletableFuture<>();
@@ -58,7 +59,7 @@
         this.options = options;
         this.renderer = new AnswerRenderer(options.retryAfterMs());
         this.metrics = new IngressMetrics(parts.meters());
-        this.duty = new DutyThread("ingress", RING_SLOTS_PER_REQUEST * options.maxInFlight());
+        this.duty = new RequestExecutor(new DutyThread("ingress", RING_SLOTS_PER_REQUEST * options.maxInFlight()));
         Balancer balancer = new Balancer(parts.region(), parts.failureDomain(), options.health(), new Random());
         RetryBudget budget = new RetryBudget(
                 options.retryBudgetPercent(),
@@ -141,7 +142,7 @@
                     CallerAnswer.of(ResultCode.OVERLOADED, "this daemon cannot take the request"),
                     receivedAtNanos);
         }
-        closed.thenRun(() -> duty.offer(dispatch::cancel));
+        closed.thenRun(dispatch::cancel);
         return result.handle((answer, failure) -> {
             release();
             return failure == null
@@ -160,11 +161,6 @@
     }
 
     private HttpReply reply(RequestId id, DispatchResult result) {
-        if (result.answer().code() == ResultCode.CANCELLED || result.answer().code() == ResultCode.CANCELLED_RUNNING) {
-            parts.decisions()
-                    .log(() -> "event=caller-gone request=" + id + " result="
-                            + result.answer().code());
-        }
         return renderer.render(id, result.answer(), result.owner(), draining);
     }
 
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/LocalityFilter.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/LocalityFilter.java
@@ -8,7 +8,7 @@
 /**
  * Keeps the nearest servers that are not clearly busier than farther ones. Stateless.
  *
- * <p>Servers of the own failure domain come first, then those of the own region, then the rest. The next group is added
+ * <p>Servers of the own failure domain come first, then those of the own region, then the rest. A wider group is used
  * if the least loaded near server has more than twice the load of the least loaded server of that group plus a margin.
  * The margin is larger for the other region, because each byte between regions is paid for and a hop costs 20 ms.
  */
@@ -20,10 +20,12 @@
     private LocalityFilter() {}
 
     static List<BalancingCandidate> apply(List<BalancingCandidate> candidates) {
-        List<BalancingCandidate> chosen = select(candidates, BalancingCandidate::sameFailureDomain);
-        spill(chosen, select(candidates, c -> c.sameRegion() && !c.sameFailureDomain()), REGION_MARGIN_REQUESTS);
-        spill(chosen, select(candidates, c -> !c.sameRegion() && !c.sameFailureDomain()), REMOTE_MARGIN_REQUESTS);
-        return chosen;
+        List<BalancingCandidate> sameDomain = select(candidates, BalancingCandidate::sameFailureDomain);
+        List<BalancingCandidate> sameRegion = select(candidates, c -> c.sameRegion() || c.sameFailureDomain());
+        if (isClearlyBusier(sameRegion, candidates, REMOTE_MARGIN_REQUESTS)) {
+            return candidates;
+        }
+        return isClearlyBusier(sameDomain, sameRegion, REGION_MARGIN_REQUESTS) ? sameRegion : sameDomain;
     }
 
     private static List<BalancingCandidate> select(
@@ -37,13 +39,14 @@
         return selected;
     }
 
-    private static void spill(List<BalancingCandidate> chosen, List<BalancingCandidate> farther, double margin) {
-        if (chosen.isEmpty() || leastLoad(chosen) > CLEARLY_BUSIER_FACTOR * leastLoad(farther) + margin) {
-            chosen.addAll(farther);
-        }
+    /** Whether the near servers are clearly busier than the least loaded of a wider group that contains them. */
+    private static boolean isClearlyBusier(
+            List<BalancingCandidate> near, List<BalancingCandidate> wider, double marginRequests) {
+        return near.size() < wider.size()
+                && leastLoad(near) > CLEARLY_BUSIER_FACTOR * leastLoad(wider) + marginRequests;
     }
 
-    /** Infinite for no servers, so that nothing spills to an empty group. */
+    /** Infinite for no servers, so that an empty near group is always left for a wider one. */
     private static double leastLoad(List<BalancingCandidate> candidates) {
         double least = Double.POSITIVE_INFINITY;
         for (BalancingCandidate candidate : candidates) {
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
@@ -24,6 +24,7 @@
     private final DispatchContext context;
     private final RequestDispatch dispatch;
     private final AttemptHistory history;
+    /** The attempt that may still run; a lost one stays here while its outcome is asked for. */
     private Optional<Attempt> outstanding = Optional.empty();
 
     /** One send. Immutable. */
@@ -176,6 +177,7 @@
                     "lost",
                     CallerAnswer.of(ResultCode.OUTCOME_UNKNOWN, "the answer was lost: " + failure.code()));
         } else if (attempt.target().peer().isPresent()) {
+            outstanding = Optional.of(attempt);
             new OutcomeResolver(context, dispatch, history, this, attempt).query();
         } else {
             dispatch.finish(CallerAnswer.of(ResultCode.OUTCOME_UNKNOWN, "the local gate failed"));
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/DispatchContext.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/DispatchContext.java
@@ -4,14 +4,13 @@
 import org.coriandercrank.ingress.IngressDependencies;
 import org.coriandercrank.ingress.IngressOptions;
 import org.coriandercrank.ingress.internal.balancing.Balancer;
-import org.coriandercrank.kernel.ring.DutyThread;
 import org.coriandercrank.kernel.time.TimerService.Subscription;
 
 /** What all requests of a daemon share. The balancer and the budget are touched only on the duty. */
 public record DispatchContext(
         IngressDependencies parts,
         IngressOptions options,
-        DutyThread duty,
+        RequestExecutor duty,
         Balancer balancer,
         RetryBudget budget,
         IngressMetrics metrics) {
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
@@ -87,8 +87,12 @@
         route("first");
     }
 
-    /** The caller closed its connection. */
+    /** The caller closed its connection. May be called on any thread. */
     public void cancel() {
+        post(this::callerGone);
+    }
+
+    private void callerGone() {
         if (!isDone()) {
             sender.cancelOutstanding();
             finish(CallerAnswer.of(ResultCode.CANCELLED, "the caller closed its connection"));
@@ -265,9 +269,26 @@
         }
         CallerAnswer answer = history.finalAnswer(proposed);
         context.metrics().finished(service.name().value(), answer.code(), context.nowNanos() - startedAtNanos);
+        logAnswer(answer.code());
         result.complete(new DispatchResult(answer, lastTarget));
     }
 
+    /** An executed request is told by the line of its attempt alone. */
+    private void logAnswer(ResultCode code) {
+        if (code != ResultCode.OK) {
+            long latencyMs = elapsedMs();
+            context.parts()
+                    .decisions()
+                    .log(() -> "event=answer service=" + service.name()
+                            + " keyHash=" + keyHash.map(Object::toString).orElse("-")
+                            + " owner=" + lastTarget.map(Object::toString).orElse("-")
+                            + " request=" + request.id()
+                            + " attempt=" + history.sends()
+                            + " result=" + code
+                            + " latencyMs=" + latencyMs);
+        }
+    }
+
     CallerAnswer retryLater(ResultCode code, String detail) {
         return CallerAnswer.retryLater(code, detail, context.options().retryAfterMs());
     }
