--- /dev/null
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/internal/balancing/FlappingServerTrialTest.java
@@ -0,0 +1,66 @@
+package org.coriandercrank.ingress.internal.balancing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.coriandercrank.ingress.HealthRules;
+import org.coriandercrank.kernel.id.MemberId;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A deterministic trial of exclusion with two thresholds against a single one: four servers get 200 requests/s in turn
+ * for ten minutes; one of them alternates between 2 s with 20% and 2 s with 95% success.
+ */
+class FlappingServerTrialTest {
+    private static final int MINUTES = 10;
+    private static final int REQUEST_INTERVAL_MS = 5;
+    private static final int PHASE_MS = 2_000;
+    private static final MemberId FLAPPING = new MemberId("flapping");
+    private static final List<MemberId> SERVERS =
+            List.of(FLAPPING, new MemberId("b"), new MemberId("c"), new MemberId("d"));
+
+    record Result(double exclusionsPerMinute, int failed, int requests) {}
+
+    private static Result run(HealthRules rules) {
+        HealthTracker tracker = new HealthTracker(rules);
+        tracker.retain(Set.copyOf(SERVERS));
+        Random random = new Random(20);
+        int failed = 0;
+        int requests = 0;
+        int turn = 0;
+        for (int nowMs = 0; nowMs < MINUTES * 60_000; nowMs += REQUEST_INTERVAL_MS) {
+            long nowNanos = nowMs * 1_000_000L;
+            boolean probe = tracker.tryProbe(FLAPPING, nowNanos);
+            MemberId server = probe ? FLAPPING : SERVERS.get(turn++ % SERVERS.size());
+            if (!probe && tracker.isExcluded(server)) {
+                server = SERVERS.get(1 + turn % (SERVERS.size() - 1));
+            }
+            double successRate = nowMs / PHASE_MS % 2 == 0 ? 0.2 : 0.95;
+            boolean success = !server.equals(FLAPPING) || random.nextDouble() < successRate;
+            tracker.record(server, success, nowNanos);
+            requests++;
+            failed += success ? 0 : 1;
+        }
+        return new Result((double) tracker.exclusions() / MINUTES, failed, requests);
+    }
+
+    @Test
+    void twoThresholdsFlapLessAndFailFewerRequests() {
+        HealthRules two = HealthRules.DEFAULTS;
+        HealthRules one = new HealthRules(
+                two.excludeBelow(),
+                two.excludeBelow(),
+                two.smoothing(),
+                two.minSamples(),
+                two.probeIntervalMs(),
+                two.maxExcludedShare());
+        Result twoThresholds = run(two);
+        Result oneThreshold = run(one);
+        System.out.println("two thresholds: " + twoThresholds + ", one threshold: " + oneThreshold);
+
+        assertThat(twoThresholds.exclusionsPerMinute()).isLessThan(oneThreshold.exclusionsPerMinute() / 2);
+        assertThat(twoThresholds.failed()).isLessThan(oneThreshold.failed());
+    }
+}
