Add lease state machines

Cause: owners need a lease that survives store outages and a bounded time after which another daemon may seal a lost owner.

--- /dev/null
+++ b/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/Takeover.java
@@ -0,0 +1,180 @@
+package org.coriandercrank.lease;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.ownership.KnownMember;
+import org.coriandercrank.kernel.table.MemberState;
+
+/**
+ * Takeover of one suspected member.
+ *
+ * <p>Invariants: a seal is conditional on a record revision v that this taker has known for longer than the expiry time,
+ * and is sent only with the refusals at v that {@link Quorum#refusals} asks for. A newer record starts everything again.
+ *
+ * <p>Not thread safe. Times are monotonic, in nanoseconds.
+ */
+public final class Takeover {
+    /** Result of a takeover. */
+    public enum State {
+        RUNNING,
+        /** The record is sealed, by this taker or another. */
+        SEALED,
+        /** The record no longer exists. */
+        GONE
+    }
+
+    private final LeaseTiming timing;
+    private final long startAtNanos;
+    private final StoreBackoff backoff;
+    private final Set<MemberId> refusals = new HashSet<>();
+    private final Map<MemberId, Long> askAgainNanos = new HashMap<>();
+    private KnownMember target;
+    private long knownSinceNanos;
+    private long operation;
+    private boolean operationInFlight;
+    private boolean readNeeded;
+    private State state = State.RUNNING;
+
+    /**
+     * Starts a takeover.
+     *
+     * @param knownSinceNanos when this daemon learned of this revision of the record
+     * @param startAtNanos earliest time of the first action
+     */
+    public Takeover(LeaseTiming timing, KnownMember target, long knownSinceNanos, long startAtNanos) {
+        this.timing = timing;
+        this.target = target;
+        this.knownSinceNanos = knownSinceNanos;
+        this.startAtNanos = startAtNanos;
+        this.backoff = new StoreBackoff(timing, startAtNanos);
+    }
+
+    public State state() {
+        return state;
+    }
+
+    public KnownMember target() {
+        return target;
+    }
+
+    public int refusalCount() {
+        return refusals.size();
+    }
+
+    /** Asks witnesses, seals or reads the record, as due. */
+    public List<TakeoverAction> tick(long nowNanos) {
+        List<TakeoverAction> actions = new ArrayList<>();
+        if (state != State.RUNNING || nowNanos - startAtNanos < 0) {
+            return actions;
+        }
+        int needed = Quorum.refusals(target.member().witnesses().size());
+        if (refusals.size() < needed) {
+            askWitnesses(nowNanos, actions);
+        }
+        if (operationInFlight || !backoff.isDue(nowNanos)) {
+            return actions;
+        }
+        if (readNeeded) {
+            operation++;
+            operationInFlight = true;
+            actions.add(new TakeoverAction.ReadRecord(operation));
+        } else if (refusals.size() >= needed && nowNanos - knownSinceNanos > timing.expiryNanos()) {
+            operation++;
+            operationInFlight = true;
+            actions.add(new TakeoverAction.Seal(
+                    operation, target.member().withState(MemberState.SEALED), target.revision()));
+        }
+        return actions;
+    }
+
+    /** Answer of a witness; ignored if it is for another revision than the current one. */
+    public List<TakeoverAction> refusalAnswered(
+            MemberId witness, Revision recordRevision, boolean granted, long retryAfterNanos, long nowNanos) {
+        if (!recordRevision.equals(target.revision())) {
+            return List.of();
+        }
+        if (granted && target.member().witnesses().contains(witness)) {
+            refusals.add(witness);
+        } else {
+            askAgainNanos.put(witness, nowNanos + Math.max(retryAfterNanos, timing.heartbeatNanos() / 2));
+        }
+        return tick(nowNanos);
+    }
+
+    /** A record of the member was learned by other means; older ones are ignored. */
+    public void recordLearned(KnownMember record, long nowNanos) {
+        if (!record.revision().isNewerThan(target.revision())) {
+            return;
+        }
+        target = record;
+        knownSinceNanos = nowNanos;
+        refusals.clear();
+        askAgainNanos.clear();
+        readNeeded = false;
+        if (record.member().state() == MemberState.SEALED) {
+            state = State.SEALED;
+        }
+    }
+
+    /** The seal took effect. */
+    public void sealSucceeded(long answeredOperation, Revision revision, long nowNanos) {
+        if (finishes(answeredOperation)) {
+            recordLearned(new KnownMember(target.member().withState(MemberState.SEALED), revision), nowNanos);
+        }
+    }
+
+    /** The record has another revision, or it is unknown whether the seal took effect; the record is read. */
+    public List<TakeoverAction> sealUnresolved(long answeredOperation, long nowNanos) {
+        if (!finishes(answeredOperation)) {
+            return List.of();
+        }
+        readNeeded = true;
+        return tick(nowNanos);
+    }
+
+    /** The seal or the read certainly had no effect. */
+    public void storeFailed(long answeredOperation, long nowNanos) {
+        if (finishes(answeredOperation)) {
+            backoff.failed(nowNanos);
+        }
+    }
+
+    public void readSucceeded(long answeredOperation, Optional<KnownMember> read, long nowNanos) {
+        if (!finishes(answeredOperation)) {
+            return;
+        }
+        readNeeded = false;
+        if (read.isEmpty()) {
+            state = State.GONE;
+        } else if (read.get().revision().equals(target.revision())) {
+            backoff.failed(nowNanos);
+        } else {
+            recordLearned(read.get(), nowNanos);
+        }
+    }
+
+    private boolean finishes(long answeredOperation) {
+        if (!operationInFlight || answeredOperation != operation) {
+            return false;
+        }
+        operationInFlight = false;
+        return true;
+    }
+
+    private void askWitnesses(long nowNanos, List<TakeoverAction> actions) {
+        for (MemberId witness : target.member().witnesses()) {
+            Long againNanos = askAgainNanos.get(witness);
+            if (!refusals.contains(witness) && (againNanos == null || nowNanos - againNanos >= 0)) {
+                askAgainNanos.put(witness, nowNanos + timing.heartbeatNanos());
+                actions.add(new TakeoverAction.AskRefusal(witness, target.revision()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/Witness.java
@@ -0,0 +1,112 @@
+package org.coriandercrank.lease;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.Revision;
+
+/**
+ * Votes of one daemon on the leases of others.
+ *
+ * <p>Invariants: a refusal is given only if the last acknowledgement to the member is older than the expiry time; after a
+ * refusal at revision v no heartbeat at v or older is acknowledged. Memory is bounded: the member that was idle longest is
+ * forgotten, and limits that hold for every unknown member stand in for it.
+ *
+ * <p>Not thread safe. Times are monotonic, in nanoseconds.
+ */
+public final class Witness {
+    /**
+     * Answer to a taker. Immutable.
+     *
+     * @param retryAfterNanos time after which a refusal may be possible; 0 if granted
+     */
+    public record Decision(boolean granted, long retryAfterNanos) {}
+
+    private static final class Entry {
+        private OptionalLong lastAckNanos = OptionalLong.empty();
+        private Revision highestSeen = Revision.NONE;
+        private Revision refusedUpTo = Revision.NONE;
+    }
+
+    private final LeaseTiming timing;
+    private final int maxMembers;
+    private final LinkedHashMap<MemberId, Entry> entries = new LinkedHashMap<>(16, 0.75f, true);
+    private OptionalLong forgottenAckNanos = OptionalLong.empty();
+    private Revision forgottenRefusal = Revision.NONE;
+
+    public Witness(LeaseTiming timing, int maxMembers) {
+        if (maxMembers < 1) {
+            throw new IllegalArgumentException("maxMembers must be at least 1");
+        }
+        this.timing = timing;
+        this.maxMembers = maxMembers;
+    }
+
+    /** Whether a heartbeat is acknowledged. The caller sends the acknowledgement after this call. */
+    public boolean heartbeat(MemberId member, Revision recordRevision, long nowNanos) {
+        Entry entry = entry(member);
+        if (!recordRevision.isNewerThan(entry.refusedUpTo)) {
+            return false;
+        }
+        entry.lastAckNanos = OptionalLong.of(nowNanos);
+        if (recordRevision.isNewerThan(entry.highestSeen)) {
+            entry.highestSeen = recordRevision;
+        }
+        return true;
+    }
+
+    /** Whether the member is refused at a record revision; a taker with an outdated revision gets no refusal. */
+    public Decision refuse(MemberId member, Revision recordRevision, long nowNanos) {
+        Entry entry = entry(member);
+        if (entry.highestSeen.isNewerThan(recordRevision)) {
+            return new Decision(false, timing.expiryNanos());
+        }
+        if (entry.lastAckNanos.isPresent()) {
+            long ageNanos = nowNanos - entry.lastAckNanos.getAsLong();
+            if (ageNanos <= timing.expiryNanos()) {
+                return new Decision(false, timing.expiryNanos() - ageNanos + 1);
+            }
+        }
+        if (recordRevision.isNewerThan(entry.refusedUpTo)) {
+            entry.refusedUpTo = recordRevision;
+        }
+        return new Decision(true, 0);
+    }
+
+    /** When this witness last acknowledged a heartbeat of a member; empty if it has not or no longer knows. */
+    public OptionalLong lastAckNanos(MemberId member) {
+        Entry entry = entries.get(member);
+        return entry == null ? OptionalLong.empty() : entry.lastAckNanos;
+    }
+
+    private Entry entry(MemberId member) {
+        Entry known = entries.get(member);
+        if (known != null) {
+            return known;
+        }
+        Entry fresh = new Entry();
+        fresh.lastAckNanos = forgottenAckNanos;
+        fresh.refusedUpTo = forgottenRefusal;
+        entries.put(member, fresh);
+        if (entries.size() > maxMembers) {
+            forgetOldest();
+        }
+        return fresh;
+    }
+
+    private void forgetOldest() {
+        Iterator<Map.Entry<MemberId, Entry>> oldest = entries.entrySet().iterator();
+        Entry entry = oldest.next().getValue();
+        oldest.remove();
+        if (entry.lastAckNanos.isPresent()) {
+            long ack = entry.lastAckNanos.getAsLong();
+            forgottenAckNanos = OptionalLong.of(
+                    forgottenAckNanos.isPresent() ? Nanos.later(ack, forgottenAckNanos.getAsLong()) : ack);
+        }
+        if (entry.refusedUpTo.isNewerThan(forgottenRefusal)) {
+            forgottenRefusal = entry.refusedUpTo;
+        }
+    }
+}
