Test lease rules with an event simulation

Cause: the lease rules must hold under loss, pauses, drift and late writes. Change: jqwik properties over one holder, six witnesses and two takers that suspect it without reason; unit tests of liveness and bounded memory.

--- /dev/null
+++ b/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/LeaseHolderTest.java
@@ -0,0 +1,123 @@
+package org.coriandercrank.lease.test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.coriandercrank.kernel.id.FailureDomain;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.Region;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.ownership.KnownMember;
+import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.MemberState;
+import org.coriandercrank.lease.HolderAction;
+import org.coriandercrank.lease.LeaseHolder;
+import org.coriandercrank.lease.LeaseTiming;
+import org.junit.jupiter.api.Test;
+
+/** Guards the liveness of the lease, which the safety property does not see. */
+class LeaseHolderTest {
+    private static final long MS = 1_000_000;
+    private static final MemberId A = new MemberId("a");
+    private static final MemberId B = new MemberId("b");
+    private static final MemberId C = new MemberId("c");
+
+    private final LeaseHolder holder = new LeaseHolder(LeaseTiming.ofMs(2_000, 500, 105), member(A, B), 0);
+
+    @Test
+    void witnessesKeepTheLeaseWhileNoWriteIsAnswered() {
+        join();
+        for (long ms = 1; ms < 600_000; ms += 50) {
+            answerHeartbeats(holder.tick(ms * MS), ms * MS, A, B);
+            assertThat(holder.validUntilNanos()).as("at %d ms", ms).isGreaterThan(ms * MS);
+        }
+    }
+
+    @Test
+    void changeOfAWitnessDoesNotInterruptTheLease() {
+        join();
+        holder.setDesired(member(A, C));
+        long revision = 10;
+        for (long ms = 1; ms < 10_000; ms += 50) {
+            List<HolderAction> actions = holder.tick(ms * MS);
+            assertThat(holder.validUntilNanos()).as("at %d ms", ms).isGreaterThan(ms * MS);
+            answerHeartbeats(actions, ms * MS, A, C);
+            for (HolderAction.WriteRecord write : writes(actions)) {
+                revision++;
+                holder.writeSucceeded(write.operation(), new Revision(revision), ms * MS + MS);
+            }
+        }
+        assertThat(holder.confirmed().orElseThrow().member().witnesses()).containsExactly(A, C);
+    }
+
+    @Test
+    void refusalLeadsToARewrite() {
+        join();
+        answerHeartbeats(holder.tick(MS), MS, A, B);
+        assertThat(writes(holder.refused(new Revision(10), 2 * MS)))
+                .singleElement()
+                .extracting(HolderAction.WriteRecord::expected)
+                .isEqualTo(new Revision(10));
+    }
+
+    @Test
+    void unansweredWriteIsResolvedByReading() {
+        HolderAction.WriteRecord write = writes(holder.tick(0)).get(0);
+        List<HolderAction> actions = holder.writeUnanswered(write.operation(), 400 * MS);
+        HolderAction.ReadRecord read = (HolderAction.ReadRecord) actions.get(0);
+        Optional<KnownMember> found = Optional.of(new KnownMember(write.record(), new Revision(10)));
+        holder.readSucceeded(read.operation(), found, 410 * MS);
+        assertThat(holder.confirmed()).isEqualTo(found);
+    }
+
+    @Test
+    void sealedRecordEndsTheIncarnation() {
+        join();
+        HolderAction.WriteRecord write =
+                writes(holder.refused(new Revision(10), MS)).get(0);
+        HolderAction.ReadRecord read = (HolderAction.ReadRecord)
+                holder.writeConflicted(write.operation(), 2 * MS).get(0);
+        Member sealed = write.record().withState(MemberState.SEALED);
+        assertThat(holder.readSucceeded(
+                        read.operation(), Optional.of(new KnownMember(sealed, new Revision(11))), 3 * MS))
+                .containsExactly(new HolderAction.End("sealed"));
+        assertThat(holder.isEnded()).isTrue();
+    }
+
+    private void join() {
+        HolderAction.WriteRecord write = writes(holder.tick(0)).get(0);
+        answerHeartbeats(holder.writeSucceeded(write.operation(), new Revision(10), 0), 0, A, B);
+    }
+
+    private void answerHeartbeats(List<HolderAction> actions, long nowNanos, MemberId... alive) {
+        for (HolderAction action : actions) {
+            if (action instanceof HolderAction.SendHeartbeat heartbeat
+                    && List.of(alive).contains(heartbeat.witness())) {
+                holder.heartbeatAnswered(heartbeat.witness(), heartbeat.sequence(), true, nowNanos);
+            }
+        }
+    }
+
+    private static List<HolderAction.WriteRecord> writes(List<HolderAction> actions) {
+        return actions.stream()
+                .filter(HolderAction.WriteRecord.class::isInstance)
+                .map(HolderAction.WriteRecord.class::cast)
+                .toList();
+    }
+
+    private static Member member(MemberId... witnesses) {
+        HostAddress address = new HostAddress("127.0.0.1", 1);
+        return new Member(
+                new MemberId("holder"),
+                address,
+                address,
+                address,
+                new Region("r"),
+                new FailureDomain("d"),
+                MemberState.ACTIVE,
+                Optional.empty(),
+                List.of(witnesses));
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/LeaseSafetyTest.java
@@ -0,0 +1,53 @@
+package org.coriandercrank.lease.test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.lifecycle.AfterProperty;
+import net.jqwik.api.lifecycle.BeforeProperty;
+
+/** Guards against two owners of a key: a lease that is valid after the seal of its member took effect. */
+class LeaseSafetyTest {
+    private static final int TRIES = 1_500;
+
+    /** Without seals the property would hold for no reason. */
+    private static final int MIN_SEALS = TRIES / 20;
+
+    private int seals;
+
+    @BeforeProperty
+    void resetSeals() {
+        seals = 0;
+    }
+
+    @Property(tries = TRIES, shrinking = ShrinkingMode.OFF)
+    void noLeaseAfterSealWithoutWitnesses(@ForAll long seed) {
+        check(seed, 0);
+    }
+
+    @Property(tries = TRIES, shrinking = ShrinkingMode.OFF)
+    void noLeaseAfterSealWithTwoWitnesses(@ForAll long seed) {
+        check(seed, 2);
+    }
+
+    @Property(tries = TRIES, shrinking = ShrinkingMode.OFF)
+    void noLeaseAfterSealWithFourWitnesses(@ForAll long seed) {
+        check(seed, 4);
+    }
+
+    @AfterProperty
+    void sealsHappened() {
+        System.out.println("seals=" + seals + " runs=" + TRIES);
+        assertThat(seals).isGreaterThan(MIN_SEALS);
+    }
+
+    private void check(long seed, int witnesses) {
+        LeaseSimulation simulation = new LeaseSimulation(seed, witnesses);
+        Optional<String> violation = simulation.run();
+        assertThat(violation).as("seed %d, %d witnesses", seed, witnesses).isEmpty();
+        seals += simulation.sealed() ? 1 : 0;
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the lease state machines. */
+package org.coriandercrank.lease.test;
--- a/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/LeaseHolder.java
+++ b/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/LeaseHolder.java
@@ -23,6 +23,9 @@
  * <p>Not thread safe. All times are of one monotonic clock, in nanoseconds.
  */
 public final class LeaseHolder {
+    /** Limit of memory while the store answers reads but no writes. */
+    private static final int MAX_PENDING_WRITES = 8;
+
     /** A write that may have taken effect or may do so later. */
     private record PendingWrite(Member record, long sentAtNanos) {}
 
@@ -286,6 +289,9 @@
 
     private Optional<Member> recordToWrite(long nowNanos) {
         Member current = confirmed.orElseThrow().member();
+        if (pendingWrites.size() >= MAX_PENDING_WRITES) {
+            return Optional.of(pendingWrites.get(pendingWrites.size() - 1).record());
+        }
         if (desired.state() == MemberState.SEALED) {
             return Optional.of(desired);
         }
