--- /dev/null
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/SealListener.java
@@ -0,0 +1,13 @@
+package org.coriandercrank.control;
+
+import org.coriandercrank.kernel.id.MemberId;
+
+/** Learns that the incarnation of this daemon was sealed or replaced by others. */
+@FunctionalInterface
+public interface SealListener {
+    /**
+     * Called once for an incarnation, on the control thread; must not block. The lease is already invalid. The daemon
+     * drops all its ranges and then calls {@link ControlPlane#rejoin()}.
+     */
+    void sealed(MemberId member, String reason);
+}
--- /dev/null
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
@@ -0,0 +1,229 @@
+package org.coriandercrank.control.internal;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.config.Configuration;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.message.Digest;
+import org.coriandercrank.kernel.message.FetchObject;
+import org.coriandercrank.kernel.message.ObjectData;
+import org.coriandercrank.kernel.ownership.KnownMember;
+import org.coriandercrank.kernel.ownership.RoutingSnapshot;
+import org.coriandercrank.kernel.ownership.RoutingView;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.kernel.store.ObjectNames;
+import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.kernel.store.TableCodec;
+import org.coriandercrank.kernel.table.AssignmentTable;
+import org.coriandercrank.kernel.table.Member;
+
+/**
+ * The control objects that this daemon knows, raw for other daemons and decoded as snapshots.
+ *
+ * <p>Invariant: no object goes back to an older revision. {@link #current}, {@link #subscribe} and {@link #await} are
+ * thread safe; all else runs on the control thread. An object that cannot be decoded leaves the last readable one in force.
+ */
+public final class ClusterView implements RoutingView {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private record Waiter(Predicate<RoutingSnapshot> condition, CompletableFuture<RoutingSnapshot> result) {}
+
+    private final ControlContext context;
+    private final Map<FetchObject.Kind, ObjectCache> caches = new EnumMap<>(FetchObject.Kind.class);
+    private final Map<ServiceName, AssignmentTable> tables = new HashMap<>();
+    private final Map<MemberId, KnownMember> members = new HashMap<>();
+    private final Map<MemberId, Long> learnedNanos = new HashMap<>();
+    private final List<Consumer<RoutingSnapshot>> listeners = new CopyOnWriteArrayList<>();
+    private final List<Waiter> waiters = new ArrayList<>();
+    private Configuration configuration = Configuration.EMPTY;
+    private Revision configurationRevision = Revision.NONE;
+    private volatile RoutingSnapshot snapshot;
+
+    public ClusterView(ControlContext context, MemberId self) {
+        this.context = context;
+        this.snapshot = RoutingSnapshot.empty(self);
+        for (FetchObject.Kind kind : FetchObject.Kind.values()) {
+            caches.put(kind, new ObjectCache(kind));
+        }
+    }
+
+    /** The prefix of the names of a kind. */
+    public static String prefix(FetchObject.Kind kind) {
+        return switch (kind) {
+            case CONFIGURATION -> ObjectNames.CONFIGURATION_PREFIX;
+            case MEMBERS -> ObjectNames.MEMBERS_PREFIX;
+            case ASSIGNMENTS -> ObjectNames.ASSIGNMENTS_PREFIX;
+        };
+    }
+
+    @Override
+    public RoutingSnapshot current() {
+        return snapshot;
+    }
+
+    @Override
+    public void subscribe(Consumer<RoutingSnapshot> listener) {
+        listeners.add(listener);
+    }
+
+    @Override
+    public CompletableFuture<RoutingSnapshot> await(Predicate<RoutingSnapshot> condition, long waitMs) {
+        CompletableFuture<RoutingSnapshot> result = new CompletableFuture<>();
+        context.deliver(() -> {
+            if (condition.test(snapshot)) {
+                result.complete(snapshot);
+                return;
+            }
+            Waiter waiter = new Waiter(condition, result);
+            waiters.add(waiter);
+            context.services().timers().once(waitMs, context.executor(), () -> expire(waiter));
+        });
+        return result;
+    }
+
+    /** Starts to show this daemon under another member id. */
+    public void setSelf(MemberId self) {
+        publish(self);
+    }
+
+    /** Every change of a kind up to this revision is known. */
+    public Revision completeUpTo(FetchObject.Kind kind) {
+        return caches.get(kind).completeUpTo();
+    }
+
+    public Digest digest() {
+        return new Digest(
+                completeUpTo(FetchObject.Kind.CONFIGURATION),
+                completeUpTo(FetchObject.Kind.MEMBERS),
+                completeUpTo(FetchObject.Kind.ASSIGNMENTS));
+    }
+
+    public ObjectData since(FetchObject.Kind kind, Revision newerThan) {
+        return caches.get(kind).since(newerThan);
+    }
+
+    /** Takes over changes; whether any was news. See {@link ObjectCache#apply}. */
+    public boolean apply(FetchObject.Kind kind, List<StoredObject> changes, Revision upTo, boolean reset) {
+        List<StoredObject> news = caches.get(kind).apply(changes, upTo, reset);
+        news.forEach(change -> decode(kind, change));
+        if (!news.isEmpty()) {
+            publish(snapshot.self());
+        }
+        return !news.isEmpty();
+    }
+
+    /** Takes over a member record that was just written or read. */
+    public void applyMember(KnownMember known) {
+        Member member = known.member();
+        StoredObject object =
+                StoredObject.of(ObjectNames.member(member.id()), known.revision(), JsonCodec.encode(member));
+        if (caches.get(FetchObject.Kind.MEMBERS).applyOne(object)) {
+            decode(FetchObject.Kind.MEMBERS, object);
+            publish(snapshot.self());
+        }
+    }
+
+    /** When this daemon learned of the current revision of a member's record. */
+    public OptionalLong learnedNanos(MemberId member) {
+        Long learned = learnedNanos.get(member);
+        return learned == null ? OptionalLong.empty() : OptionalLong.of(learned);
+    }
+
+    private void decode(FetchObject.Kind kind, StoredObject change) {
+        try {
+            switch (kind) {
+                case CONFIGURATION -> decodeConfiguration(change);
+                case MEMBERS -> decodeMember(change);
+                case ASSIGNMENTS -> decodeTable(change);
+            }
+        } catch (CrankException | IllegalArgumentException e) {
+            logger.atWarning().withCause(e).log(
+                    "event=object-unreadable name=%s revision=%s", change.name(), change.revision());
+        }
+    }
+
+    private void decodeConfiguration(StoredObject change) {
+        if (!change.name().equals(ObjectNames.CONFIGURATION)) {
+            return;
+        }
+        if (change.deleted()) {
+            logger.atWarning().log(
+                    "event=configuration-deleted revision=%s kept=%s", change.revision(), configurationRevision);
+            return;
+        }
+        configuration = JsonCodec.decode(change.value(), Configuration.class);
+        configurationRevision = change.revision();
+        context.log(() -> "event=configuration-in-force revision=" + change.revision());
+    }
+
+    private void decodeMember(StoredObject change) {
+        MemberId id = new MemberId(change.name().substring(ObjectNames.MEMBERS_PREFIX.length()));
+        if (change.deleted()) {
+            members.remove(id);
+            learnedNanos.remove(id);
+            return;
+        }
+        Member member = JsonCodec.decode(change.value(), Member.class);
+        if (!member.id().equals(id)) {
+            throw new IllegalArgumentException("record of " + member.id() + " under the name " + change.name());
+        }
+        members.put(id, new KnownMember(member, change.revision()));
+        learnedNanos.put(id, context.nowNanos());
+    }
+
+    private void decodeTable(StoredObject change) {
+        ServiceName service = new ServiceName(change.name().substring(ObjectNames.ASSIGNMENTS_PREFIX.length()));
+        if (change.deleted()) {
+            tables.remove(service);
+        } else {
+            tables.put(service, TableCodec.decode(change.value()));
+        }
+    }
+
+    private void publish(MemberId self) {
+        RoutingSnapshot next = new RoutingSnapshot(self, configurationRevision, configuration, tables, members);
+        snapshot = next;
+        for (Consumer<RoutingSnapshot> listener : listeners) {
+            try {
+                listener.accept(next);
+            } catch (RuntimeException e) {
+                logger.atSevere().withCause(e).log("event=listener-failed");
+            }
+        }
+        for (Iterator<Waiter> i = waiters.iterator(); i.hasNext(); ) {
+            Waiter waiter = i.next();
+            if (waiter.condition().test(next)) {
+                i.remove();
+                waiter.result().complete(next);
+            }
+        }
+    }
+
+    private void expire(Waiter waiter) {
+        if (waiters.remove(waiter)) {
+            waiter.result()
+                    .completeExceptionally(
+                            new CrankException(ResultCode.CALL_TIMEOUT, "no such snapshot in the time given"));
+        }
+    }
+
+    /** The record of a member, if known. */
+    public Optional<KnownMember> member(MemberId id) {
+        return Optional.ofNullable(members.get(id));
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlContext.java
@@ -0,0 +1,106 @@
+package org.coriandercrank.control.internal;
+
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+import org.coriandercrank.control.ControlOptions;
+import org.coriandercrank.control.ControlServices;
+import org.coriandercrank.control.HostIdentity;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.time.TimerService;
+
+/**
+ * What the parts of the control plane share. Thread safe, except for the random numbers, which only the control thread
+ * draws.
+ *
+ * @param executor runs tasks one at a time; its thread is the control thread
+ */
+public record ControlContext(
+        ControlOptions options, HostIdentity identity, ControlServices services, Executor executor, Random random) {
+    private static final long REJECTED_RETRY_MS = 5;
+    private static final double JITTER = 0.5;
+
+    public long nowNanos() {
+        return services.timers().clock().nowNanos();
+    }
+
+    /** Runs a task on the control thread; one that finds the ring full is retried, because its result is awaited. */
+    public void deliver(Runnable task) {
+        try {
+            executor.execute(task);
+        } catch (RejectedExecutionException e) {
+            services.timers().once(REJECTED_RETRY_MS, executor, task);
+        }
+    }
+
+    /** Computes an answer on the control thread; fails with {@code OVERLOADED} if the ring is full. */
+    public <T> CompletableFuture<T> answer(Supplier<T> task) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        try {
+            executor.execute(() -> {
+                try {
+                    result.complete(task.get());
+                } catch (RuntimeException e) {
+                    result.completeExceptionally(e);
+                }
+            });
+        } catch (RejectedExecutionException e) {
+            result.completeExceptionally(new CrankException(ResultCode.OVERLOADED, "control thread takes no task", e));
+        }
+        return result;
+    }
+
+    /**
+     * Makes a call from the control thread and reports its result there, once: either the value or a failure, which is
+     * {@code CALL_TIMEOUT} after the time-out.
+     */
+    public <T> void call(
+            Supplier<CompletableFuture<T>> call, long timeoutMs, BiConsumer<T, CrankException> onControlThread) {
+        BoundedCall<T> bounded = new BoundedCall<>(onControlThread);
+        TimerService.Subscription timeout = services.timers().once(timeoutMs, executor, bounded::expire);
+        CompletableFuture<T> future;
+        try {
+            future = call.get();
+        } catch (RuntimeException e) {
+            future = CompletableFuture.failedFuture(e);
+        }
+        future.whenComplete((value, failure) -> {
+            timeout.cancel();
+            deliver(() -> bounded.settle(value, failure));
+        });
+    }
+
+    /** A delay between half and one and a half times the mean. */
+    public long jitteredMs(long meanMs) {
+        return (long) (meanMs * (1 - JITTER + 2 * JITTER * random.nextDouble()));
+    }
+
+    public void log(Supplier<String> line) {
+        services.log().log(line);
+    }
+
+    /** Reports the first of result and time-out. Control thread only. */
+    private static final class BoundedCall<T> {
+        private final BiConsumer<T, CrankException> report;
+        private boolean settled;
+
+        BoundedCall(BiConsumer<T, CrankException> report) {
+            this.report = report;
+        }
+
+        void expire() {
+            settle(null, new CrankException(ResultCode.CALL_TIMEOUT, "no answer in time"));
+        }
+
+        void settle(T value, Throwable failure) {
+            if (!settled) {
+                settled = true;
+                report.accept(value, failure == null ? null : CrankException.of(failure));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
@@ -0,0 +1,210 @@
+package org.coriandercrank.control.internal;
+
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.coriandercrank.control.ControlStatus;
+import org.coriandercrank.control.SealListener;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.message.FetchObject;
+import org.coriandercrank.kernel.message.Heartbeat;
+import org.coriandercrank.kernel.message.HeartbeatAck;
+import org.coriandercrank.kernel.message.RefusalNotice;
+import org.coriandercrank.kernel.message.RefusalRequest;
+import org.coriandercrank.kernel.ownership.LeaseView;
+import org.coriandercrank.kernel.ownership.RoutingSnapshot;
+import org.coriandercrank.kernel.ownership.RoutingView;
+import org.coriandercrank.kernel.peer.PeerHandlers;
+import org.coriandercrank.kernel.table.BackendInfo;
+import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.time.TimerService;
+
+/**
+ * Wires the parts of the control plane to messages and the timer.
+ *
+ * <p>Thread safe: public methods hand their work to the control thread. Each tick evaluates the lease before anything
+ * else, so that after a pause of the process nothing acts on a lease that lapsed meanwhile.
+ */
+public final class ControlLoop implements AutoCloseable {
+    private static final long NANOS_PER_MS = 1_000_000;
+
+    /** A longer gap between ticks counts as a pause of the process. */
+    private static final long PAUSE_NANOS = 500 * NANOS_PER_MS;
+
+    private final ControlContext context;
+    private final ClusterView view;
+    private final Dissemination dissemination;
+    private final ControlMetrics metrics;
+    private final TakeoverDuty takeovers;
+    private final List<SealListener> sealListeners = new CopyOnWriteArrayList<>();
+    private volatile Membership membership;
+    private volatile ControlStatus status;
+    private volatile TimerService.Subscription timer = () -> {};
+    private long lastTickNanos;
+
+    public ControlLoop(ControlContext context) {
+        this.context = context;
+        MemberId self = newMemberId();
+        view = new ClusterView(context, self);
+        metrics = new ControlMetrics(context.services().metrics(), this::leaseRemainingMs);
+        dissemination = new Dissemination(context, view, metrics);
+        takeovers = new TakeoverDuty(context, view, dissemination, metrics, self);
+        membership = newMembership(self);
+        lastTickNanos = context.nowNanos();
+        status = buildStatus(lastTickNanos);
+        registerHandlers(context.services().handlers());
+        view.subscribe(this::viewChanged);
+    }
+
+    public void start() {
+        timer = context.services().timers().every(context.options().tickMs(), context.executor(), this::tick);
+        context.deliver(this::tick);
+    }
+
+    public MemberId self() {
+        return membership.id();
+    }
+
+    public RoutingView routing() {
+        return view;
+    }
+
+    public LeaseView lease() {
+        return () -> membership.validUntilNanos();
+    }
+
+    public void onSealed(SealListener listener) {
+        sealListeners.add(listener);
+    }
+
+    public void backendAnnounced(BackendInfo backend) {
+        context.deliver(() -> membership.backendAnnounced(backend));
+    }
+
+    public CompletableFuture<Void> leave() {
+        return context.answer(() -> membership.leave()).thenCompose(done -> done);
+    }
+
+    public CompletableFuture<Void> sealSelf() {
+        return context.answer(() -> membership.sealSelf()).thenCompose(done -> done);
+    }
+
+    /** Replaces an ended membership by a new one under a new id. */
+    public CompletableFuture<MemberId> rejoin() {
+        return context.answer(() -> {
+            if (!membership.isEnded()) {
+                throw new CrankException(ResultCode.INTERNAL, "incarnation " + membership.id() + " has not ended");
+            }
+            MemberId former = membership.id();
+            MemberId self = newMemberId();
+            membership = newMembership(self);
+            takeovers.restart(self);
+            view.setSelf(self);
+            context.log(() -> "event=rejoin former=" + former + " member=" + self);
+            return self;
+        });
+    }
+
+    public ControlStatus status() {
+        return status;
+    }
+
+    @Override
+    public void close() {
+        timer.cancel();
+    }
+
+    private MemberId newMemberId() {
+        return new MemberId(context.identity().name() + "-"
+                + Long.toHexString(context.random().nextLong()));
+    }
+
+    private Membership newMembership(MemberId self) {
+        return new Membership(context, self, view, dissemination, metrics, this::sealed);
+    }
+
+    private void registerHandlers(PeerHandlers handlers) {
+        handlers.register(Heartbeat.class, (sender, heartbeat) -> context.answer(() -> heartbeat(sender, heartbeat)));
+        handlers.register(
+                RefusalRequest.class,
+                (sender, request) ->
+                        context.answer(() -> takeovers.witnessDuty().refuse(membership.id(), sender, request)));
+        handlers.register(RefusalNotice.class, (sender, notice) -> {
+            context.deliver(() -> refused(notice));
+            return null;
+        });
+        handlers.register(
+                FetchObject.class,
+                (sender, fetch) -> context.answer(() -> view.since(fetch.kind(), fetch.newerThan())));
+    }
+
+    private HeartbeatAck heartbeat(MemberId sender, Heartbeat heartbeat) {
+        boolean granted = takeovers.witnessDuty().heartbeat(heartbeat.member(), heartbeat.recordRevision());
+        dissemination.peerDigest(sender, heartbeat.digest());
+        return new HeartbeatAck(membership.id(), heartbeat.sequence(), granted, view.digest());
+    }
+
+    private void refused(RefusalNotice notice) {
+        if (notice.member().equals(membership.id())) {
+            membership.refused(notice.recordRevision(), context.nowNanos());
+        }
+    }
+
+    private void tick() {
+        long now = context.nowNanos();
+        long gapNanos = now - lastTickNanos;
+        lastTickNanos = now;
+        if (gapNanos > PAUSE_NANOS) {
+            context.log(() ->
+                    "event=control-pause gapMs=" + gapNanos / NANOS_PER_MS + " leaseRemainingMs=" + leaseRemainingMs());
+            membership.resumed(now);
+            takeovers.resumed(now);
+        }
+        membership.tick(now);
+        if (dissemination.isListed()) {
+            takeovers.tick(now);
+        }
+        dissemination.tick(membership.wanted(), membership.suspects(), now);
+        status = buildStatus(now);
+    }
+
+    private void viewChanged(RoutingSnapshot snapshot) {
+        membership.viewChanged();
+        takeovers.viewChanged(snapshot);
+    }
+
+    private void sealed(MemberId member, String reason) {
+        sealListeners.forEach(listener -> listener.sealed(member, reason));
+    }
+
+    private long leaseRemainingMs() {
+        long remaining = membership.validUntilNanos() - context.nowNanos();
+        return Math.max(0, remaining / NANOS_PER_MS);
+    }
+
+    private ControlStatus buildStatus(long nowNanos) {
+        Member wanted = membership.wanted();
+        List<ControlStatus.WitnessStatus> witnesses = wanted.witnesses().stream()
+                .map(witness -> new ControlStatus.WitnessStatus(witness, voteAgeMs(witness, nowNanos)))
+                .toList();
+        return new ControlStatus(
+                membership.id(),
+                wanted.state(),
+                membership.isJoined(),
+                leaseRemainingMs(),
+                witnesses,
+                dissemination.isRelay(),
+                dissemination.isWatching(),
+                view.current().configurationRevision(),
+                view.digest());
+    }
+
+    private OptionalLong voteAgeMs(MemberId witness, long nowNanos) {
+        OptionalLong voted = membership.lastVoteNanos(witness);
+        return voted.isEmpty() ? voted : OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(nowNanos - voted.getAsLong()));
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlMetrics.java
@@ -0,0 +1,50 @@
+package org.coriandercrank.control.internal;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.function.Supplier;
+
+/** Meters of the control plane. Thread safe. */
+public final class ControlMetrics {
+    private final Counter heartbeats;
+    private final Counter refusals;
+    private final Counter seals;
+    private final Counter ends;
+    private final Counter fetches;
+    private final Counter recordWrites;
+
+    public ControlMetrics(MeterRegistry registry, Supplier<Number> leaseRemainingMs) {
+        heartbeats = registry.counter("crank.control.heartbeats.sent");
+        refusals = registry.counter("crank.control.refusals");
+        seals = registry.counter("crank.control.seals");
+        ends = registry.counter("crank.control.incarnations.ended");
+        fetches = registry.counter("crank.control.fetches");
+        recordWrites = registry.counter("crank.control.record.writes");
+        Gauge.builder("crank.lease.remaining.ms", leaseRemainingMs).register(registry);
+    }
+
+    public void heartbeatSent() {
+        heartbeats.increment();
+    }
+
+    public void refused() {
+        refusals.increment();
+    }
+
+    public void sealed() {
+        seals.increment();
+    }
+
+    public void incarnationEnded() {
+        ends.increment();
+    }
+
+    public void fetched() {
+        fetches.increment();
+    }
+
+    public void recordWritten() {
+        recordWrites.increment();
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -0,0 +1,264 @@
+package org.coriandercrank.control.internal;
+
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.message.Digest;
+import org.coriandercrank.kernel.message.FetchObject;
+import org.coriandercrank.kernel.message.ObjectData;
+import org.coriandercrank.kernel.ownership.KnownMember;
+import org.coriandercrank.kernel.peer.PeerTarget;
+import org.coriandercrank.kernel.store.WatchBatch;
+import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.MemberState;
+
+/**
+ * Keeps the {@link ClusterView} up to date: lists the store at start, then watches it as relay of the region or as
+ * fallback, and else fetches from peers whose digest is ahead.
+ *
+ * <p>A digest names the revisions up to which a daemon knows every change. Watches that end without a change advance it
+ * too, so a daemon that is connected to a working relay sees it advance about once per {@code watchWaitMs}, and a digest
+ * that stands still is a sign that no relay works. Control thread only.
+ */
+public final class Dissemination {
+    /** Standing still for this many watch waits makes the next in rank watch the store. */
+    private static final double FALLBACK_WAITS = 2.5;
+
+    private static final double FALLBACK_WAITS_PER_RANK = 1;
+    private static final int MAX_FALLBACK_RANK = 8;
+    private static final long FETCH_TIMEOUT_MS = 1_000;
+    private static final long FIRST_RETRY_MS = 200;
+    private static final long MAX_RETRY_MS = 4_000;
+    private static final long NANOS_PER_MS = 1_000_000;
+
+    /** Ranking a region of 405 members at each tick is work that the result does not need: it changes only when members do. */
+    private static final long ROLE_INTERVAL_NANOS = 250 * NANOS_PER_MS;
+
+    /** State of the transfers of one kind. */
+    private static final class Feed {
+        private final FetchObject.Kind kind;
+        private boolean listed;
+        private boolean storeCallInFlight;
+        private boolean fetchInFlight;
+        private long retryMs = FIRST_RETRY_MS;
+        private long retryAtNanos;
+
+        Feed(FetchObject.Kind kind, long nowNanos) {
+            this.kind = kind;
+            this.retryAtNanos = nowNanos;
+        }
+    }
+
+    private final ControlContext context;
+    private final ClusterView view;
+    private final ControlMetrics metrics;
+    private final Map<FetchObject.Kind, Feed> feeds = new EnumMap<>(FetchObject.Kind.class);
+    private final int fallbackSpread;
+    private long roleChosenNanos;
+    private long lastAdvanceNanos;
+    private long lastPeerAdvanceNanos;
+    private boolean relay;
+    private boolean fallback;
+    private boolean newsToPush;
+
+    public Dissemination(ControlContext context, ClusterView view, ControlMetrics metrics) {
+        this.context = context;
+        this.view = view;
+        this.metrics = metrics;
+        this.fallbackSpread = context.random().nextInt(MAX_FALLBACK_RANK);
+        long now = context.nowNanos();
+        roleChosenNanos = now - ROLE_INTERVAL_NANOS;
+        lastAdvanceNanos = now;
+        lastPeerAdvanceNanos = now;
+        for (FetchObject.Kind kind : FetchObject.Kind.values()) {
+            feeds.put(kind, new Feed(kind, now));
+        }
+    }
+
+    /** Whether the store has been listed once, so that the view is usable. */
+    public boolean isListed() {
+        return feeds.values().stream().allMatch(feed -> feed.listed);
+    }
+
+    public boolean isRelay() {
+        return relay;
+    }
+
+    public boolean isWatching() {
+        return relay || fallback;
+    }
+
+    /** Whether something was learned that peers may not know; the answer resets it. */
+    public boolean takeNewsToPush() {
+        boolean news = newsToPush;
+        newsToPush = false;
+        return news;
+    }
+
+    /** Marks news that came by another way than this class, such as an own write. */
+    public void markNews() {
+        newsToPush = true;
+    }
+
+    /**
+     * Lists or watches the store, as due.
+     *
+     * @param self the member of this daemon, which may not have a record yet
+     * @param suspects members that do not answer this daemon
+     */
+    public void tick(Member self, Set<MemberId> suspects, long nowNanos) {
+        if (nowNanos - roleChosenNanos >= ROLE_INTERVAL_NANOS) {
+            roleChosenNanos = nowNanos;
+            chooseRole(self, suspects, nowNanos);
+        }
+        for (Feed feed : feeds.values()) {
+            if (feed.storeCallInFlight || nowNanos - feed.retryAtNanos < 0) {
+                continue;
+            }
+            if (!feed.listed) {
+                list(feed);
+            } else if (isWatching()) {
+                watch(feed);
+            }
+        }
+    }
+
+    /** Digest of a peer; fetches what it knows beyond this daemon. */
+    public void peerDigest(MemberId peer, Digest digest) {
+        fetchIfAhead(peer, FetchObject.Kind.CONFIGURATION, digest.configuration());
+        fetchIfAhead(peer, FetchObject.Kind.MEMBERS, digest.members());
+        fetchIfAhead(peer, FetchObject.Kind.ASSIGNMENTS, digest.assignments());
+    }
+
+    private void chooseRole(Member self, Set<MemberId> suspects, long nowNanos) {
+        int rank = rank(self, suspects);
+        boolean newRelay = rank == 0 || self.witnesses().isEmpty();
+        if (newRelay != relay) {
+            relay = newRelay;
+            context.log(() -> "event=relay member=" + self.id() + " active=" + newRelay + " rank=" + rank);
+        }
+        boolean newFallback = !relay && (fallback ? keepsFallback(nowNanos) : isStale(rank, nowNanos));
+        if (newFallback != fallback) {
+            fallback = newFallback;
+            context.log(() -> "event=fallback-watch member=" + self.id() + " active=" + newFallback + " rank=" + rank);
+        }
+    }
+
+    /** Rank for the duty of relay in the region; that of a stranger is beyond all. */
+    private int rank(Member self, Set<MemberId> suspects) {
+        Collection<KnownMember> known = view.current().members().values();
+        List<MemberId> alive = known.stream()
+                .map(KnownMember::member)
+                .filter(member -> member.region().equals(self.region()))
+                .filter(member -> member.state() == MemberState.ACTIVE || member.state() == MemberState.JOINING)
+                .map(Member::id)
+                .filter(member -> !suspects.contains(member))
+                .toList();
+        if (!alive.contains(self.id())) {
+            return alive.size();
+        }
+        long hash = Rendezvous.hash(self.region().value(), self.id());
+        return (int) alive.stream()
+                .filter(member -> Rendezvous.hash(self.region().value(), member) < hash)
+                .count();
+    }
+
+    /** The wait grows with the rank up to a limit, beyond which a random part keeps a fleet from watching at once. */
+    private boolean isStale(int rank, long nowNanos) {
+        int step = rank <= MAX_FALLBACK_RANK ? rank - 1 : MAX_FALLBACK_RANK + fallbackSpread;
+        double waits = FALLBACK_WAITS + FALLBACK_WAITS_PER_RANK * Math.max(0, step);
+        return nowNanos - lastAdvanceNanos > waits * context.options().watchWaitMs() * NANOS_PER_MS;
+    }
+
+    private boolean keepsFallback(long nowNanos) {
+        return nowNanos - lastPeerAdvanceNanos > 2 * context.options().watchWaitMs() * NANOS_PER_MS;
+    }
+
+    private void list(Feed feed) {
+        feed.storeCallInFlight = true;
+        context.call(
+                () -> context.services().store().list(ClusterView.prefix(feed.kind)),
+                context.options().listTimeoutMs(),
+                (batch, failure) -> {
+                    feed.storeCallInFlight = false;
+                    if (failure == null) {
+                        feed.listed = true;
+                        storeAnswered(feed, new WatchBatch(batch.upTo(), batch.changes(), true));
+                    } else {
+                        storeFailed(feed, "list", failure);
+                    }
+                });
+    }
+
+    private void watch(Feed feed) {
+        feed.storeCallInFlight = true;
+        long waitMs = context.options().watchWaitMs();
+        Revision after = view.completeUpTo(feed.kind);
+        context.call(
+                () -> context.services().store().watch(ClusterView.prefix(feed.kind), after, waitMs),
+                waitMs + context.options().storeTimeoutMs(),
+                (batch, failure) -> {
+                    feed.storeCallInFlight = false;
+                    if (failure == null) {
+                        storeAnswered(feed, batch);
+                    } else {
+                        storeFailed(feed, "watch", failure);
+                    }
+                });
+    }
+
+    private void storeAnswered(Feed feed, WatchBatch batch) {
+        feed.retryMs = FIRST_RETRY_MS;
+        long now = context.nowNanos();
+        feed.retryAtNanos = now;
+        apply(feed.kind, new ObjectData(feed.kind, batch.upTo(), batch.reset(), batch.changes()), now);
+    }
+
+    private void storeFailed(Feed feed, String operation, CrankException failure) {
+        long retryMs = context.jitteredMs(feed.retryMs);
+        feed.retryAtNanos = context.nowNanos() + retryMs * NANOS_PER_MS;
+        feed.retryMs = Math.min(2 * feed.retryMs, MAX_RETRY_MS);
+        context.log(() -> "event=store-retry operation=" + operation + " kind=" + feed.kind + " code=" + failure.code()
+                + " retryMs=" + retryMs);
+    }
+
+    private void fetchIfAhead(MemberId peer, FetchObject.Kind kind, Revision peerRevision) {
+        Feed feed = feeds.get(kind);
+        Revision known = view.completeUpTo(kind);
+        if (feed.fetchInFlight || !feed.listed || !peerRevision.isNewerThan(known)) {
+            return;
+        }
+        view.member(peer).ifPresent(record -> {
+            feed.fetchInFlight = true;
+            metrics.fetched();
+            PeerTarget target = PeerTarget.of(record.member());
+            context.call(
+                    () -> context.services()
+                            .peers()
+                            .call(target, new FetchObject(kind, known), ObjectData.class, FETCH_TIMEOUT_MS),
+                    FETCH_TIMEOUT_MS,
+                    (data, failure) -> {
+                        feed.fetchInFlight = false;
+                        if (failure == null && data.kind() == kind && apply(kind, data, context.nowNanos())) {
+                            lastPeerAdvanceNanos = context.nowNanos();
+                        }
+                    });
+        });
+    }
+
+    /** Whether the digest advanced. */
+    private boolean apply(FetchObject.Kind kind, ObjectData data, long nowNanos) {
+        Revision before = view.completeUpTo(kind);
+        newsToPush |= view.apply(kind, data.objects(), data.upTo(), data.reset());
+        boolean advanced = view.completeUpTo(kind).isNewerThan(before);
+        if (advanced) {
+            lastAdvanceNanos = nowNanos;
+        }
+        return advanced;
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
@@ -0,0 +1,379 @@
+package org.coriandercrank.control.internal;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.coriandercrank.control.SealListener;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.message.Heartbeat;
+import org.coriandercrank.kernel.message.HeartbeatAck;
+import org.coriandercrank.kernel.ownership.KnownMember;
+import org.coriandercrank.kernel.ownership.LeaseView;
+import org.coriandercrank.kernel.peer.PeerTarget;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.kernel.store.ObjectNames;
+import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.kernel.table.BackendInfo;
+import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.MemberState;
+import org.coriandercrank.lease.HolderAction;
+import org.coriandercrank.lease.LeaseHolder;
+
+/**
+ * The membership and lease of one incarnation of this daemon: drives a {@link LeaseHolder} and chooses its witnesses.
+ *
+ * <p>Invariant: the published lease end is that of the holder after its latest event, and is published before the actions
+ * of the event are carried out. {@link #validUntilNanos} is thread safe; all else runs on the control thread. A member
+ * that was sealed stays so; the daemon joins again with a new instance.
+ */
+public final class Membership implements LeaseView {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final long NANOS_PER_MS = 1_000_000;
+    private static final long WITNESS_REVIEW_NANOS = 200 * NANOS_PER_MS;
+
+    private final ControlContext context;
+    private final ClusterView view;
+    private final Dissemination dissemination;
+    private final ControlMetrics metrics;
+    private final SealListener sealListener;
+    private final MemberId id;
+    private final Map<MemberId, Long> namedNanos = new HashMap<>();
+    private final Map<MemberId, Long> suspectUntilNanos = new HashMap<>();
+    private final CompletableFuture<Void> leaving = new CompletableFuture<>();
+    private final CompletableFuture<Void> sealed = new CompletableFuture<>();
+    private Optional<LeaseHolder> holder = Optional.empty();
+    private Member wanted;
+    private long reviewedNanos;
+    private long rebalanceNanos;
+    private long lastHeartbeatNanos;
+    private long aliveSinceNanos;
+    private volatile long validUntilNanos;
+
+    public Membership(
+            ControlContext context,
+            MemberId id,
+            ClusterView view,
+            Dissemination dissemination,
+            ControlMetrics metrics,
+            SealListener sealListener) {
+        this.context = context;
+        this.id = id;
+        this.view = view;
+        this.dissemination = dissemination;
+        this.metrics = metrics;
+        this.sealListener = sealListener;
+        long now = context.nowNanos();
+        this.validUntilNanos = now;
+        this.aliveSinceNanos = now;
+        this.reviewedNanos = now;
+        this.rebalanceNanos = now + nextRebalanceNanos();
+        this.wanted = new Member(
+                id,
+                context.identity().peerAddress(),
+                context.identity().callerAddress(),
+                context.identity().adminAddress(),
+                context.identity().region(),
+                context.identity().failureDomain(),
+                MemberState.JOINING,
+                Optional.empty(),
+                List.of());
+    }
+
+    @Override
+    public long validUntilNanos() {
+        return validUntilNanos;
+    }
+
+    public MemberId id() {
+        return id;
+    }
+
+    /** The record as this daemon wants it; its witnesses may not be in force yet. */
+    public Member wanted() {
+        return wanted;
+    }
+
+    public boolean isEnded() {
+        return holder.map(LeaseHolder::isEnded).orElse(false);
+    }
+
+    public boolean isJoined() {
+        return holder.flatMap(LeaseHolder::confirmed).isPresent();
+    }
+
+    public Optional<KnownMember> confirmed() {
+        return holder.flatMap(LeaseHolder::confirmed);
+    }
+
+    public OptionalLong lastVoteNanos(MemberId witness) {
+        return holder.map(h -> h.lastVoteNanos(witness)).orElse(OptionalLong.empty());
+    }
+
+    /** Members that do not answer this daemon. */
+    public Set<MemberId> suspects() {
+        return new HashSet<>(suspectUntilNanos.keySet());
+    }
+
+    /** The process did not run for a while, so the silence of others until now means nothing. */
+    public void resumed(long nowNanos) {
+        aliveSinceNanos = nowNanos;
+    }
+
+    /** Evaluates the lease, then does what is due. Joins once the store has been listed. */
+    public void tick(long nowNanos) {
+        if (holder.isEmpty()) {
+            if (dissemination.isListed()) {
+                join(nowNanos);
+            }
+            return;
+        }
+        LeaseHolder lease = holder.get();
+        perform(lease.tick(nowNanos));
+        if (nowNanos - reviewedNanos >= WITNESS_REVIEW_NANOS && !lease.isEnded()) {
+            reviewedNanos = nowNanos;
+            reviewWitnesses(nowNanos);
+        }
+        long spacingNanos = TimeUnit.MILLISECONDS.toNanos(context.options().pushSpacingMs());
+        if (nowNanos - lastHeartbeatNanos >= spacingNanos && dissemination.takeNewsToPush()) {
+            perform(lease.heartbeatNow(nowNanos));
+        }
+    }
+
+    /** A backend server announced itself; an unchanged announcement has no effect. */
+    public void backendAnnounced(BackendInfo backend) {
+        if (wanted.state() == MemberState.JOINING || wanted.state() == MemberState.ACTIVE) {
+            want(wanted.withBackend(backend).withState(MemberState.ACTIVE));
+        }
+    }
+
+    /** Asks for no new ranges; done when the record says so. */
+    public CompletableFuture<Void> leave() {
+        if (wanted.state() == MemberState.JOINING || wanted.state() == MemberState.ACTIVE) {
+            want(wanted.withState(MemberState.LEAVING));
+        }
+        return leaving;
+    }
+
+    /** Ends the lease at once and seals the own record; done when it is sealed. */
+    public CompletableFuture<Void> sealSelf() {
+        want(wanted.withState(MemberState.SEALED));
+        return sealed;
+    }
+
+    /** A witness refused this member. */
+    public void refused(Revision recordRevision, long nowNanos) {
+        context.log(() -> "event=refusal-received member=" + id + " revision=" + recordRevision);
+        holder.ifPresent(lease -> perform(lease.refused(recordRevision, nowNanos)));
+    }
+
+    /** Looks for a seal of the own record in the view. */
+    public void viewChanged() {
+        Optional<KnownMember> own = view.member(id);
+        if (own.isPresent() && own.get().member().state() == MemberState.SEALED) {
+            holder.ifPresent(lease -> perform(lease.sealSeen()));
+        }
+    }
+
+    private void join(long nowNanos) {
+        wanted = wanted.withWitnesses(chooseWitnesses(false));
+        holder = Optional.of(new LeaseHolder(context.options().leaseTiming(), wanted, nowNanos));
+        noteNamed(nowNanos);
+        context.log(() -> "event=join member=" + id + " state=" + wanted.state() + " witnesses=" + wanted.witnesses());
+        perform(holder.get().tick(nowNanos));
+    }
+
+    private void want(Member record) {
+        if (record.equals(wanted)) {
+            return;
+        }
+        wanted = record;
+        holder.ifPresent(lease -> {
+            lease.setDesired(record);
+            perform(lease.tick(context.nowNanos()));
+        });
+    }
+
+    private void reviewWitnesses(long nowNanos) {
+        suspectUntilNanos.values().removeIf(until -> nowNanos - until >= 0);
+        long lostNanos = TimeUnit.MILLISECONDS.toNanos(context.options().witnessLostMs());
+        long retryNanos = TimeUnit.MILLISECONDS.toNanos(context.options().witnessRetryMs());
+        for (MemberId witness : wanted.witnesses()) {
+            if (nowNanos - lastHeardNanos(witness) > lostNanos) {
+                suspectUntilNanos.put(witness, nowNanos + retryNanos);
+            } else {
+                suspectUntilNanos.remove(witness);
+            }
+        }
+        boolean rebalance = nowNanos - rebalanceNanos >= 0;
+        if (rebalance) {
+            rebalanceNanos = nowNanos + nextRebalanceNanos();
+        }
+        List<MemberId> witnesses = chooseWitnesses(rebalance);
+        if (!witnesses.equals(wanted.witnesses())) {
+            context.log(() -> "event=witness-change member=" + id + " from=" + wanted.witnesses() + " to=" + witnesses
+                    + " suspects=" + suspectUntilNanos.keySet());
+            want(wanted.withWitnesses(witnesses));
+            noteNamed(nowNanos);
+        }
+    }
+
+    /** Latest of the vote of a witness, its choice, and the time from which its silence counts. */
+    private long lastHeardNanos(MemberId witness) {
+        long heard = aliveSinceNanos;
+        Long named = namedNanos.get(witness);
+        if (named != null && named - heard > 0) {
+            heard = named;
+        }
+        OptionalLong voted = lastVoteNanos(witness);
+        if (voted.isPresent() && voted.getAsLong() - heard > 0) {
+            heard = voted.getAsLong();
+        }
+        return heard;
+    }
+
+    private void noteNamed(long nowNanos) {
+        namedNanos.keySet().retainAll(wanted.witnesses());
+        wanted.witnesses().forEach(witness -> namedNanos.putIfAbsent(witness, nowNanos));
+    }
+
+    private List<MemberId> chooseWitnesses(boolean rebalance) {
+        List<Member> others = view.current().members().values().stream()
+                .map(KnownMember::member)
+                .filter(member -> !member.id().equals(id))
+                .filter(member -> member.state() == MemberState.ACTIVE || member.state() == MemberState.JOINING)
+                .toList();
+        return WitnessSelector.select(wanted, others, suspectUntilNanos.keySet(), wanted.witnesses(), rebalance);
+    }
+
+    private long nextRebalanceNanos() {
+        return TimeUnit.MILLISECONDS.toNanos(
+                context.jitteredMs(context.options().rebalanceMs()));
+    }
+
+    private void perform(List<HolderAction> actions) {
+        validUntilNanos = holder.orElseThrow().validUntilNanos();
+        for (HolderAction action : actions) {
+            if (action instanceof HolderAction.SendHeartbeat heartbeat) {
+                sendHeartbeat(heartbeat);
+            } else if (action instanceof HolderAction.WriteRecord write) {
+                writeRecord(write);
+            } else if (action instanceof HolderAction.ReadRecord read) {
+                readRecord(read);
+            } else if (action instanceof HolderAction.End end) {
+                ended(end.reason());
+            }
+        }
+    }
+
+    private void sendHeartbeat(HolderAction.SendHeartbeat action) {
+        lastHeartbeatNanos = context.nowNanos();
+        view.member(action.witness()).ifPresent(record -> {
+            metrics.heartbeatSent();
+            PeerTarget target = PeerTarget.of(record.member());
+            Heartbeat heartbeat = new Heartbeat(id, action.recordRevision(), action.sequence(), view.digest());
+            long timeoutMs = context.options().ttlMs();
+            context.call(
+                    () -> context.services().peers().call(target, heartbeat, HeartbeatAck.class, timeoutMs),
+                    timeoutMs,
+                    (ack, failure) -> {
+                        if (failure == null && ack.witness().equals(action.witness())) {
+                            heartbeatAnswered(ack);
+                        }
+                    });
+        });
+    }
+
+    private void heartbeatAnswered(HeartbeatAck ack) {
+        suspectUntilNanos.remove(ack.witness());
+        perform(holder.orElseThrow()
+                .heartbeatAnswered(ack.witness(), ack.sequence(), ack.granted(), context.nowNanos()));
+        dissemination.peerDigest(ack.witness(), ack.digest());
+    }
+
+    private void writeRecord(HolderAction.WriteRecord write) {
+        LeaseHolder lease = holder.orElseThrow();
+        metrics.recordWritten();
+        context.call(
+                () -> context.services()
+                        .store()
+                        .put(ObjectNames.member(id), JsonCodec.encode(write.record()), write.expected()),
+                context.options().storeTimeoutMs(),
+                (revision, failure) -> {
+                    long now = context.nowNanos();
+                    if (failure == null) {
+                        view.applyMember(new KnownMember(write.record(), revision));
+                        perform(lease.writeSucceeded(write.operation(), revision, now));
+                        recordConfirmed();
+                    } else {
+                        writeFailed(lease, write, failure, now);
+                    }
+                });
+    }
+
+    private void writeFailed(LeaseHolder lease, HolderAction.WriteRecord write, CrankException failure, long now) {
+        context.log(() ->
+                "event=record-write-failed member=" + id + " expected=" + write.expected() + " code=" + failure.code());
+        if (failure.code() == ResultCode.STORE_UNAVAILABLE) {
+            lease.writeFailed(write.operation(), now);
+            perform(List.of());
+        } else if (failure.code() == ResultCode.REVISION_CONFLICT) {
+            perform(lease.writeConflicted(write.operation(), now));
+        } else {
+            perform(lease.writeUnanswered(write.operation(), now));
+        }
+    }
+
+    private void readRecord(HolderAction.ReadRecord read) {
+        LeaseHolder lease = holder.orElseThrow();
+        context.call(
+                () -> context.services().store().get(ObjectNames.member(id)),
+                context.options().storeTimeoutMs(),
+                (object, failure) -> {
+                    long now = context.nowNanos();
+                    if (failure != null) {
+                        lease.readFailed(read.operation(), now);
+                        return;
+                    }
+                    Optional<KnownMember> found = object.map(Membership::decode);
+                    found.ifPresent(view::applyMember);
+                    perform(lease.readSucceeded(read.operation(), found, now));
+                    recordConfirmed();
+                });
+    }
+
+    static KnownMember decode(StoredObject object) {
+        return new KnownMember(JsonCodec.decode(object.value(), Member.class), object.revision());
+    }
+
+    private void recordConfirmed() {
+        confirmed().map(KnownMember::member).ifPresent(record -> {
+            context.log(() -> "event=record-confirmed member=" + id + " revision="
+                    + confirmed().orElseThrow().revision() + " state=" + record.state() + " witnesses="
+                    + record.witnesses());
+            if (record.state() == MemberState.LEAVING) {
+                leaving.complete(null);
+            }
+        });
+    }
+
+    private void ended(String reason) {
+        validUntilNanos = holder.orElseThrow().validUntilNanos();
+        metrics.incarnationEnded();
+        logger.atInfo().log("event=incarnation-ended member=%s reason=%s", id, reason);
+        leaving.complete(null);
+        sealed.complete(null);
+        if (wanted.state() != MemberState.SEALED) {
+            sealListener.sealed(id, reason);
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Rendezvous.java
@@ -0,0 +1,30 @@
+package org.coriandercrank.control.internal;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import org.coriandercrank.kernel.id.MemberId;
+
+/** Rendezvous hashing: each place orders members on its own, and a member that joins or leaves moves no other. Stateless. */
+public final class Rendezvous {
+    private Rendezvous() {}
+
+    /** Members in the order of the place. */
+    public static List<MemberId> order(String place, Collection<MemberId> members) {
+        return members.stream().sorted(comparator(place)).toList();
+    }
+
+    /** Order of members for the place; ties are broken by id. */
+    public static Comparator<MemberId> comparator(String place) {
+        return Comparator.<MemberId>comparingLong(member -> hash(place, member))
+                .thenComparing(Comparator.naturalOrder());
+    }
+
+    static long hash(String place, MemberId member) {
+        return Hashing.murmur3_128()
+                .hashString(place + "/" + member.value(), StandardCharsets.UTF_8)
+                .asLong();
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/TakeoverDuty.java
@@ -0,0 +1,253 @@
+package org.coriandercrank.control.internal;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.message.RefusalAnswer;
+import org.coriandercrank.kernel.message.RefusalRequest;
+import org.coriandercrank.kernel.ownership.KnownMember;
+import org.coriandercrank.kernel.ownership.RoutingSnapshot;
+import org.coriandercrank.kernel.peer.PeerTarget;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.kernel.store.ObjectNames;
+import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.MemberState;
+import org.coriandercrank.lease.Takeover;
+import org.coriandercrank.lease.TakeoverAction;
+
+/** Finds members that are no longer heard of and drives a {@link Takeover} for each. Control thread only. */
+public final class TakeoverDuty {
+    private static final long NANOS_PER_MS = 1_000_000;
+    private static final int MAX_RANK = 10;
+
+    private final ControlContext context;
+    private final ClusterView view;
+    private final Dissemination dissemination;
+    private final ControlMetrics metrics;
+    private final Map<MemberId, Takeover> running = new HashMap<>();
+    private WitnessDuty witnessDuty;
+    private MemberId self;
+    private long aliveSinceNanos;
+
+    public TakeoverDuty(
+            ControlContext context,
+            ClusterView view,
+            Dissemination dissemination,
+            ControlMetrics metrics,
+            MemberId self) {
+        this.context = context;
+        this.view = view;
+        this.dissemination = dissemination;
+        this.metrics = metrics;
+        this.self = self;
+        this.aliveSinceNanos = context.nowNanos();
+        this.witnessDuty = new WitnessDuty(context, view, metrics, this::heardOf);
+    }
+
+    /** The votes of this daemon, which tell who is alive. */
+    public WitnessDuty witnessDuty() {
+        return witnessDuty;
+    }
+
+    /** This daemon has a new member id; takeovers of the former incarnation are dropped. */
+    public void restart(MemberId newSelf) {
+        self = newSelf;
+        running.clear();
+    }
+
+    /** The process did not run for a while, so the silence of others until now means nothing. */
+    public void resumed(long nowNanos) {
+        aliveSinceNanos = nowNanos;
+        running.clear();
+    }
+
+    /** Starts takeovers of members not heard of and advances the running ones. */
+    public void tick(long nowNanos) {
+        for (KnownMember known : view.current().members().values()) {
+            if (isSuspect(known, nowNanos)
+                    && !running.containsKey(known.member().id())) {
+                start(known, nowNanos);
+            }
+        }
+        for (Takeover takeover : List.copyOf(running.values())) {
+            perform(takeover, takeover.tick(nowNanos));
+            finishIfDone(takeover);
+        }
+    }
+
+    /** Tells running takeovers of newer records. */
+    public void viewChanged(RoutingSnapshot snapshot) {
+        long now = context.nowNanos();
+        for (Takeover takeover : List.copyOf(running.values())) {
+            MemberId member = takeover.target().member().id();
+            KnownMember record = snapshot.members().get(member);
+            if (record == null) {
+                running.remove(member);
+            } else {
+                takeover.recordLearned(record, now);
+                finishIfDone(takeover);
+            }
+        }
+    }
+
+    private void heardOf(MemberId member) {
+        if (running.remove(member) != null) {
+            context.log(() -> "event=takeover-dropped member=" + member + " reason=heard-of");
+        }
+    }
+
+    private boolean isSuspect(KnownMember known, long nowNanos) {
+        Member member = known.member();
+        if (member.id().equals(self) || member.state() == MemberState.SEALED) {
+            return false;
+        }
+        boolean mayTake = member.witnesses().isEmpty() || member.witnesses().contains(self);
+        return mayTake
+                && nowNanos - lastHeardNanos(member.id())
+                        > context.options().leaseTiming().expiryNanos();
+    }
+
+    /** A new revision of the record is a sign of life too; a member without witnesses gives no other. */
+    private long lastHeardNanos(MemberId member) {
+        long heard = aliveSinceNanos;
+        for (OptionalLong sign : List.of(view.learnedNanos(member), witnessDuty.lastAckNanos(member))) {
+            if (sign.isPresent() && sign.getAsLong() - heard > 0) {
+                heard = sign.getAsLong();
+            }
+        }
+        return heard;
+    }
+
+    private void start(KnownMember known, long nowNanos) {
+        Member member = known.member();
+        int rank = rank(member);
+        long delayNanos = TimeUnit.MILLISECONDS.toNanos(rank * context.options().takeoverRankDelayMs());
+        long knownSinceNanos = view.learnedNanos(member.id()).orElse(nowNanos);
+        running.put(
+                member.id(),
+                new Takeover(context.options().leaseTiming(), known, knownSinceNanos, nowNanos + delayNanos));
+        context.log(() -> "event=takeover-start member=" + member.id() + " revision=" + known.revision() + " rank="
+                + rank + " witnesses=" + member.witnesses());
+    }
+
+    private int rank(Member member) {
+        int index = member.witnesses().indexOf(self);
+        if (index < 0) {
+            index = Rendezvous.order(
+                            member.id().value(), view.current().members().keySet())
+                    .indexOf(self);
+        }
+        return Math.min(Math.max(index, 0), MAX_RANK);
+    }
+
+    private void perform(Takeover takeover, List<TakeoverAction> actions) {
+        for (TakeoverAction action : actions) {
+            if (action instanceof TakeoverAction.AskRefusal ask) {
+                askRefusal(takeover, ask);
+            } else if (action instanceof TakeoverAction.Seal seal) {
+                seal(takeover, seal);
+            } else if (action instanceof TakeoverAction.ReadRecord read) {
+                read(takeover, read);
+            }
+        }
+    }
+
+    private void askRefusal(Takeover takeover, TakeoverAction.AskRefusal ask) {
+        RefusalRequest request = new RefusalRequest(takeover.target().member().id(), ask.recordRevision());
+        if (ask.witness().equals(self)) {
+            answered(takeover, ask, witnessDuty.refuse(self, self, request));
+            return;
+        }
+        view.member(ask.witness()).ifPresent(witness -> {
+            long timeoutMs = context.options().heartbeatMs();
+            PeerTarget target = PeerTarget.of(witness.member());
+            context.call(
+                    () -> context.services().peers().call(target, request, RefusalAnswer.class, timeoutMs),
+                    timeoutMs,
+                    (answer, failure) -> {
+                        if (failure == null && answer.witness().equals(ask.witness())) {
+                            answered(takeover, ask, answer);
+                        }
+                    });
+        });
+    }
+
+    private void answered(Takeover takeover, TakeoverAction.AskRefusal ask, RefusalAnswer answer) {
+        if (isRunning(takeover)) {
+            Revision revision = ask.recordRevision();
+            long retryAfterNanos = answer.retryAfterMs() * NANOS_PER_MS;
+            perform(
+                    takeover,
+                    takeover.refusalAnswered(
+                            ask.witness(), revision, answer.granted(), retryAfterNanos, context.nowNanos()));
+        }
+    }
+
+    private void seal(Takeover takeover, TakeoverAction.Seal seal) {
+        MemberId member = seal.sealed().id();
+        context.log(() -> "event=seal-attempt member=" + member + " revision=" + seal.expected() + " refusals="
+                + takeover.refusalCount());
+        context.call(
+                () -> context.services()
+                        .store()
+                        .put(ObjectNames.member(member), JsonCodec.encode(seal.sealed()), seal.expected()),
+                context.options().storeTimeoutMs(),
+                (revision, failure) -> {
+                    if (failure == null) {
+                        metrics.sealed();
+                        context.log(() -> "event=sealed member=" + member + " revision=" + revision + " taker=" + self);
+                        takeover.sealSucceeded(seal.operation(), revision, context.nowNanos());
+                        view.applyMember(new KnownMember(seal.sealed(), revision));
+                        dissemination.markNews();
+                    } else {
+                        sealFailed(takeover, seal, failure);
+                    }
+                    finishIfDone(takeover);
+                });
+    }
+
+    private void sealFailed(Takeover takeover, TakeoverAction.Seal seal, CrankException failure) {
+        context.log(() -> "event=seal-failed member=" + seal.sealed().id() + " revision=" + seal.expected() + " code="
+                + failure.code());
+        if (failure.code() == ResultCode.STORE_UNAVAILABLE) {
+            takeover.storeFailed(seal.operation(), context.nowNanos());
+        } else if (isRunning(takeover)) {
+            perform(takeover, takeover.sealUnresolved(seal.operation(), context.nowNanos()));
+        }
+    }
+
+    private void read(Takeover takeover, TakeoverAction.ReadRecord read) {
+        MemberId member = takeover.target().member().id();
+        context.call(
+                () -> context.services().store().get(ObjectNames.member(member)),
+                context.options().storeTimeoutMs(),
+                (object, failure) -> {
+                    long now = context.nowNanos();
+                    if (failure != null) {
+                        takeover.storeFailed(read.operation(), now);
+                    } else {
+                        takeover.readSucceeded(read.operation(), object.map(Membership::decode), now);
+                        object.map(Membership::decode).ifPresent(view::applyMember);
+                    }
+                    finishIfDone(takeover);
+                });
+    }
+
+    private boolean isRunning(Takeover takeover) {
+        return running.get(takeover.target().member().id()) == takeover;
+    }
+
+    private void finishIfDone(Takeover takeover) {
+        if (takeover.state() != Takeover.State.RUNNING && isRunning(takeover)) {
+            MemberId member = takeover.target().member().id();
+            running.remove(member);
+            context.log(() -> "event=takeover-end member=" + member + " state=" + takeover.state());
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/WitnessDuty.java
@@ -0,0 +1,70 @@
+package org.coriandercrank.control.internal;
+
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.message.RefusalAnswer;
+import org.coriandercrank.kernel.message.RefusalNotice;
+import org.coriandercrank.kernel.message.RefusalRequest;
+import org.coriandercrank.kernel.peer.PeerTarget;
+import org.coriandercrank.lease.Witness;
+
+/**
+ * This daemon as witness of others. The votes outlive an incarnation, because refusals given by the process stay true.
+ * Control thread only.
+ */
+public final class WitnessDuty {
+    private static final long NANOS_PER_MS = 1_000_000;
+
+    private final ControlContext context;
+    private final ClusterView view;
+    private final ControlMetrics metrics;
+    private final Witness witness;
+    private final Consumer<MemberId> aliveListener;
+
+    /** Makes a witness that tells the listener of each member whose heartbeat it acknowledges. */
+    public WitnessDuty(
+            ControlContext context, ClusterView view, ControlMetrics metrics, Consumer<MemberId> aliveListener) {
+        this.context = context;
+        this.view = view;
+        this.metrics = metrics;
+        this.aliveListener = aliveListener;
+        this.witness =
+                new Witness(context.options().leaseTiming(), context.options().maxWitnessedMembers());
+    }
+
+    /** Whether a heartbeat is acknowledged. */
+    public boolean heartbeat(MemberId member, Revision recordRevision) {
+        boolean granted = witness.heartbeat(member, recordRevision, context.nowNanos());
+        if (granted) {
+            aliveListener.accept(member);
+        } else {
+            context.log(() -> "event=heartbeat-refused member=" + member + " revision=" + recordRevision);
+        }
+        return granted;
+    }
+
+    /** Answers a taker; a refused member is told, so that it can rewrite its record if it is alive. */
+    public RefusalAnswer refuse(MemberId self, MemberId taker, RefusalRequest request) {
+        Witness.Decision decision = witness.refuse(request.member(), request.recordRevision(), context.nowNanos());
+        if (decision.granted()) {
+            metrics.refused();
+            context.log(() -> "event=refusal member=" + request.member() + " revision=" + request.recordRevision()
+                    + " taker=" + taker);
+            view.member(request.member())
+                    .ifPresent(record -> context.services()
+                            .peers()
+                            .send(
+                                    PeerTarget.of(record.member()),
+                                    new RefusalNotice(request.member(), request.recordRevision())));
+        }
+        long retryAfterMs = (decision.retryAfterNanos() + NANOS_PER_MS - 1) / NANOS_PER_MS;
+        return new RefusalAnswer(self, decision.granted(), retryAfterMs);
+    }
+
+    /** When the latest heartbeat of a member was acknowledged. */
+    public OptionalLong lastAckNanos(MemberId member) {
+        return witness.lastAckNanos(member);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/package-info.java
@@ -0,0 +1,2 @@
+/** Membership, lease, takeover and dissemination of control objects of one daemon. */
+package org.coriandercrank.control;
