Add range ownership

Cause: the owner gate has to serve exactly the ranges that the newest assignment table gives to this daemon, and only after every previous owner has released them or is sealed.

Change: RangeOwnership drives the gate on its own duty thread; the pure state machine is OwnershipState. A release request newer than the table sets a barrier, so that an older table cannot make this daemon serve the range again. Kernel: ReleaseAnswer.NOT_SERVED marks a previous owner that does not vouch for the records; PlacementInput has imbalancedSinceMs, which a policy that acts on lasting imbalance needs.

--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/message/ReleaseAnswer.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/message/ReleaseAnswer.java
@@ -7,10 +7,13 @@
  * Answer to {@link ReleaseRequest}. Immutable.
  *
  * @param released whether the previous owner has stopped serving the range for good; if not, ask again
- * @param recordsCompleteForMs how far back the outcome records of the range are complete
+ * @param recordsCompleteForMs how far back the outcome records of the range are complete, or {@link #NOT_SERVED}
  */
 public record ReleaseAnswer(boolean released, long recordsCompleteForMs, List<OutcomeRecord> records)
         implements Message {
+    /** Stands for a previous owner that never served the range or has handed its records to another member. */
+    public static final long NOT_SERVED = -1;
+
     public ReleaseAnswer {
         records = List.copyOf(records);
     }
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/placement/PlacementInput.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/placement/PlacementInput.java
@@ -15,6 +15,8 @@
  * @param loads latest load reports by member; a member without a report is absent
  * @param nowMs monotonic time
  * @param lastChangeMs monotonic time of the last load-driven change
+ * @param imbalancedSinceMs monotonic time since which the imbalance has been above the target without a break; equal to
+ *     {@code nowMs} if it is not above it
  */
 public record PlacementInput(
         Configuration configuration,
@@ -22,7 +24,8 @@
         AssignmentTable table,
         Map<MemberId, List<RangeLoad>> loads,
         long nowMs,
-        long lastChangeMs) {
+        long lastChangeMs,
+        long imbalancedSinceMs) {
     public PlacementInput {
         candidates = List.copyOf(candidates);
         loads = Map.copyOf(loads);
--- /dev/null
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/RangeOwnership.java
@@ -0,0 +1,319 @@
+package org.coriandercrank.placement;
+
+import com.google.common.flogger.FluentLogger;
+import io.micrometer.core.instrument.Counter;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.message.LoadQuery;
+import org.coriandercrank.kernel.message.LoadReport;
+import org.coriandercrank.kernel.message.ReleaseAnswer;
+import org.coriandercrank.kernel.message.ReleaseRequest;
+import org.coriandercrank.kernel.ownership.LeaseView;
+import org.coriandercrank.kernel.ownership.OwnerGate;
+import org.coriandercrank.kernel.ownership.RoutingSnapshot;
+import org.coriandercrank.kernel.peer.PeerTarget;
+import org.coriandercrank.kernel.ring.DutyThread;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.kernel.store.ObjectNames;
+import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.kernel.table.BackendInfo;
+import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.MemberState;
+import org.coriandercrank.kernel.time.TimerService;
+import org.coriandercrank.placement.internal.OwnershipAction;
+import org.coriandercrank.placement.internal.OwnershipState;
+
+/**
+ * Makes the owner gate serve exactly the ranges that the tables assign to this daemon.
+ *
+ * <p>Thread safe. All state is touched only on the duty thread {@code ownership}. A range is acquired only after each
+ * previous owner has released it or is sealed; a range that is taken away, or that its new owner asks for, is released
+ * first and never acquired again from an older table.
+ *
+ * <p>A previous owner without a record in the snapshot is looked up in the store, because the snapshot may hold a table
+ * that is newer than its members; it counts as sealed only if the store has no record either.
+ */
+public final class RangeOwnership implements AutoCloseable {
+    private record Waiter(ReleaseRequest request, CompletableFuture<ReleaseAnswer> answer) {}
+
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int RING_CAPACITY = 8_192;
+    private static final int MAX_SERVICES = 1_024;
+    private static final int MAX_WAITERS = 16_384;
+    private static final long POST_RETRY_MS = 1;
+
+    private final PlacementContext context;
+    private final LeaseView lease;
+    private final OwnerGate gate;
+    private final RangeOwnershipOptions options;
+    private final DutyThread duty = new DutyThread("ownership", RING_CAPACITY);
+    private final Map<ServiceName, OwnershipState> states = new HashMap<>();
+    private final List<Waiter> waiters = new ArrayList<>();
+    private final Counter acquiredRanges;
+    private final Counter releasedRanges;
+    private final Counter failedCalls;
+    private boolean sealed;
+    private TimerService.Subscription tick = () -> {};
+
+    public RangeOwnership(PlacementContext context, LeaseView lease, OwnerGate gate, RangeOwnershipOptions options) {
+        this.context = context;
+        this.lease = lease;
+        this.gate = gate;
+        this.options = options;
+        acquiredRanges = context.meters().counter("crank.ownership.acquired");
+        releasedRanges = context.meters().counter("crank.ownership.released");
+        failedCalls = context.meters().counter("crank.ownership.gate.failures");
+    }
+
+    /** Registers the handlers and begins to follow the tables; called once. */
+    public void start() {
+        context.handlers().register(ReleaseRequest.class, this::onReleaseRequest);
+        context.handlers().register(LoadQuery.class, this::onLoadQuery);
+        context.view().subscribe(snapshot -> duty.offer(this::refresh));
+        tick = context.timers().every(options.tickMs(), duty, this::refresh);
+        post(this::refresh);
+    }
+
+    /** Releases every range and acquires none any more; for a daemon that found itself sealed. */
+    public void seal() {
+        post(() -> {
+            sealed = true;
+            states.values().forEach(OwnershipState::seal);
+            pump();
+        });
+    }
+
+    /** Stops following the tables; ranges already served stay with the gate. */
+    @Override
+    public void close() {
+        tick.cancel();
+        duty.close();
+    }
+
+    /** Queues a task that must not be lost, also while the ring is full. */
+    private void post(Runnable task) {
+        if (!duty.offer(task)) {
+            context.timers().once(POST_RETRY_MS, duty, task);
+        }
+    }
+
+    private long nowMs() {
+        return context.timers().clock().nowMs();
+    }
+
+    private void refresh() {
+        RoutingSnapshot snapshot = context.view().current();
+        if (!sealed && snapshot.member(context.self()).map(Member::state).orElse(null) == MemberState.SEALED) {
+            sealed = true;
+            states.values().forEach(OwnershipState::seal);
+        }
+        snapshot.tables().forEach((service, table) -> {
+            OwnershipState state = states.get(service);
+            if (state == null && table.ownedBy(context.self()).isEmpty()) {
+                return;
+            }
+            stateOf(service).ifPresent(s -> s.applyTable(table));
+        });
+        pump();
+    }
+
+    private Optional<OwnershipState> stateOf(ServiceName service) {
+        OwnershipState known = states.get(service);
+        if (known != null) {
+            return Optional.of(known);
+        }
+        if (states.size() >= MAX_SERVICES) {
+            return Optional.empty();
+        }
+        OwnershipState state = new OwnershipState(
+                context.self(), service, options.minRetryMs(), options.maxRetryMs(), options.maxKeptRecords());
+        if (sealed) {
+            state.seal();
+        }
+        context.view().current().table(service).ifPresent(state::applyTable);
+        states.put(service, state);
+        return Optional.of(state);
+    }
+
+    private void pump() {
+        RoutingSnapshot snapshot = context.view().current();
+        Predicate<MemberId> isSealed =
+                m -> snapshot.member(m).map(Member::state).orElse(null) == MemberState.SEALED;
+        states.forEach((service, state) -> {
+            for (OwnershipAction action : state.poll(nowMs(), isSealed)) {
+                run(service, state, action);
+            }
+        });
+        answerWaiters();
+    }
+
+    private void run(ServiceName service, OwnershipState state, OwnershipAction action) {
+        if (action instanceof OwnershipAction.Acquire acquire) {
+            acquire(service, state, acquire);
+        } else if (action instanceof OwnershipAction.Release release) {
+            release(service, state, release);
+        } else if (action instanceof OwnershipAction.Ask ask) {
+            ask(service, state, ask);
+        }
+    }
+
+    private void acquire(ServiceName service, OwnershipState state, OwnershipAction.Acquire action) {
+        if (!lease.isValid(context.timers().clock().nowNanos())) {
+            state.acquireFailed(action, nowMs());
+            return;
+        }
+        gate.acquire(action.range(), action.fence(), action.inherited())
+                .whenComplete((ok, failure) -> post(() -> {
+                    if (failure == null) {
+                        acquiredRanges.increment();
+                        state.acquired(action);
+                        context.log().log(() -> String.format(
+                                "event=range-acquired service=%s range=%s fence=%s records=%d",
+                                service,
+                                action.range(),
+                                action.fence(),
+                                action.inherited().records().size()));
+                    } else {
+                        logFailure("acquire", service, failure);
+                        state.acquireFailed(action, nowMs());
+                    }
+                    pump();
+                }));
+    }
+
+    private void release(ServiceName service, OwnershipState state, OwnershipAction.Release action) {
+        gate.release(action.range())
+                .whenComplete((records, failure) -> post(() -> {
+                    if (failure == null) {
+                        releasedRanges.increment();
+                        state.released(action, records, nowMs());
+                        context.log().log(() -> String.format(
+                                "event=range-released service=%s range=%s records=%d",
+                                service, action.range(), records.records().size()));
+                    } else {
+                        logFailure("release", service, failure);
+                        state.releaseFailed(action, nowMs());
+                    }
+                    pump();
+                }));
+    }
+
+    private void logFailure(String call, ServiceName service, Throwable failure) {
+        failedCalls.increment();
+        CrankException cause = CrankException.of(failure);
+        logger.atWarning().log(
+                "event=gate-call-failed call=%s service=%s result=%s reason=%s",
+                call, service, cause.code(), cause.getMessage());
+    }
+
+    private void ask(ServiceName service, OwnershipState state, OwnershipAction.Ask action) {
+        Optional<Member> known = context.view().current().member(action.previousOwner());
+        if (known.isPresent()) {
+            call(service, state, action, known.get());
+            return;
+        }
+        context.store()
+                .get(ObjectNames.member(action.previousOwner()))
+                .whenComplete((found, failure) -> post(() -> afterLookup(service, state, action, found, failure)));
+    }
+
+    private void afterLookup(
+            ServiceName service,
+            OwnershipState state,
+            OwnershipAction.Ask action,
+            Optional<StoredObject> found,
+            Throwable failure) {
+        if (failure != null) {
+            askAgainLater(state, action);
+            return;
+        }
+        Optional<Member> member =
+                found.map(o -> JsonCodec.decode(o.value(), Member.class)).filter(m -> m.state() != MemberState.SEALED);
+        if (member.isPresent()) {
+            call(service, state, action, member.get());
+        } else {
+            state.memberGone(action.previousOwner());
+            pump();
+        }
+    }
+
+    private void call(ServiceName service, OwnershipState state, OwnershipAction.Ask action, Member member) {
+        ReleaseRequest request = new ReleaseRequest(context.self(), service, action.range(), action.fence());
+        context.peers()
+                .call(PeerTarget.of(member), request, ReleaseAnswer.class, options.releaseTimeoutMs())
+                .whenComplete((answer, failure) -> post(() -> {
+                    if (failure != null || !answer.released()) {
+                        askAgainLater(state, action);
+                    } else {
+                        state.askAnswered(action, answer, nowMs());
+                        pump();
+                    }
+                }));
+    }
+
+    private void askAgainLater(OwnershipState state, OwnershipAction.Ask action) {
+        long delayMs = state.askFailed(action, nowMs());
+        context.timers().once(delayMs, duty, this::pump);
+    }
+
+    private CompletableFuture<ReleaseAnswer> onReleaseRequest(MemberId sender, ReleaseRequest request) {
+        if (!sender.equals(request.requester())) {
+            return CompletableFuture.failedFuture(
+                    new CrankException(ResultCode.WRONG_MEMBER, "release request of " + request.requester()));
+        }
+        CompletableFuture<ReleaseAnswer> answer = new CompletableFuture<>();
+        boolean queued = duty.offer(() -> {
+            if (waiters.size() >= MAX_WAITERS || stateOf(request.service()).isEmpty()) {
+                answer.complete(ReleaseAnswer.notYet());
+                return;
+            }
+            waiters.add(new Waiter(request, answer));
+            pump();
+            if (!answer.isDone()) {
+                pump();
+                context.timers().once(options.answerWaitMs(), duty, () -> giveUp(answer));
+            }
+        });
+        if (!queued) {
+            answer.complete(ReleaseAnswer.notYet());
+        }
+        return answer;
+    }
+
+    private void giveUp(CompletableFuture<ReleaseAnswer> answer) {
+        waiters.removeIf(w -> w.answer == answer);
+        answer.complete(ReleaseAnswer.notYet());
+    }
+
+    private void answerWaiters() {
+        waiters.removeIf(waiter -> {
+            OwnershipState state = states.get(waiter.request.service());
+            Optional<ReleaseAnswer> answer = state.requestRelease(waiter.request, nowMs());
+            answer.ifPresent(waiter.answer::complete);
+            return answer.isPresent();
+        });
+    }
+
+    private CompletableFuture<LoadReport> onLoadQuery(MemberId sender, LoadQuery query) {
+        return duty.call(() -> {
+            ServiceName service = context.view()
+                    .current()
+                    .member(context.self())
+                    .flatMap(Member::backend)
+                    .map(BackendInfo::service)
+                    .orElseThrow(() -> new CrankException(ResultCode.STARTING, "no backend server yet"));
+            OwnershipState state =
+                    stateOf(service).orElseThrow(() -> new CrankException(ResultCode.OVERLOADED, "too many services"));
+            return new LoadReport(context.self(), service, state.settledGeneration(), gate.loads());
+        });
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/OwnershipState.java
@@ -0,0 +1,307 @@
+package org.coriandercrank.placement.internal;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.message.ReleaseAnswer;
+import org.coriandercrank.kernel.message.ReleaseRequest;
+import org.coriandercrank.kernel.ownership.InheritedRecords;
+import org.coriandercrank.kernel.table.AssignmentTable;
+import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.RangeAssignment;
+import org.coriandercrank.placement.internal.Holding.Phase;
+
+/**
+ * State machine of the ranges of one service at one daemon.
+ *
+ * <p>Not thread safe and without I/O: the caller reports events, then takes the actions from {@link #poll}. Invariants:
+ *
+ * <ul>
+ *   <li>The applied table never gets older.
+ *   <li>Holdings do not overlap, so nothing is acquired twice.
+ *   <li>A release request newer than the table sets a barrier: no hash in it is acquired before the table has at least
+ *       the generation of the request.
+ *   <li>A request is answered as released only if no holding overlaps it and the table, if it is as new as the request,
+ *       does not assign any of it to this daemon.
+ *   <li>A daemon that keeps a hash across a newer assignment to itself without previous owners goes on serving it under
+ *       its old fence; nobody else can have served it in between.
+ * </ul>
+ */
+public final class OwnershipState {
+    private record Barrier(KeyRange range, Generation generation) {}
+
+    private static final int MAX_BARRIERS = 1_024;
+
+    private final MemberId self;
+    private final long minRetryMs;
+    private final long maxRetryMs;
+    private final ReleasedRecords released;
+    private final Set<MemberId> gone = new HashSet<>();
+    private AssignmentTable table;
+    private boolean sealed;
+    private List<Holding> holdings = new ArrayList<>();
+    private List<Barrier> barriers = new ArrayList<>();
+    private Map<PendingRange.Id, PendingRange> pending = new LinkedHashMap<>();
+
+    public OwnershipState(MemberId self, ServiceName service, long minRetryMs, long maxRetryMs, int maxKeptRecords) {
+        this.self = self;
+        this.minRetryMs = minRetryMs;
+        this.maxRetryMs = maxRetryMs;
+        this.released = new ReleasedRecords(maxKeptRecords);
+        this.table = AssignmentTable.empty(service);
+    }
+
+    /** Uses a table if it is newer than the one in use. */
+    public void applyTable(AssignmentTable newTable) {
+        if (!newTable.generation().isNewerThan(table.generation())) {
+            return;
+        }
+        table = newTable;
+        barriers.removeIf(b -> !b.generation.isNewerThan(table.generation()));
+        released.prune(table, self);
+        gone.removeIf(m -> !table.mentions(m));
+        reconcile();
+    }
+
+    /** Gives up every range for good. */
+    public void seal() {
+        if (!sealed) {
+            sealed = true;
+            reconcile();
+        }
+    }
+
+    /** Notes that the record of a member is certainly sealed or deleted. */
+    public void memberGone(MemberId member) {
+        gone.add(member);
+    }
+
+    /**
+     * Handles the request of a new owner.
+     *
+     * @return the answer, or empty while a release is still running
+     */
+    public Optional<ReleaseAnswer> requestRelease(ReleaseRequest request, long nowMs) {
+        KeyRange range = request.range();
+        if (request.generation().isNewerThan(table.generation())) {
+            addBarrier(new Barrier(range, request.generation()));
+            reconcile();
+        } else if (!sealed && isAssigned(range)) {
+            return Optional.of(ReleaseAnswer.notYet());
+        }
+        if (holdings.stream().anyMatch(h -> h.range().overlaps(range))) {
+            return Optional.empty();
+        }
+        return Optional.of(released.handOver(range, request.requester(), request.generation(), nowMs));
+    }
+
+    private boolean isAssigned(KeyRange range) {
+        return table.assignments().stream()
+                .anyMatch(a -> a.owner().equals(self) && a.range().overlaps(range));
+    }
+
+    /** Repeated requests replace each other; above the bound one barrier covers the hash space until the table is newer. */
+    private void addBarrier(Barrier barrier) {
+        barriers.removeIf(b -> barrier.range.contains(b.range) && barrier.generation.compareTo(b.generation) >= 0);
+        barriers.add(barrier);
+        if (barriers.size() > MAX_BARRIERS) {
+            Generation newest = barriers.stream()
+                    .map(Barrier::generation)
+                    .max(Generation::compareTo)
+                    .orElseThrow();
+            barriers = new ArrayList<>(List.of(new Barrier(KeyRange.ALL, newest)));
+        }
+    }
+
+    /** What has to be done now; each action is returned once until its result is reported. */
+    public List<OwnershipAction> poll(long nowMs, Predicate<MemberId> isSealed) {
+        Predicate<MemberId> lost = m -> gone.contains(m) || isSealed.test(m);
+        List<OwnershipAction> actions = new ArrayList<>();
+        acquireReady(nowMs, lost);
+        for (int i = 0; i < holdings.size(); i++) {
+            Holding holding = holdings.get(i);
+            if (holding.phase() == Phase.SERVING || holding.callOutstanding() || nowMs < holding.retryAtMs()) {
+                continue;
+            }
+            holdings.set(i, holding.called());
+            actions.add(
+                    holding.phase() == Phase.RELEASING
+                            ? new OwnershipAction.Release(holding.range())
+                            : new OwnershipAction.Acquire(holding.range(), holding.fence(), holding.inherited()));
+        }
+        for (PendingRange range : pending.values()) {
+            for (MemberId member : range.due(nowMs, lost)) {
+                actions.add(
+                        new OwnershipAction.Ask(range.id().range(), range.id().fence(), member));
+            }
+        }
+        return actions;
+    }
+
+    private void acquireReady(long nowMs, Predicate<MemberId> lost) {
+        List<PendingRange> ready =
+                pending.values().stream().filter(p -> p.isReady(lost)).toList();
+        for (PendingRange range : ready) {
+            PendingRange.Id id = range.id();
+            pending.remove(id);
+            ReleaseAnswer own = released.handOver(id.range(), self, id.fence(), nowMs);
+            holdings.add(new Holding(id.range(), id.fence(), Phase.ACQUIRING, range.inherited(own), false, false, 0));
+        }
+    }
+
+    /** Reports the answer of a previous owner. */
+    public void askAnswered(OwnershipAction.Ask ask, ReleaseAnswer answer, long nowMs) {
+        if (!answer.released()) {
+            askFailed(ask, nowMs);
+            return;
+        }
+        matching(ask).forEach(p -> p.answered(ask.previousOwner(), answer));
+    }
+
+    /**
+     * Reports that a previous owner could not be asked, did not answer or has not released the range yet.
+     *
+     * @return delay until the next attempt, in milliseconds
+     */
+    public long askFailed(OwnershipAction.Ask ask, long nowMs) {
+        return matching(ask).stream()
+                .mapToLong(p -> p.askAgain(ask.previousOwner(), nowMs, minRetryMs, maxRetryMs))
+                .max()
+                .orElse(minRetryMs);
+    }
+
+    private List<PendingRange> matching(OwnershipAction.Ask ask) {
+        return pending.values().stream()
+                .filter(p ->
+                        p.id().range().equals(ask.range()) && p.id().fence().equals(ask.fence()))
+                .toList();
+    }
+
+    public void acquired(OwnershipAction.Acquire action) {
+        released.forget(action.range());
+        replace(action.range(), Holding::serving);
+        reconcile();
+    }
+
+    public void acquireFailed(OwnershipAction.Acquire action, long nowMs) {
+        replace(action.range(), h -> h.failed(nowMs + maxRetryMs));
+        reconcile();
+    }
+
+    public void released(OwnershipAction.Release action, InheritedRecords records, long nowMs) {
+        for (Holding holding : List.copyOf(holdings)) {
+            if (holding.range().equals(action.range())) {
+                holdings.remove(holding);
+                if (holding.served()) {
+                    released.add(action.range(), newestGeneration(action.range()), records, nowMs);
+                }
+            }
+        }
+        reconcile();
+    }
+
+    public void releaseFailed(OwnershipAction.Release action, long nowMs) {
+        replace(action.range(), h -> h.failed(nowMs + maxRetryMs));
+    }
+
+    private Generation newestGeneration(KeyRange range) {
+        return barriers.stream()
+                .filter(b -> b.range.overlaps(range))
+                .map(Barrier::generation)
+                .filter(g -> g.isNewerThan(table.generation()))
+                .max(Generation::compareTo)
+                .orElse(table.generation());
+    }
+
+    private void replace(KeyRange range, UnaryOperator<Holding> change) {
+        holdings.replaceAll(h -> h.range().equals(range) ? change.apply(h) : h);
+    }
+
+    private void reconcile() {
+        List<Holding> next = new ArrayList<>();
+        for (Holding holding : holdings) {
+            if (holding.phase() == Phase.RELEASING || holding.callOutstanding()) {
+                next.add(holding);
+                continue;
+            }
+            List<KeyRange> allowed = allowedParts(holding);
+            allowed.forEach(part -> next.add(holding.withRange(part)));
+            KeyRanges.subtract(holding.range(), allowed).forEach(part -> next.add(holding.releasing(part)));
+        }
+        holdings = next;
+        pending = findPending();
+    }
+
+    private List<KeyRange> allowedParts(Holding holding) {
+        if (sealed) {
+            return List.of();
+        }
+        List<KeyRange> parts = new ArrayList<>();
+        for (RangeAssignment assignment : table.assignments()) {
+            boolean keeps = assignment.fence().equals(holding.fence())
+                    || (holding.phase() == Phase.SERVING
+                            && assignment.previousOwners().isEmpty());
+            if (keeps && assignment.owner().equals(self)) {
+                KeyRanges.intersect(assignment.range(), holding.range())
+                        .ifPresent(common -> parts.addAll(KeyRanges.subtract(common, barrierRanges())));
+            }
+        }
+        return parts;
+    }
+
+    private List<KeyRange> barrierRanges() {
+        return barriers.stream().map(Barrier::range).toList();
+    }
+
+    private Map<PendingRange.Id, PendingRange> findPending() {
+        Map<PendingRange.Id, PendingRange> next = new LinkedHashMap<>();
+        if (sealed) {
+            return next;
+        }
+        for (RangeAssignment assignment : table.ownedBy(self)) {
+            List<Holding> held = holdings.stream()
+                    .filter(h -> h.range().overlaps(assignment.range()))
+                    .toList();
+            if (held.stream().anyMatch(h -> h.phase() != Phase.SERVING)) {
+                continue;
+            }
+            List<KeyRange> taken = new ArrayList<>(barrierRanges());
+            held.forEach(h -> taken.add(h.range()));
+            for (KeyRange gap : KeyRanges.subtract(assignment.range(), taken)) {
+                PendingRange.Id id = new PendingRange.Id(gap, assignment.fence(), assignment.previousOwners());
+                PendingRange known = pending.get(id);
+                next.put(id, known != null ? known : new PendingRange(id));
+            }
+        }
+        return next;
+    }
+
+    /**
+     * The generation of the table if nothing that it takes from this daemon is still held, else {@link
+     * Generation#NONE}.
+     */
+    public Generation settledGeneration() {
+        boolean unsettled = holdings.stream()
+                .anyMatch(h -> h.phase() == Phase.RELEASING
+                        || !KeyRanges.subtract(h.range(), allowedParts(h)).isEmpty());
+        return unsettled ? Generation.NONE : table.generation();
+    }
+
+    public AssignmentTable table() {
+        return table;
+    }
+
+    /** Whether the gate may hold, get or lose any range. */
+    public boolean isIdle() {
+        return holdings.isEmpty() && pending.isEmpty();
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/ReleasedRecords.java
@@ -0,0 +1,114 @@
+package org.coriandercrank.placement.internal;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.message.ReleaseAnswer;
+import org.coriandercrank.kernel.ownership.InheritedRecords;
+import org.coriandercrank.kernel.request.OutcomeRecord;
+import org.coriandercrank.kernel.table.AssignmentTable;
+import org.coriandercrank.kernel.table.KeyRange;
+
+/**
+ * Outcome records of ranges that this daemon has released, kept for the next owner.
+ *
+ * <p>Not thread safe. Records count for one (requester, generation) only: once they were handed over, another member
+ * may have served the range, so that they are not complete for anybody else. The number of records is bounded; the
+ * oldest entry is dropped first, which makes the next owner treat the records as lost.
+ */
+final class ReleasedRecords {
+    private record Handover(MemberId requester, Generation generation) {}
+
+    private record Entry(
+            KeyRange range, Generation generation, InheritedRecords records, long atMs, Handover handover) {
+        Entry withRange(KeyRange part, Handover newHandover) {
+            return new Entry(part, generation, records, atMs, newHandover);
+        }
+    }
+
+    private static final int MAX_ENTRIES = 1_024;
+
+    private final int maxRecords;
+    private Deque<Entry> entries = new ArrayDeque<>();
+
+    ReleasedRecords(int maxRecords) {
+        this.maxRecords = maxRecords;
+    }
+
+    void add(KeyRange range, Generation generation, InheritedRecords records, long nowMs) {
+        forget(range);
+        entries.addLast(new Entry(range, generation, records, nowMs, null));
+        long total = entries.stream().mapToLong(e -> e.records.records().size()).sum();
+        while (!entries.isEmpty() && (total > maxRecords || entries.size() > MAX_ENTRIES)) {
+            total -= entries.removeFirst().records.records().size();
+        }
+    }
+
+    /** The records of a range for a requester; repeating the request gives the same records. */
+    ReleaseAnswer handOver(KeyRange range, MemberId requester, Generation generation, long nowMs) {
+        Handover handover = new Handover(requester, generation);
+        long completeForMs = ReleaseAnswer.NOT_SERVED;
+        List<OutcomeRecord> records = new ArrayList<>();
+        Deque<Entry> next = new ArrayDeque<>();
+        for (Entry entry : entries) {
+            KeyRange common = KeyRanges.intersect(entry.range, range).orElse(null);
+            if (common == null) {
+                next.addLast(entry);
+                continue;
+            }
+            long heldMs = nowMs - entry.atMs;
+            addRecords(entry, common, heldMs, records);
+            if (entry.handover == null || entry.handover.equals(handover)) {
+                long ageMs = addSaturated(entry.records.completeForMs(), heldMs);
+                completeForMs = completeForMs < 0 ? ageMs : Math.min(completeForMs, ageMs);
+                KeyRanges.subtract(entry.range, List.of(common))
+                        .forEach(rest -> next.addLast(entry.withRange(rest, entry.handover)));
+                next.addLast(entry.withRange(common, handover));
+            } else {
+                next.addLast(entry);
+            }
+        }
+        entries = next;
+        return new ReleaseAnswer(true, completeForMs, records);
+    }
+
+    private static void addRecords(Entry entry, KeyRange part, long heldMs, List<OutcomeRecord> out) {
+        for (OutcomeRecord r : entry.records.records()) {
+            if (part.contains(r.keyHash())) {
+                out.add(new OutcomeRecord(
+                        r.requestId(),
+                        r.idempotencyKey(),
+                        r.keyHash(),
+                        r.requestDigest(),
+                        r.answer(),
+                        addSaturated(r.ageMs(), heldMs)));
+            }
+        }
+    }
+
+    /** Drops what is known of a range, because this daemon serves it again. */
+    void forget(KeyRange range) {
+        Deque<Entry> next = new ArrayDeque<>();
+        for (Entry entry : entries) {
+            KeyRanges.subtract(entry.range, List.of(range))
+                    .forEach(rest -> next.addLast(entry.withRange(rest, entry.handover)));
+        }
+        entries = next;
+    }
+
+    /** Drops the entries that no assignment of a table needs any more. */
+    void prune(AssignmentTable table, MemberId self) {
+        entries.removeIf(entry -> !entry.generation.isNewerThan(table.generation())
+                && table.assignments().stream()
+                        .filter(a -> a.range().overlaps(entry.range))
+                        .noneMatch(a ->
+                                a.owner().equals(self) || a.previousOwners().contains(self)));
+    }
+
+    private static long addSaturated(long a, long b) {
+        return a > Long.MAX_VALUE - b ? Long.MAX_VALUE : a + b;
+    }
+}
