Add planner and placement policies

Cause: tables have to be written by whichever daemon holds the planner role, and must follow membership, configuration and load.

Change: Planner competes for the store object "planner" and writes each table by a conditional write on the revision that it decided on.

--- /dev/null
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/EvenSplit.java
@@ -0,0 +1,66 @@
+package org.coriandercrank.placement.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.placement.PlacedRange;
+import org.coriandercrank.kernel.table.KeyRange;
+
+/** First placement of a service: the hash space is split in proportion to weight. Stateless and thread safe. */
+final class EvenSplit {
+    static final int RANGES_PER_MEMBER = 8;
+
+    private EvenSplit() {}
+
+    /** Ranges of a member are spread over the hash space, so that its loss loads no single neighbour. */
+    static List<PlacedRange> place(Map<MemberId, Double> weights) {
+        List<MemberId> owners = new ArrayList<>();
+        List<Double> parts = new ArrayList<>();
+        for (int i = 0; i < RANGES_PER_MEMBER; i++) {
+            weights.forEach((member, weight) -> {
+                owners.add(member);
+                parts.add(weight);
+            });
+        }
+        List<KeyRange> ranges = KeyRanges.divide(parts);
+        List<PlacedRange> placed = new ArrayList<>();
+        for (int i = 0; i < ranges.size(); i++) {
+            placed.add(new PlacedRange(ranges.get(i), owners.get(i), "initial"));
+        }
+        return placed;
+    }
+
+    /** Gives each slot whose owner is no candidate to the candidate with the least load and share for its weight. */
+    static void reassignOrphans(WorkingTable table, String reason) {
+        Map<MemberId, Double> charge = new TreeMap<>();
+        for (MemberId m : table.weights().keySet()) {
+            charge.put(m, table.ratio(m) + table.share(m) / table.fairShare(m));
+        }
+        List<Integer> orphans = new ArrayList<>();
+        for (int i = 0; i < table.slots().size(); i++) {
+            if (!table.weights().containsKey(table.slots().get(i).owner())) {
+                orphans.add(i);
+            }
+        }
+        orphans.sort((a, b) -> Double.compare(cost(table, b), cost(table, a)));
+        for (int index : orphans) {
+            Optional<MemberId> owner =
+                    charge.entrySet().stream().min(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
+            if (owner.isPresent()) {
+                table.assign(index, owner.get(), reason);
+                charge.put(
+                        owner.get(),
+                        table.ratio(owner.get()) + table.share(owner.get()) / table.fairShare(owner.get()));
+            }
+        }
+    }
+
+    private static double cost(WorkingTable table, int index) {
+        WorkingTable.Slot slot = table.slots().get(index);
+        double loadPart = table.totalLoad() > 0 ? slot.load().perSecond() / table.totalLoad() : 0;
+        return loadPart + slot.range().share();
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/MemberCleaner.java
@@ -0,0 +1,46 @@
+package org.coriandercrank.placement.internal;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.ownership.KnownMember;
+import org.coriandercrank.kernel.ownership.RoutingSnapshot;
+import org.coriandercrank.kernel.store.ObjectNames;
+import org.coriandercrank.kernel.store.ObjectStore;
+import org.coriandercrank.kernel.table.MemberState;
+
+/**
+ * Deletes the records of sealed members that no table has mentioned for a while.
+ *
+ * <p>Not thread safe. A record that is deleted although a newer table mentions it does no harm: only sealed records are
+ * deleted, and a missing record counts as sealed.
+ */
+public final class MemberCleaner {
+    private final ObjectStore store;
+    private final long keepMs;
+    private final Map<MemberId, Long> unmentionedSinceMs = new HashMap<>();
+
+    public MemberCleaner(ObjectStore store, long keepMs) {
+        this.store = store;
+        this.keepMs = keepMs;
+    }
+
+    /** Checks all members of a snapshot. */
+    public void step(RoutingSnapshot snapshot, long nowMs) {
+        unmentionedSinceMs.keySet().removeIf(m -> !snapshot.members().containsKey(m));
+        snapshot.members().forEach((id, known) -> check(snapshot, id, known, nowMs));
+    }
+
+    private void check(RoutingSnapshot snapshot, MemberId id, KnownMember known, long nowMs) {
+        boolean mentioned = snapshot.tables().values().stream().anyMatch(t -> t.mentions(id));
+        if (known.member().state() != MemberState.SEALED || mentioned) {
+            unmentionedSinceMs.remove(id);
+            return;
+        }
+        Long since = unmentionedSinceMs.putIfAbsent(id, nowMs);
+        if (since != null && nowMs - since >= keepMs) {
+            unmentionedSinceMs.put(id, nowMs);
+            store.delete(ObjectNames.member(id), known.revision());
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/MemberLookup.java
@@ -0,0 +1,98 @@
+package org.coriandercrank.placement.internal;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.ownership.RoutingSnapshot;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.kernel.store.ObjectNames;
+import org.coriandercrank.kernel.store.ObjectStore;
+import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.kernel.table.AssignmentTable;
+import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.MemberState;
+
+/**
+ * Finds out in the store about members that a table mentions and a snapshot lacks.
+ *
+ * <p>Not thread safe: used on the planner duty, to which answers are posted. A member counts as gone only if the store
+ * says that its record is sealed or does not exist.
+ */
+public final class MemberLookup {
+    private static final int MAX_KNOWN = 10_000;
+
+    private final ObjectStore store;
+    private final Consumer<Runnable> post;
+    private final Set<MemberId> asked = new HashSet<>();
+    private final Set<MemberId> gone = new HashSet<>();
+    private final Map<MemberId, Member> found = new HashMap<>();
+
+    public MemberLookup(ObjectStore store, Consumer<Runnable> post) {
+        this.store = store;
+        this.post = post;
+    }
+
+    public Set<MemberId> gone() {
+        return gone;
+    }
+
+    /** Forgets the members found alive, which may have been sealed since. */
+    public void expireFound() {
+        found.clear();
+    }
+
+    public Map<MemberId, Member> found() {
+        return found;
+    }
+
+    /** Whether every member that a table mentions is known; starts the lookup of those that are not. */
+    public boolean resolveAbsent(RoutingSnapshot snapshot, AssignmentTable table) {
+        if (gone.size() + found.size() > MAX_KNOWN) {
+            gone.clear();
+            found.clear();
+        }
+        Set<MemberId> mentioned = new HashSet<>();
+        table.assignments().forEach(a -> {
+            mentioned.add(a.owner());
+            mentioned.addAll(a.previousOwners());
+        });
+        mentioned.removeIf(m -> snapshot.members().containsKey(m) || gone.contains(m) || found.containsKey(m));
+        mentioned.stream().filter(asked::add).forEach(this::ask);
+        return mentioned.isEmpty();
+    }
+
+    private void ask(MemberId member) {
+        store.get(ObjectNames.member(member))
+                .whenComplete((object, failure) -> post.accept(() -> {
+                    asked.remove(member);
+                    if (failure == null) {
+                        answered(member, object);
+                    }
+                }));
+    }
+
+    private void answered(MemberId id, Optional<StoredObject> object) {
+        Optional<Member> alive =
+                object.map(o -> JsonCodec.decode(o.value(), Member.class)).filter(m -> m.state() != MemberState.SEALED);
+        if (alive.isPresent()) {
+            found.put(id, alive.get());
+        } else {
+            gone.add(id);
+        }
+    }
+
+    /** All members in the store. */
+    public CompletableFuture<List<Member>> listMembers() {
+        return store.list(ObjectNames.MEMBERS_PREFIX)
+                .thenApply(batch -> batch.changes().stream()
+                        .filter(o -> !o.deleted())
+                        .map(o -> JsonCodec.decode(o.value(), Member.class))
+                        .toList());
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/PlannerRole.java
@@ -0,0 +1,115 @@
+package org.coriandercrank.placement.internal;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.ownership.RoutingSnapshot;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.kernel.store.ObjectNames;
+import org.coriandercrank.kernel.store.ObjectStore;
+import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.MemberState;
+import org.coriandercrank.kernel.time.MonotonicClock;
+
+/**
+ * Takes and renews the planner object in the store.
+ *
+ * <p>Not thread safe: used on the planner duty, to which completions of the store are posted. A failed or unanswered
+ * write is resolved by reading the object back.
+ */
+public final class PlannerRole {
+    private final MemberId self;
+    private final ObjectStore store;
+    private final MonotonicClock clock;
+    private final Consumer<Runnable> post;
+    private final PlannerElection election;
+
+    public PlannerRole(
+            MemberId self,
+            ObjectStore store,
+            MonotonicClock clock,
+            Consumer<Runnable> post,
+            PlannerElection.Delays delays) {
+        this.self = self;
+        this.store = store;
+        this.clock = clock;
+        this.post = post;
+        this.election = new PlannerElection(self, delays);
+    }
+
+    public boolean isHolder() {
+        return election.isHolder(clock.nowMs());
+    }
+
+    /** Does what is due; called at each tick. */
+    public void step(RoutingSnapshot snapshot) {
+        boolean eligible = snapshot.member(self).map(Member::state).orElse(null) == MemberState.ACTIVE;
+        boolean holderLost = election.holder()
+                .flatMap(snapshot::member)
+                .map(m -> m.state() == MemberState.SEALED)
+                .orElse(false);
+        switch (election.next(clock.nowMs(), eligible, rank(snapshot), holderLost)) {
+            case READ -> read();
+            case WRITE -> write();
+            case NONE -> {}
+        }
+    }
+
+    /** Position among the active members by a hash of the id, so that neighbours in one host group rank apart. */
+    private int rank(RoutingSnapshot snapshot) {
+        List<MemberId> active = snapshot.members().values().stream()
+                .map(known -> known.member())
+                .filter(m -> m.state() == MemberState.ACTIVE)
+                .map(Member::id)
+                .sorted(Comparator.comparingLong(PlannerRole::order).thenComparing(m -> m))
+                .toList();
+        return Math.max(0, active.indexOf(self));
+    }
+
+    private static long order(MemberId id) {
+        return Hashing.murmur3_128()
+                .hashString(id.value(), StandardCharsets.UTF_8)
+                .asLong();
+    }
+
+    private void read() {
+        election.readStarted();
+        store.get(ObjectNames.PLANNER)
+                .whenComplete((found, failure) -> post.accept(() -> {
+                    if (failure != null) {
+                        election.callFailed();
+                    } else {
+                        readDone(found);
+                    }
+                }));
+    }
+
+    private void readDone(Optional<StoredObject> found) {
+        try {
+            Optional<PlannerRecord> record = found.map(o -> JsonCodec.decode(o.value(), PlannerRecord.class));
+            election.readDone(record, found.map(StoredObject::revision).orElse(Revision.NONE), clock.nowMs());
+        } catch (CrankException e) {
+            election.callFailed();
+            throw e;
+        }
+    }
+
+    private void write() {
+        PlannerRecord record = election.writeStarted(clock.nowMs());
+        store.put(ObjectNames.PLANNER, JsonCodec.encode(record), election.revision())
+                .whenComplete((revision, failure) -> post.accept(() -> {
+                    if (failure == null) {
+                        election.writeDone(record, revision);
+                    } else {
+                        read();
+                    }
+                }));
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/RangeLoads.java
@@ -0,0 +1,82 @@
+package org.coriandercrank.placement.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.placement.RangeLoad;
+import org.coriandercrank.kernel.placement.RangeLoad.HotHash;
+import org.coriandercrank.kernel.table.AssignmentTable;
+import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.RangeAssignment;
+
+/**
+ * Load of the ranges of a table, from reports whose ranges may be those of an older table. Stateless and thread safe.
+ */
+public final class RangeLoads {
+    /**
+     * Load of a range. Immutable.
+     *
+     * @param evenPerSecond requests per second without the hot hashes, taken as evenly spread
+     */
+    public record Load(double evenPerSecond, List<HotHash> hot) {
+        static final Load NONE = new Load(0, List.of());
+
+        public Load {
+            hot = List.copyOf(hot);
+        }
+
+        public double perSecond() {
+            double sum = evenPerSecond;
+            for (HotHash h : hot) {
+                sum += h.requestsPerSecond();
+            }
+            return sum;
+        }
+
+        /** The load of a part of the range that has this load. */
+        Load part(KeyRange whole, KeyRange part) {
+            double fraction = Math.min(1, part.share() / whole.share());
+            return new Load(
+                    evenPerSecond * fraction,
+                    hot.stream().filter(h -> part.contains(h.hash())).toList());
+        }
+
+        Load plus(Load other) {
+            return new Load(
+                    evenPerSecond + other.evenPerSecond,
+                    Stream.concat(hot.stream(), other.hot.stream()).toList());
+        }
+    }
+
+    private RangeLoads() {}
+
+    static List<Load> of(AssignmentTable table, Map<MemberId, List<RangeLoad>> reports) {
+        List<RangeLoad> all = reports.values().stream().flatMap(List::stream).toList();
+        List<Load> loads = new ArrayList<>(table.assignments().size());
+        for (RangeAssignment a : table.assignments()) {
+            Load own = sum(a.range(), reports.getOrDefault(a.owner(), List.of()));
+            loads.add(own.perSecond() > 0 || a.previousOwners().isEmpty() ? own : sum(a.range(), all));
+        }
+        return loads;
+    }
+
+    private static Load sum(KeyRange range, List<RangeLoad> reported) {
+        Load sum = Load.NONE;
+        for (RangeLoad load : reported) {
+            KeyRange common = KeyRanges.intersect(load.range(), range).orElse(null);
+            if (common != null) {
+                sum = sum.plus(toLoad(load).part(load.range(), common));
+            }
+        }
+        return sum;
+    }
+
+    private static Load toLoad(RangeLoad load) {
+        double hot = load.hotHashes().stream()
+                .mapToDouble(HotHash::requestsPerSecond)
+                .sum();
+        return new Load(Math.max(0, load.requestsPerSecond() - hot), load.hotHashes());
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/ServicePlan.java
@@ -0,0 +1,224 @@
+package org.coriandercrank.placement.internal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.coriandercrank.kernel.config.Configuration;
+import org.coriandercrank.kernel.config.ServiceConfig;
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.KeyHash;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.message.LoadReport;
+import org.coriandercrank.kernel.placement.PlacedRange;
+import org.coriandercrank.kernel.placement.PlacementInput;
+import org.coriandercrank.kernel.placement.PlacementPolicy;
+import org.coriandercrank.kernel.placement.RangeLoad;
+import org.coriandercrank.kernel.table.AssignmentTable;
+import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.MemberState;
+import org.coriandercrank.kernel.table.RangeAssignment;
+
+/**
+ * Decides on the next table of one service. Stateless and thread safe.
+ *
+ * <p>Order of decisions: withdrawal, first table, takeover from lost owners, then the policy together with the
+ * clearing of previous owners. A takeover changes only ranges of lost owners.
+ */
+public final class ServicePlan {
+    /**
+     * What is known of a service. Immutable.
+     *
+     * @param members all known members
+     * @param gone members that are certainly sealed or deleted
+     * @param reports latest load report by member
+     * @param candidatesSinceMs monotonic time since which the candidates are the same
+     */
+    public record View(
+            Configuration configuration,
+            Map<MemberId, Member> members,
+            Set<MemberId> gone,
+            AssignmentTable table,
+            Map<MemberId, LoadReport> reports,
+            long nowMs,
+            long lastChangeMs,
+            long imbalancedSinceMs,
+            long candidatesSinceMs) {
+        public View {
+            members = Map.copyOf(members);
+            gone = Set.copyOf(gone);
+            reports = Map.copyOf(reports);
+        }
+    }
+
+    /** A kind of change of a table. */
+    public enum Kind {
+        WITHDRAW,
+        FIRST_TABLE,
+        TAKEOVER,
+        POLICY,
+        CLEAR
+    }
+
+    /** The next table and what changes. Immutable. */
+    public record Decision(Kind kind, AssignmentTable table, List<TableBuilder.Change> changes) {
+        public Decision {
+            changes = List.copyOf(changes);
+        }
+    }
+
+    private static final String TAKEOVER_REASON = "owner-lost";
+
+    private final PlacementPolicy policy;
+    private final long settleMs;
+
+    public ServicePlan(PlacementPolicy policy, long settleMs) {
+        this.policy = policy;
+        this.settleMs = settleMs;
+    }
+
+    /** The members that may get ranges of a service, sorted by id. */
+    public static List<Member> candidates(View view) {
+        return view.members().values().stream()
+                .filter(m -> m.state() == MemberState.ACTIVE && !view.gone().contains(m.id()))
+                .filter(m -> serves(m, view.table())
+                        && !view.configuration()
+                                .isDraining(m.backend().orElseThrow().name())
+                        && ServerWeights.of(view.configuration(), m) > 0)
+                .sorted((a, b) -> a.id().compareTo(b.id()))
+                .toList();
+    }
+
+    private static boolean serves(Member member, AssignmentTable table) {
+        return member.backend().map(b -> b.service().equals(table.service())).orElse(false);
+    }
+
+    /** The next table, or empty if the present one stands. */
+    public Optional<Decision> decide(View view) {
+        AssignmentTable table = view.table();
+        boolean keyed = view.configuration()
+                .service(table.service())
+                .map(ServiceConfig::keyed)
+                .orElse(false);
+        if (!keyed) {
+            return table.assignments().isEmpty() ? Optional.empty() : Optional.of(withdraw(table));
+        }
+        List<Member> candidates = candidates(view);
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        if (table.assignments().isEmpty() && view.nowMs() - view.candidatesSinceMs() < settleMs) {
+            return Optional.empty();
+        }
+        List<RangeAssignment> current = TableBuilder.clearPreviousOwners(table, view.gone()::contains, view.reports());
+        List<PlacedRange> wanted = checked(policy.place(input(view, candidates, current)), candidates);
+        boolean ownerLost =
+                table.assignments().stream().anyMatch(a -> view.gone().contains(a.owner()));
+        if (ownerLost) {
+            return changed(view, Kind.TAKEOVER, current, takeover(view, current, wanted));
+        }
+        Kind kind = table.assignments().isEmpty() ? Kind.FIRST_TABLE : Kind.POLICY;
+        return changed(view, kind, current, wanted);
+    }
+
+    private static Decision withdraw(AssignmentTable table) {
+        Generation next = new Generation(table.generation().value() + 1);
+        return new Decision(Kind.WITHDRAW, new AssignmentTable(table.service(), next, List.of()), List.of());
+    }
+
+    private static PlacementInput input(View view, List<Member> candidates, List<RangeAssignment> current) {
+        Map<MemberId, List<RangeLoad>> loads = new HashMap<>();
+        view.reports().forEach((member, report) -> loads.put(member, report.ranges()));
+        return new PlacementInput(
+                view.configuration(),
+                candidates,
+                new AssignmentTable(view.table().service(), view.table().generation(), current),
+                loads,
+                view.nowMs(),
+                view.lastChangeMs(),
+                view.imbalancedSinceMs());
+    }
+
+    /** Policies are plug-ins, so their output is checked before it can reach the store. */
+    private static List<PlacedRange> checked(List<PlacedRange> placed, List<Member> candidates) {
+        Set<MemberId> allowed = new HashSet<>();
+        candidates.forEach(m -> allowed.add(m.id()));
+        KeyHash expected = KeyHash.MIN;
+        for (int i = 0; i < placed.size(); i++) {
+            PlacedRange p = placed.get(i);
+            boolean last = i == placed.size() - 1;
+            if (!p.range().first().equals(expected)
+                    || last != p.range().last().equals(KeyHash.MAX)
+                    || !allowed.contains(p.owner())) {
+                throw new IllegalStateException("policy placed an invalid range: " + p);
+            }
+            expected = KeyRanges.next(p.range().last());
+        }
+        if (placed.isEmpty()) {
+            throw new IllegalStateException("policy placed nothing although there are candidates");
+        }
+        return placed;
+    }
+
+    private static List<PlacedRange> takeover(View view, List<RangeAssignment> current, List<PlacedRange> wanted) {
+        List<PlacedRange> taken = new ArrayList<>();
+        for (RangeAssignment a : current) {
+            if (!view.gone().contains(a.owner())) {
+                taken.add(new PlacedRange(a.range(), a.owner(), WorkingTable.KEPT));
+                continue;
+            }
+            for (PlacedRange p : wanted) {
+                Optional<KeyRange> common = KeyRanges.intersect(p.range(), a.range());
+                common.ifPresent(range -> taken.add(new PlacedRange(range, p.owner(), TAKEOVER_REASON)));
+            }
+        }
+        return taken;
+    }
+
+    private static Optional<Decision> changed(
+            View view, Kind kind, List<RangeAssignment> current, List<PlacedRange> wanted) {
+        AssignmentTable table = view.table();
+        TableBuilder.Result result = TableBuilder.build(table, current, wanted, view.gone()::contains, mayHold(view));
+        if (result.table().assignments().equals(table.assignments())) {
+            return Optional.empty();
+        }
+        Kind actual = result.changes().isEmpty() ? Kind.CLEAR : kind;
+        return Optional.of(new Decision(actual, result.table(), result.changes()));
+    }
+
+    /**
+     * Members that may still serve hashes which the table assigns to nobody, as after a withdrawal: all of the service
+     * that have not reported that they gave up everything.
+     */
+    private static Set<MemberId> mayHold(View view) {
+        Set<MemberId> holders = new HashSet<>();
+        if (view.table().generation().equals(Generation.NONE)) {
+            return holders;
+        }
+        for (Member member : view.members().values()) {
+            LoadReport report = view.reports().get(member.id());
+            boolean settled = report != null
+                    && report.ranges().isEmpty()
+                    && report.tableGeneration().compareTo(view.table().generation()) >= 0;
+            if (serves(member, view.table()) && !settled) {
+                holders.add(member.id());
+            }
+        }
+        return holders;
+    }
+
+    /** Highest load over fair load of the candidates; 0 without load. */
+    public static double imbalance(View view) {
+        List<Member> candidates = candidates(view);
+        if (candidates.isEmpty() || view.table().assignments().isEmpty()) {
+            return 0;
+        }
+        WorkingTable table =
+                new WorkingTable(input(view, candidates, view.table().assignments()));
+        return table.weights().keySet().stream().mapToDouble(table::ratio).max().orElse(0);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/ServiceTrack.java
@@ -0,0 +1,99 @@
+package org.coriandercrank.placement.internal;
+
+import java.util.List;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.table.AssignmentTable;
+import org.coriandercrank.kernel.table.Member;
+
+/**
+ * What the planner remembers of a service between decisions. Not thread safe.
+ *
+ * <p>The table never gets older.
+ */
+public final class ServiceTrack {
+    private final long imbalanceTargetPercent;
+    private AssignmentTable table;
+    private boolean busy;
+    private long lastChangeMs;
+    private boolean imbalanced;
+    private long imbalancedSinceMs;
+    private long candidatesSinceMs;
+    private long retryAtMs;
+    private List<MemberId> candidates = List.of();
+    private long decidedInput = -1;
+
+    public ServiceTrack(ServiceName service, long imbalanceTargetPercent, long nowMs) {
+        this.imbalanceTargetPercent = imbalanceTargetPercent;
+        table = AssignmentTable.empty(service);
+        lastChangeMs = nowMs;
+        candidatesSinceMs = nowMs;
+    }
+
+    public AssignmentTable table() {
+        return table;
+    }
+
+    public void learn(AssignmentTable known) {
+        if (known.generation().isNewerThan(table.generation())) {
+            table = known;
+        }
+    }
+
+    public void noteCandidates(List<Member> current, long nowMs) {
+        List<MemberId> ids = current.stream().map(Member::id).toList();
+        if (!ids.equals(candidates)) {
+            candidates = ids;
+            candidatesSinceMs = nowMs;
+        }
+    }
+
+    public void noteImbalance(double imbalance, long nowMs) {
+        boolean above = imbalance * 100 > imbalanceTargetPercent;
+        if (above && !imbalanced) {
+            imbalancedSinceMs = nowMs;
+        }
+        imbalanced = above;
+    }
+
+    public void noteChange(long nowMs) {
+        lastChangeMs = nowMs;
+    }
+
+    /**
+     * Whether a decision may be started, and there is new input or the service waits for its first table.
+     *
+     * @param input number of the input, which grows with each snapshot and each round of load reports
+     */
+    public boolean isReady(long input, long nowMs) {
+        boolean newInput = input != decidedInput || table.assignments().isEmpty();
+        return !busy && nowMs >= retryAtMs && newInput;
+    }
+
+    /** Notes that the table stands for an input. */
+    public void noteDecided(long input) {
+        decidedInput = input;
+    }
+
+    public void begin() {
+        busy = true;
+    }
+
+    public void end(long nextTryMs) {
+        busy = false;
+        retryAtMs = nextTryMs;
+    }
+
+    public long lastChangeMs() {
+        return lastChangeMs;
+    }
+
+    /** Time since which the imbalance has been above the target; {@code nowMs} if it is not. */
+    public long imbalancedSinceMs(long nowMs) {
+        return imbalanced ? imbalancedSinceMs : nowMs;
+    }
+
+    public long candidatesSinceMs() {
+        return candidatesSinceMs;
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TableWriter.java
@@ -0,0 +1,88 @@
+package org.coriandercrank.placement.internal;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Function;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.store.ObjectNames;
+import org.coriandercrank.kernel.store.ObjectStore;
+import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.kernel.store.TableCodec;
+import org.coriandercrank.kernel.table.AssignmentTable;
+
+/**
+ * Writes tables to the store. Thread safe.
+ *
+ * <p>The object is read right before a decision and written only if it is still at the revision read, so that a decision
+ * never rests on another table than the one it replaces.
+ */
+public final class TableWriter {
+    /** What was decided, and the table that is in the store as far as known. Immutable. */
+    public record Outcome(AssignmentTable table, Optional<ServicePlan.Decision> written) {}
+
+    private final ObjectStore store;
+
+    public TableWriter(ObjectStore store) {
+        this.store = store;
+    }
+
+    /**
+     * Reads the table, decides and writes.
+     *
+     * @param decide called on the executor with the table read
+     * @return fails like the store; a conflict is not an error but an outcome without a written decision
+     */
+    public CompletableFuture<Outcome> write(
+            ServiceName service,
+            Executor executor,
+            Function<AssignmentTable, CompletableFuture<Optional<ServicePlan.Decision>>> decide) {
+        String name = ObjectNames.assignments(service);
+        return store.get(name)
+                .thenComposeAsync(
+                        found -> {
+                            AssignmentTable table = table(service, found);
+                            Revision revision =
+                                    found.map(StoredObject::revision).orElse(Revision.NONE);
+                            return decide.apply(table)
+                                    .thenComposeAsync(
+                                            decision -> decision.isEmpty()
+                                                    ? CompletableFuture.completedFuture(new Outcome(table, decision))
+                                                    : put(name, service, revision, decision.get()),
+                                            executor);
+                        },
+                        executor);
+    }
+
+    private static AssignmentTable table(ServiceName service, Optional<StoredObject> found) {
+        return found.map(o -> TableCodec.decode(o.value())).orElse(AssignmentTable.empty(service));
+    }
+
+    private CompletableFuture<Outcome> put(
+            String name, ServiceName service, Revision revision, ServicePlan.Decision decision) {
+        Outcome written = new Outcome(decision.table(), Optional.of(decision));
+        return store.put(name, TableCodec.encode(decision.table()), revision)
+                .handle((done, failure) -> {
+                    if (failure == null) {
+                        return CompletableFuture.completedFuture(written);
+                    }
+                    CrankException cause = CrankException.of(failure);
+                    if (cause.code() == ResultCode.REVISION_CONFLICT || cause.code() == ResultCode.WRITE_UNANSWERED) {
+                        return readBack(name, service, written);
+                    }
+                    return CompletableFuture.<Outcome>failedFuture(cause);
+                })
+                .thenCompose(outcome -> outcome);
+    }
+
+    /** A write that is still on its way cannot take effect after another write, because it names its revision. */
+    private CompletableFuture<Outcome> readBack(String name, ServiceName service, Outcome written) {
+        return store.get(name).thenApply(found -> {
+            AssignmentTable table = table(service, found);
+            return table.equals(written.table()) ? written : new Outcome(table, Optional.empty());
+        });
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/WorkingTable.java
@@ -0,0 +1,143 @@
+package org.coriandercrank.placement.internal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.placement.PlacedRange;
+import org.coriandercrank.kernel.placement.PlacementInput;
+import org.coriandercrank.kernel.table.AssignmentTable;
+import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.RangeAssignment;
+
+/**
+ * A table that a policy changes step by step.
+ *
+ * <p>Not thread safe. The slots are always sorted and cover the same hashes. Load and share of a member are those of
+ * its slots. While the service has no load, the share of hash space stands for it.
+ */
+final class WorkingTable {
+    static final String KEPT = "kept";
+
+    /**
+     * A range and its owner in the wanted table. Immutable.
+     *
+     * @param settled whether nobody else may still serve the range
+     */
+    record Slot(KeyRange range, MemberId owner, RangeLoads.Load load, boolean settled, String reason) {
+        boolean moved() {
+            return !reason.equals(KEPT);
+        }
+    }
+
+    private static final double IDLE_TOTAL_PER_SECOND = 1.0;
+
+    private final Map<MemberId, Double> weights;
+    private final List<Slot> slots = new ArrayList<>();
+    private final Map<MemberId, Double> loads = new HashMap<>();
+    private final Map<MemberId, Double> shares = new HashMap<>();
+    private double totalLoad;
+    private final double totalWeight;
+
+    WorkingTable(PlacementInput input) {
+        weights = ServerWeights.of(input);
+        totalWeight = weights.values().stream().mapToDouble(Double::doubleValue).sum();
+        AssignmentTable table = input.table();
+        List<RangeLoads.Load> reported = RangeLoads.of(table, input.loads());
+        double sum = reported.stream().mapToDouble(RangeLoads.Load::perSecond).sum();
+        for (int i = 0; i < reported.size(); i++) {
+            RangeAssignment a = table.assignments().get(i);
+            RangeLoads.Load load = sum >= IDLE_TOTAL_PER_SECOND
+                    ? reported.get(i)
+                    : new RangeLoads.Load(a.range().share(), List.of());
+            Slot slot = new Slot(a.range(), a.owner(), load, a.previousOwners().isEmpty(), KEPT);
+            slots.add(slot);
+            count(slot, 1);
+            totalLoad += load.perSecond();
+        }
+    }
+
+    Map<MemberId, Double> weights() {
+        return weights;
+    }
+
+    List<Slot> slots() {
+        return slots;
+    }
+
+    double load(MemberId member) {
+        return loads.getOrDefault(member, 0.0);
+    }
+
+    double share(MemberId member) {
+        return shares.getOrDefault(member, 0.0);
+    }
+
+    /** Load of a member if all had load in proportion to weight. */
+    double fairLoad(MemberId member) {
+        return totalLoad * weights.get(member) / totalWeight;
+    }
+
+    double fairShare(MemberId member) {
+        return weights.get(member) / totalWeight;
+    }
+
+    double totalLoad() {
+        return totalLoad;
+    }
+
+    /** Load over fair load. */
+    double ratio(MemberId member) {
+        return ratio(member, load(member));
+    }
+
+    double ratio(MemberId member, double load) {
+        double fair = fairLoad(member);
+        return fair <= 0 ? 0 : load / fair;
+    }
+
+    void assign(int index, MemberId owner, String reason) {
+        Slot old = slots.get(index);
+        count(old, -1);
+        Slot slot = new Slot(old.range(), owner, old.load(), false, reason);
+        slots.set(index, slot);
+        count(slot, 1);
+    }
+
+    /** Replaces a slot by parts of it with the same owner; returns the index of the first part. */
+    int split(int index, List<KeyRange> parts) {
+        Slot old = slots.remove(index);
+        int at = index;
+        for (KeyRange part : parts) {
+            slots.add(
+                    at++, new Slot(part, old.owner(), old.load().part(old.range(), part), old.settled(), old.reason()));
+        }
+        return index;
+    }
+
+    /** Joins a slot with the next one, which has the same owner. */
+    void joinWithNext(int index) {
+        Slot a = slots.get(index);
+        Slot b = slots.remove(index + 1);
+        slots.set(
+                index,
+                new Slot(
+                        KeyRanges.join(a.range(), b.range()),
+                        a.owner(),
+                        a.load().plus(b.load()),
+                        true,
+                        a.reason()));
+    }
+
+    List<PlacedRange> toPlaced() {
+        return slots.stream()
+                .map(s -> new PlacedRange(s.range(), s.owner(), s.reason()))
+                .toList();
+    }
+
+    private void count(Slot slot, int sign) {
+        loads.merge(slot.owner(), sign * slot.load().perSecond(), Double::sum);
+        shares.merge(slot.owner(), sign * slot.range().share(), Double::sum);
+    }
+}
