--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlOptions.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlOptions.java
@@ -53,6 +53,24 @@
         LeaseTiming.ofMs(ttlMs, heartbeatMs, marginPercent);
     }
 
+    /** These options with other times of the lease. */
+    public ControlOptions withLease(long newTtlMs, long newHeartbeatMs, int newMarginPercent) {
+        return new ControlOptions(
+                newTtlMs,
+                newHeartbeatMs,
+                newMarginPercent,
+                Math.min(tickMs, newHeartbeatMs),
+                takeoverRankDelayMs,
+                witnessLostMs,
+                witnessRetryMs,
+                rebalanceMs,
+                storeTimeoutMs,
+                listTimeoutMs,
+                watchWaitMs,
+                pushSpacingMs,
+                maxWitnessedMembers);
+    }
+
     public LeaseTiming leaseTiming() {
         return LeaseTiming.ofMs(ttlMs, heartbeatMs, marginPercent);
     }
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/AdminEndpoint.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/AdminEndpoint.java
@@ -43,7 +43,8 @@
 
     private HttpReply answer(HttpCall call) {
         return switch (call.method() + " " + call.path()) {
-            case "GET /v1/status" -> HttpReply.json(OK, JsonCodec.encode(source.get().status()));
+            case "GET /v1/status" ->
+                HttpReply.json(OK, JsonCodec.encode(source.get().status()));
             case "GET /live" -> HttpReply.text(OK, "live\n");
             case "GET /ready" -> ready(source.get().readiness());
             case "GET /metrics" -> HttpReply.text(OK, metrics.scrape());
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/LocalGate.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/LocalGate.java
@@ -52,8 +52,7 @@
     @Override
     public CompletableFuture<OutcomeAnswer> resolve(OutcomeQuery query) {
         return find().map(g -> g.resolve(query))
-                .orElseGet(() ->
-                        CompletableFuture.completedFuture(OutcomeAnswer.of(OutcomeAnswer.State.UNKNOWN)));
+                .orElseGet(() -> CompletableFuture.completedFuture(OutcomeAnswer.of(OutcomeAnswer.State.UNKNOWN)));
     }
 
     /** Creates the gate on the first call; later calls must be for the same service. */
--- a/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/PeerNetworkTest.java
+++ b/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/PeerNetworkTest.java
@@ -64,7 +64,7 @@
     }
 
     private PeerNetwork network(MemberId self, PeerHandlers handlers) {
-        return new PeerNetwork(group, ANY_PORT, self, handlers, PeerOptions.DEFAULTS, new SimpleMeterRegistry());
+        return new PeerNetwork(group, ANY_PORT, () -> self, handlers, PeerOptions.DEFAULTS, new SimpleMeterRegistry());
     }
 
     private CompletableFuture<RefusalAnswer> call(long number) {
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/PeerNetwork.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/PeerNetwork.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.EventLoopGroup;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.coriandercrank.kernel.id.HostAddress;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.message.Message;
@@ -21,11 +22,15 @@
     private final PeerListener listener;
     private final LinkTable links;
 
-    /** Listens at an address; port 0 takes a free port. Blocks until the port is bound. */
+    /**
+     * Listens at an address; port 0 takes a free port. Blocks until the port is bound.
+     *
+     * @param self member id of this daemon, read for each new connection
+     */
     public PeerNetwork(
             EventLoopGroup group,
             HostAddress listen,
-            MemberId self,
+            Supplier<MemberId> self,
             PeerHandlers handlers,
             PeerOptions options,
             MeterRegistry metrics) {
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/LinkSource.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/LinkSource.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.peer.internal;
 
+import java.util.function.Supplier;
 import org.coriandercrank.kernel.id.MemberId;
 
 /**
@@ -7,4 +8,4 @@
  *
  * @param ip the IP that the daemon listens on; its links come from it, so that the network can tell daemons apart
  */
-record LinkSource(MemberId member, String ip) {}
+record LinkSource(Supplier<MemberId> member, String ip) {}
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/LinkTable.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/LinkTable.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.peer.PeerTarget;
 import org.coriandercrank.peer.PeerOptions;
@@ -17,7 +18,8 @@
     private final TrafficMeter meter;
     private final Map<PeerTarget, PeerLink> links = new ConcurrentHashMap<>();
 
-    public LinkTable(EventLoopGroup group, MemberId self, String localIp, PeerOptions options, MeterRegistry metrics) {
+    public LinkTable(
+            EventLoopGroup group, Supplier<MemberId> self, String localIp, PeerOptions options, MeterRegistry metrics) {
         this.group = group;
         this.source = new LinkSource(self, localIp);
         this.options = options;
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
@@ -128,7 +128,8 @@
             fail(ResultCode.PEER_UNREACHABLE, String.valueOf(connecting.cause().getMessage()));
         } else {
             silentSinceNanos = System.nanoTime();
-            channel.writeAndFlush(new Frame(Frame.ONE_WAY, new Hello(source.member(), PROTOCOL_VERSION)));
+            channel.writeAndFlush(
+                    new Frame(Frame.ONE_WAY, new Hello(source.member().get(), PROTOCOL_VERSION)));
             check = loop.scheduleWithFixedDelay(
                     this::checkSilence, CHECK_PERIOD_MS, CHECK_PERIOD_MS, TimeUnit.MILLISECONDS);
         }
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerListener.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerListener.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.util.function.Supplier;
 import org.coriandercrank.kernel.id.HostAddress;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.peer.PeerHandlers;
@@ -22,7 +23,11 @@
     private final Channel listener;
 
     public PeerListener(
-            EventLoopGroup group, HostAddress listen, MemberId self, PeerHandlers handlers, MeterRegistry metrics) {
+            EventLoopGroup group,
+            HostAddress listen,
+            Supplier<MemberId> self,
+            PeerHandlers handlers,
+            MeterRegistry metrics) {
         TrafficMeter meter = new TrafficMeter(metrics);
         listener = new ServerBootstrap()
                 .group(group)
@@ -35,7 +40,7 @@
                         connections.add(channel);
                         channel.pipeline()
                                 .addLast(new FrameCodec(meter))
-                                .addLast(new InboundConnection(self, handlers));
+                                .addLast(new InboundConnection(self.get(), handlers));
                     }
                 })
                 .bind(listen.ip(), listen.port())
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/Planner.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/Planner.java
@@ -61,6 +61,7 @@
     private final PlannerOptions options;
     private final DutyThread duty = new DutyThread("planner", RING_CAPACITY);
     private final PlannerRole role;
+    private volatile boolean holdsRole;
     private final LoadCollector loads;
     private final TableWriter writer;
     private final MemberCleaner cleaner;
@@ -91,6 +92,11 @@
         meters = new PlacementMeters(context.meters());
     }
 
+    /** Whether this daemon held the planner role at its latest step. */
+    public boolean holdsRole() {
+        return holdsRole;
+    }
+
     /** Begins to compete for the role; called once, after the handlers of this daemon are registered. */
     public void start() {
         context.view().subscribe(snapshot -> {
@@ -124,6 +130,7 @@
         RoutingSnapshot snapshot = context.view().current();
         role.step(snapshot);
         meters.role(role.isHolder());
+        holdsRole = role.isHolder();
         if (!role.isHolder()) {
             tracks.clear();
             loads.clear();
