Add crank-load and the history checker

Cause: figures and proofs need an open-loop load and a check of what callers were told against what servers executed. Change: Zipf keys with a changing hot set, schedule-based latency, repeats with idempotency keys, reports as text, JSON and SVG, checker of six kinds of violations.

--- /dev/null
+++ b/org.coriandercrank.load/src/main/java/org/coriandercrank/load/HistoryChecker.java
@@ -0,0 +1,90 @@
+package org.coriandercrank.load;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.coriandercrank.kernel.code.Outcome;
+import org.coriandercrank.load.Violation.Kind;
+
+/**
+ * Compares what callers were told with what backend servers executed. Stateless.
+ *
+ * <p>The ledgers must be complete. Ownership checks hold for servers that check fences and validity.
+ */
+public final class HistoryChecker {
+    private HistoryChecker() {}
+
+    public static List<Violation> check(List<CallRecord> calls, List<Execution> executions) {
+        List<Violation> violations = new ArrayList<>();
+        checkAnswers(calls, executions, violations);
+        checkRepetition(calls, executions, violations);
+        executions.stream()
+                .filter(e -> !e.key().isEmpty())
+                .collect(Collectors.groupingBy(Execution::key))
+                .values()
+                .forEach(ofKey -> checkOwnership(ofKey, violations));
+        return violations;
+    }
+
+    private static void checkAnswers(List<CallRecord> calls, List<Execution> executions, List<Violation> violations) {
+        Set<String> executed =
+                executions.stream().map(Execution::callerRequestId).collect(Collectors.toSet());
+        Map<Long, Boolean> operationExecuted = new HashMap<>();
+        for (CallRecord call : calls) {
+            operationExecuted.merge(call.operation(), executed.contains(call.requestId()), Boolean::logicalOr);
+        }
+        for (CallRecord call : calls) {
+            Outcome outcome = call.outcome().orElse(Outcome.UNKNOWN);
+            if (call.foreignAnswer()) {
+                violations.add(new Violation(Kind.FOREIGN_ANSWER, call.toString()));
+            }
+            if (outcome == Outcome.NOT_RUN && executed.contains(call.requestId())) {
+                violations.add(new Violation(Kind.NOT_RUN_BUT_EXECUTED, call.toString()));
+            }
+            if (outcome == Outcome.RUN && !operationExecuted.get(call.operation())) {
+                violations.add(new Violation(Kind.RUN_BUT_NOT_EXECUTED, call.toString()));
+            }
+        }
+    }
+
+    private static void checkRepetition(
+            List<CallRecord> calls, List<Execution> executions, List<Violation> violations) {
+        Map<String, Long> operations = new HashMap<>();
+        for (CallRecord call : calls) {
+            if (!call.repeatable()) {
+                operations.put(call.requestId(), call.operation());
+            }
+        }
+        Set<Long> seen = new HashSet<>();
+        for (Execution execution : executions) {
+            Long operation = operations.get(execution.callerRequestId());
+            if (operation != null && !seen.add(operation)) {
+                violations.add(new Violation(Kind.EXECUTED_TWICE, execution.toString()));
+            }
+        }
+    }
+
+    private static void checkOwnership(List<Execution> ofKey, List<Violation> violations) {
+        List<Execution> ordered = new ArrayList<>(ofKey);
+        ordered.sort(Comparator.comparingLong(Execution::endNanos));
+        long highestFence = 0;
+        Map<String, Long> latestEndNanos = new HashMap<>();
+        for (Execution execution : ordered) {
+            if (execution.fence() < highestFence) {
+                violations.add(new Violation(Kind.FENCE_WENT_BACK, execution + " after fence " + highestFence));
+            }
+            highestFence = Math.max(highestFence, execution.fence());
+            latestEndNanos.forEach((server, endNanos) -> {
+                if (!server.equals(execution.server()) && execution.startNanos() < endNanos) {
+                    violations.add(new Violation(Kind.TWO_OWNERS, execution + " overlaps " + server));
+                }
+            });
+            latestEndNanos.put(execution.server(), execution.endNanos());
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.load/src/main/java/org/coriandercrank/load/LoadReport.java
@@ -0,0 +1,159 @@
+package org.coriandercrank.load;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.HdrHistogram.Histogram;
+import org.coriandercrank.kernel.code.ResultCode;
+
+/**
+ * Figures of one run. Immutable.
+ *
+ * @param outcomes number of calls by what they said, {@code no-answer} included
+ * @param unavailableKeySeconds sum over keys of the time between a failed call and the next success of that key
+ * @param longestGapMs longest such time of one key
+ * @param imbalance mean over seconds of the busiest server's executions over the mean of all servers; 0 without ledgers
+ * @param perSecond time series for the plot
+ */
+public record LoadReport(
+        long calls,
+        long succeeded,
+        double goodputPerSecond,
+        double latencyP50Ms,
+        double latencyP99Ms,
+        double latencyMaxMs,
+        Map<String, Long> outcomes,
+        Map<String, Long> resultCodes,
+        double unavailableKeySeconds,
+        double longestGapMs,
+        double imbalance,
+        List<Second> perSecond,
+        List<Violation> violations) {
+    private static final long MAX_LATENCY_US = TimeUnit.MINUTES.toMicros(2);
+    private static final double NANOS_PER_MS = 1e6;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    /** One second of a run. Immutable. */
+    public record Second(long second, long succeeded, long failed, double imbalance) {}
+
+    public LoadReport {
+        perSecond = List.copyOf(perSecond);
+        violations = List.copyOf(violations);
+    }
+
+    /** Figures of a run that started at a monotonic time. */
+    public static LoadReport of(long startedNanos, List<CallRecord> calls, List<Execution> executions) {
+        Histogram latencyUs = new Histogram(MAX_LATENCY_US, 3);
+        Map<String, Long> outcomes = new TreeMap<>();
+        Map<String, Long> codes = new TreeMap<>();
+        long succeeded = 0;
+        long lastNanos = startedNanos + 1;
+        for (CallRecord call : calls) {
+            long us = TimeUnit.NANOSECONDS.toMicros(call.endedNanos() - call.intendedNanos());
+            latencyUs.recordValue(Math.min(Math.max(us, 0), MAX_LATENCY_US));
+            outcomes.merge(call.outcome().map(o -> o.headerValue()).orElse("no-answer"), 1L, Long::sum);
+            codes.merge(codeName(call.resultCode()), 1L, Long::sum);
+            succeeded += call.succeeded() ? 1 : 0;
+            lastNanos = Math.max(lastNanos, call.endedNanos());
+        }
+        List<Long> gapsNanos = gaps(calls);
+        List<Second> seconds = seconds(startedNanos, calls, executions);
+        return new LoadReport(
+                calls.size(),
+                succeeded,
+                succeeded / ((lastNanos - startedNanos) / NANOS_PER_SECOND),
+                latencyUs.getValueAtPercentile(50) / 1e3,
+                latencyUs.getValueAtPercentile(99) / 1e3,
+                latencyUs.getMaxValue() / 1e3,
+                outcomes,
+                codes,
+                gapsNanos.stream().mapToLong(Long::longValue).sum() / NANOS_PER_SECOND,
+                gapsNanos.stream().mapToLong(Long::longValue).max().orElse(0) / NANOS_PER_MS,
+                seconds.stream()
+                        .mapToDouble(Second::imbalance)
+                        .filter(v -> v > 0)
+                        .average()
+                        .orElse(0),
+                seconds,
+                HistoryChecker.check(calls, executions));
+    }
+
+    private static String codeName(int number) {
+        return ResultCode.ofNumber(number).map(ResultCode::name).orElse("NO_ANSWER");
+    }
+
+    private static List<Long> gaps(List<CallRecord> calls) {
+        List<Long> gaps = new ArrayList<>();
+        calls.stream()
+                .filter(call -> !call.key().isEmpty())
+                .collect(Collectors.groupingBy(CallRecord::key))
+                .values()
+                .forEach(ofKey -> addGaps(ofKey, gaps));
+        return gaps;
+    }
+
+    private static void addGaps(List<CallRecord> ofKey, List<Long> gaps) {
+        List<CallRecord> ordered = new ArrayList<>(ofKey);
+        ordered.sort(Comparator.comparingLong(CallRecord::endedNanos));
+        long failingSinceNanos = 0;
+        for (CallRecord call : ordered) {
+            if (!call.succeeded() && failingSinceNanos == 0) {
+                failingSinceNanos = call.intendedNanos();
+            } else if (call.succeeded() && failingSinceNanos != 0) {
+                gaps.add(call.endedNanos() - failingSinceNanos);
+                failingSinceNanos = 0;
+            }
+        }
+        if (failingSinceNanos != 0) {
+            gaps.add(ordered.get(ordered.size() - 1).endedNanos() - failingSinceNanos);
+        }
+    }
+
+    private static List<Second> seconds(long startedNanos, List<CallRecord> calls, List<Execution> executions) {
+        Map<Long, long[]> counts = new TreeMap<>();
+        for (CallRecord call : calls) {
+            long second = (call.intendedNanos() - startedNanos) / (long) NANOS_PER_SECOND;
+            counts.computeIfAbsent(second, s -> new long[2])[call.succeeded() ? 0 : 1]++;
+        }
+        Map<Long, Map<String, Long>> perServer = new HashMap<>();
+        long servers = executions.stream().map(Execution::server).distinct().count();
+        for (Execution execution : executions) {
+            long second = Math.floorDiv(execution.endNanos() - startedNanos, (long) NANOS_PER_SECOND);
+            perServer.computeIfAbsent(second, s -> new HashMap<>()).merge(execution.server(), 1L, Long::sum);
+        }
+        List<Second> seconds = new ArrayList<>();
+        counts.forEach((second, count) ->
+                seconds.add(new Second(second, count[0], count[1], imbalance(perServer.get(second), servers))));
+        return seconds;
+    }
+
+    private static double imbalance(Map<String, Long> executions, long servers) {
+        if (executions == null || executions.isEmpty()) {
+            return 0;
+        }
+        long sum = executions.values().stream().mapToLong(Long::longValue).sum();
+        long max = executions.values().stream().mapToLong(Long::longValue).max().orElse(0);
+        return max * servers / (double) sum;
+    }
+
+    /** A short text for people. */
+    public List<String> lines() {
+        List<String> lines = new ArrayList<>();
+        lines.add(String.format("calls %d, succeeded %d, goodput %.1f/s", calls, succeeded, goodputPerSecond));
+        lines.add(String.format(
+                "latency from the schedule: p50 %.3f ms, p99 %.3f ms, max %.1f ms",
+                latencyP50Ms, latencyP99Ms, latencyMaxMs));
+        lines.add("outcomes " + outcomes + ", result codes " + resultCodes);
+        lines.add(String.format(
+                "unavailable %.3f key-seconds, longest gap of a key %.0f ms, imbalance %.3f",
+                unavailableKeySeconds, longestGapMs, imbalance));
+        lines.add("violations " + violations.size());
+        violations.stream().limit(5).forEach(v -> lines.add("  " + v.kind() + " " + v.detail()));
+        return lines;
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.load/src/main/java/org/coriandercrank/load/internal/LoadSettings.java
@@ -0,0 +1,143 @@
+package org.coriandercrank.load.internal;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.settings.Faults;
+import org.coriandercrank.kernel.settings.Settings;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.spi.ExplicitBooleanOptionHandler;
+
+/** Settings of {@code crank-load}. Not thread safe; read-only after loading. */
+public final class LoadSettings implements Settings {
+    private static final long MAX_DURATION_MS = 3_600_000;
+
+    @Option(name = "--targets", metaVar = "IP:PORT,...", usage = "callers' addresses of daemons")
+    private String targets;
+
+    @Option(name = "--service", metaVar = "NAME", usage = "name of the service")
+    private String service = "counter-desk";
+
+    @Option(name = "--keyed", usage = "whether requests carry a key", handler = ExplicitBooleanOptionHandler.class)
+    private boolean keyed = true;
+
+    @Option(
+            name = "--direct",
+            usage = "whether targets are backend servers that check nothing",
+            handler = ExplicitBooleanOptionHandler.class)
+    private boolean direct;
+
+    @Option(name = "--rate", metaVar = "N", usage = "operations per second")
+    private int ratePerSecond = 500;
+
+    @Option(name = "--duration-ms", metaVar = "MS", usage = "length of the schedule")
+    private long durationMs = 10_000;
+
+    @Option(name = "--warmup-ms", metaVar = "MS", usage = "length of a run before it that is not reported")
+    private long warmupMs = 0;
+
+    @Option(name = "--keys", metaVar = "N", usage = "number of keys")
+    private int keys = 10_000;
+
+    @Option(name = "--zipf", metaVar = "X", usage = "exponent of the Zipf distribution of keys")
+    private double zipfExponent = 1.0;
+
+    @Option(name = "--hot-keys", metaVar = "N", usage = "size of the hot set that changes")
+    private int hotKeys = 26;
+
+    @Option(name = "--hot-change-ms", metaVar = "MS", usage = "time after which the hot set changes")
+    private long hotChangeMs = 60_000;
+
+    @Option(name = "--write-percent", metaVar = "PERCENT", usage = "share of PUT requests")
+    private int writePercent = 20;
+
+    @Option(name = "--body-bytes", metaVar = "N", usage = "additional bytes of the value of a PUT request")
+    private int bodyBytes = 0;
+
+    @Option(name = "--deadline-ms", metaVar = "MS", usage = "deadline of requests")
+    private long deadlineMs = 2_000;
+
+    @Option(name = "--max-repeats", metaVar = "N", usage = "further attempts of an operation without success")
+    private int maxRepeats = 0;
+
+    @Option(name = "--seed", metaVar = "N", usage = "seed of keys and arrivals")
+    private long seed = 1;
+
+    @Option(name = "--ledgers", metaVar = "PATH,...", usage = "ledger files of the backend servers")
+    private String ledgers = "";
+
+    @Option(name = "--report", metaVar = "PATH", usage = "start of the names of the report files; empty: none")
+    private String report = "";
+
+    private final List<HostAddress> parsedTargets = new ArrayList<>();
+
+    @Override
+    public void check(Faults faults) {
+        if (targets == null || targets.isEmpty()) {
+            faults.add("--targets", "is required");
+        } else {
+            for (String target : targets.split(",")) {
+                parsedTargets.add(faults.parse("--targets", target, HostAddress::parse));
+            }
+        }
+        faults.requireRange("--rate", ratePerSecond, 1, 1_000_000);
+        faults.requireRange("--duration-ms", durationMs, 1, MAX_DURATION_MS);
+        faults.requireRange("--warmup-ms", warmupMs, 0, MAX_DURATION_MS);
+        faults.requireRange("--keys", keys, 1, 10_000_000);
+        faults.requireRange("--hot-keys", hotKeys, 0, keys);
+        faults.requireRange("--hot-change-ms", hotChangeMs, 1, MAX_DURATION_MS);
+        faults.requireRange("--write-percent", writePercent, 0, 100);
+        faults.requireRange("--body-bytes", bodyBytes, 0, 1_048_576);
+        faults.requireRange("--deadline-ms", deadlineMs, 1, 600_000);
+        faults.requireRange("--max-repeats", maxRepeats, 0, 100);
+        if (zipfExponent < 0 || zipfExponent > 3) {
+            faults.add("--zipf", "must be between 0 and 3");
+        }
+    }
+
+    public List<HostAddress> targets() {
+        return parsedTargets;
+    }
+
+    public boolean direct() {
+        return direct;
+    }
+
+    public LoadPlan plan() {
+        return plan(durationMs, seed);
+    }
+
+    /** The run before the measured one, if there is one. */
+    public Optional<LoadPlan> warmupPlan() {
+        return warmupMs == 0 ? Optional.empty() : Optional.of(plan(warmupMs, seed + 1_000_003));
+    }
+
+    private LoadPlan plan(long planDurationMs, long planSeed) {
+        return new LoadPlan(
+                service,
+                keyed,
+                ratePerSecond,
+                planDurationMs,
+                keys,
+                zipfExponent,
+                hotKeys,
+                hotChangeMs,
+                writePercent,
+                bodyBytes,
+                deadlineMs,
+                maxRepeats,
+                planSeed);
+    }
+
+    public List<Path> ledgers() {
+        return ledgers.isEmpty()
+                ? List.of()
+                : List.of(ledgers.split(",")).stream().map(Path::of).toList();
+    }
+
+    public String report() {
+        return report;
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.load/src/main/java/org/coriandercrank/load/internal/Plot.java
@@ -0,0 +1,60 @@
+package org.coriandercrank.load.internal;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToDoubleFunction;
+import org.coriandercrank.load.LoadReport.Second;
+
+/** A plot of a run over time as SVG: successes, failures and imbalance per second. Stateless. */
+final class Plot {
+    private static final int WIDTH = 800;
+    private static final int PANEL_HEIGHT = 140;
+    private static final int MARGIN = 40;
+
+    private Plot() {}
+
+    static String svg(List<Second> seconds) {
+        StringBuilder out = new StringBuilder(String.format(
+                Locale.ROOT,
+                "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%d\" height=\"%d\" font-family=\"sans-serif\""
+                        + " font-size=\"12\">%n",
+                WIDTH,
+                3 * PANEL_HEIGHT));
+        panel(out, 0, "succeeded per second", "#2a7", seconds, Second::succeeded);
+        panel(out, 1, "failed per second", "#c33", seconds, Second::failed);
+        panel(out, 2, "imbalance (max/mean)", "#36c", seconds, Second::imbalance);
+        return out.append("</svg>\n").toString();
+    }
+
+    private static void panel(
+            StringBuilder out,
+            int index,
+            String title,
+            String colour,
+            List<Second> seconds,
+            ToDoubleFunction<Second> value) {
+        double max = Math.max(1, seconds.stream().mapToDouble(value).max().orElse(1));
+        int bottom = (index + 1) * PANEL_HEIGHT - 15;
+        double height = PANEL_HEIGHT - MARGIN;
+        double step = (WIDTH - 2.0 * MARGIN) / Math.max(1, seconds.size() - 1);
+        StringBuilder points = new StringBuilder();
+        for (int i = 0; i < seconds.size(); i++) {
+            double y = bottom - value.applyAsDouble(seconds.get(i)) / max * height;
+            points.append(String.format(Locale.ROOT, "%.1f,%.1f ", MARGIN + i * step, y));
+        }
+        out.append(String.format(
+                Locale.ROOT,
+                "<text x=\"%d\" y=\"%d\">%s, top %.2f</text>%n<line x1=\"%d\" y1=\"%d\" x2=\"%d\" y2=\"%d\""
+                        + " stroke=\"#999\"/>%n<polyline fill=\"none\" stroke=\"%s\" points=\"%s\"/>%n",
+                MARGIN,
+                bottom - (int) height - 5,
+                title,
+                max,
+                MARGIN,
+                bottom,
+                WIDTH - MARGIN,
+                bottom,
+                colour,
+                points));
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.load/src/main/java/org/coriandercrank/load/internal/ReportFiles.java
@@ -0,0 +1,19 @@
+package org.coriandercrank.load.internal;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.load.LoadReport;
+
+/** Writes a report as text, JSON and SVG. Stateless. */
+public final class ReportFiles {
+    private ReportFiles() {}
+
+    /** Writes {@code <start>.txt}, {@code <start>.json} and {@code <start>.svg}. */
+    public static void write(String start, LoadReport report) throws IOException {
+        Files.write(Path.of(start + ".txt"), report.lines());
+        Files.write(Path.of(start + ".json"), JsonCodec.encode(report));
+        Files.writeString(Path.of(start + ".svg"), Plot.svg(report.perSecond()));
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.load/src/main/java/org/coriandercrank/load/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Workload, open-loop driver and reports. */
+package org.coriandercrank.load.internal;
