--- a/org.coriandercrank.load/src/main/java/org/coriandercrank/load/internal/LoadDriver.java
+++ b/org.coriandercrank.load/src/main/java/org/coriandercrank/load/internal/LoadDriver.java
@@ -219,8 +219,7 @@
         headers.add(new Header("crank-request-id", attempt.requestId()));
         headers.add(new Header("crank-deadline-ms", Long.toString(plan.deadlineMs())));
         if (!"GET".equals(attempt.method())) {
-            headers.add(new Header(
-                    "idempotency-key", "op-" + attempt.value().split("=", 2)[1].split("x", 2)[0]));
+            headers.add(new Header("idempotency-key", attempt.idempotencyKey()));
             headers.add(new Header("crank-key-age-ms", Long.toString(attempt.ageMs())));
         }
         String path = "/v1/" + plan.service() + (plan.keyed() ? "/" + attempt.key() : "");
--- /dev/null
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/OwnerLossTest.java
@@ -0,0 +1,75 @@
+package org.coriandercrank.system;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.load.LoadReport;
+import org.coriandercrank.testkit.SiteHost;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Guards against keys that stay unserved, or are executed by two servers, after the loss of their owner. */
+class OwnerLossTest {
+    private static final double SERVED_AGAIN_LIMIT_MS = 5_000;
+    private static final long FREEZE_MS = 30_000;
+    private static final long SETTLE_MS = 3_000;
+
+    /** What happens to the first hosts; the last two hosts take the callers' requests. */
+    enum Loss {
+        DAEMON_KILLED {
+            @Override
+            void strike(TestSite site) {
+                site.host(0).daemon().kill();
+            }
+        },
+        HOST_KILLED {
+            @Override
+            void strike(TestSite site) {
+                site.host(0).kill();
+            }
+        },
+        FAILURE_DOMAIN_KILLED {
+            @Override
+            void strike(TestSite site) {
+                site.host(0).kill();
+                site.host(1).kill();
+            }
+        },
+        HOST_FROZEN_AND_BACK {
+            @Override
+            void strike(TestSite site) {
+                SiteHost host = site.host(0);
+                host.freeze();
+                TestSite.sleep(FREEZE_MS);
+                host.resume();
+                TestSite.sleep(SETTLE_MS);
+            }
+        };
+
+        abstract void strike(TestSite site);
+    }
+
+    @TempDir
+    Path directory;
+
+    @ParameterizedTest
+    @EnumSource
+    void keysAreServedAgainAndNeverByTwo(Loss loss) {
+        try (TestSite site = TestSite.start(directory, "r1/a", "r1/a", "r1/b", "r1/b", "r1/b")) {
+            List<HostAddress> survivors =
+                    List.of(site.host(3).callerAddress(), site.host(4).callerAddress());
+            long durationMs = loss == Loss.HOST_FROZEN_AND_BACK ? FREEZE_MS + 2 * SETTLE_MS : 10_000;
+            Traffic traffic = Traffic.start(site, survivors, durationMs, 40);
+            TestSite.sleep(2_000);
+            loss.strike(site);
+            LoadReport report = traffic.finish();
+
+            report.lines().forEach(line -> System.out.println(loss + ": " + line));
+            assertThat(report.violations()).isEmpty();
+            assertThat(report.longestGapMs()).isLessThanOrEqualTo(SERVED_AGAIN_LIMIT_MS);
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/PartitionTest.java
@@ -0,0 +1,76 @@
+package org.coriandercrank.system;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.coriandercrank.kernel.status.DaemonStatus;
+import org.coriandercrank.load.LoadReport;
+import org.coriandercrank.testkit.SiteHost;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against partitions that stop owners of a whole region or make two servers execute a key. */
+class PartitionTest {
+    private static final double SERVED_AGAIN_LIMIT_MS = 5_000;
+
+    @TempDir
+    Path directory;
+
+    @Test
+    void cutBetweenRegionsStopsNoOwner() {
+        try (TestSite site = TestSite.start(directory, "r1/a", "r1/a", "r1/b", "r2/c", "r2/c", "r2/d")) {
+            Traffic traffic = Traffic.start(site, site.callerAddresses(), 12_000, 0);
+            TestSite.sleep(1_000);
+            List<SiteHost> near = site.hosts().subList(0, 3);
+            List<SiteHost> far = site.hosts().subList(3, 6);
+            near.forEach(one -> far.forEach(other -> site.site().partition(one, other)));
+            far.forEach(host -> host.storeProxy().blockBoth());
+            TestSite.sleep(6_000);
+
+            for (SiteHost host : site.hosts()) {
+                DaemonStatus status = site.status(host);
+                assertThat(status.leaseRemainingMs()).as(host.spec().name()).isPositive();
+                assertThat(status.serving()).as(host.spec().name()).isNotEmpty();
+            }
+            site.site().heal();
+            LoadReport report = traffic.finish();
+            report.lines().forEach(line -> System.out.println("region cut: " + line));
+            assertThat(report.violations()).isEmpty();
+        }
+    }
+
+    @Test
+    void isolatedOwnerIsReplacedAndNeverExecutesBesideItsSuccessor() {
+        try (TestSite site = TestSite.start(directory, "r1/a", "r1/a", "r1/b", "r1/b")) {
+            SiteHost isolated = site.host(0);
+            Traffic traffic = Traffic.start(site, site.callerAddresses().subList(1, 4), 15_000, 40);
+            TestSite.sleep(1_000);
+            site.hosts().subList(1, 4).forEach(other -> site.site().partition(isolated, other));
+            isolated.storeProxy().blockBoth();
+            TestSite.sleep(8_000);
+            site.site().heal();
+            LoadReport report = traffic.finish();
+
+            report.lines().forEach(line -> System.out.println("isolated owner: " + line));
+            assertThat(report.violations()).isEmpty();
+            assertThat(report.longestGapMs()).isLessThanOrEqualTo(SERVED_AGAIN_LIMIT_MS);
+        }
+    }
+
+    @Test
+    void silentConnectionsDelayCallsByAtMostTheDetectionTime() {
+        try (TestSite site = TestSite.start(directory, "r1/a", "r1/a", "r1/b")) {
+            Traffic traffic = Traffic.start(site, site.callerAddresses(), 10_000, 0);
+            for (int i = 0; i < 3; i++) {
+                TestSite.sleep(2_000);
+                site.hosts().forEach(host -> host.peerProxy().silenceOpenConnections());
+            }
+            LoadReport report = traffic.finish();
+
+            report.lines().forEach(line -> System.out.println("silent connections: " + line));
+            assertThat(report.violations()).isEmpty();
+            assertThat(report.outcomes()).doesNotContainKeys("no-answer");
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/PlannedStopTest.java
@@ -0,0 +1,62 @@
+package org.coriandercrank.system;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.coriandercrank.load.Execution;
+import org.coriandercrank.load.LedgerReader;
+import org.coriandercrank.load.LoadReport;
+import org.coriandercrank.testkit.SiteHost;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against planned stops that cut off requests, and leaving servers that still get new work. */
+class PlannedStopTest {
+    private static final long NO_NEW_WORK_LIMIT_MS = 3_000;
+
+    @TempDir
+    Path directory;
+
+    @Test
+    void plannedStopOfADaemonFailsNoRequest() {
+        try (TestSite site = TestSite.start(directory, "r1/a", "r1/a", "r1/b", "r1/b")) {
+            Traffic traffic = Traffic.start(site, site.callerAddresses().subList(1, 4), 10_000, 0);
+            TestSite.sleep(2_000);
+            site.host(0).daemon().stop();
+            LoadReport report = traffic.finish();
+
+            report.lines().forEach(line -> System.out.println("planned stop: " + line));
+            assertThat(report.violations()).isEmpty();
+            assertThat(report.succeeded()).isEqualTo(report.calls());
+        }
+    }
+
+    @Test
+    void drainedServerGetsNoNewWorkAndNoRequestFails() {
+        try (TestSite site = TestSite.start(directory, "r1/a", "r1/a", "r1/b", "r1/b")) {
+            SiteHost leaving = site.host(1);
+            Traffic traffic = Traffic.start(site, site.callerAddresses(), 12_000, 0);
+            TestSite.sleep(2_000);
+            long noteNanos = System.nanoTime();
+            site.submit("{\"id\":\"drain\",\"basedOn\":" + currentRevision(site)
+                    + ",\"add\":{\"backends\":[{\"backendName\":\""
+                    + leaving.spec().name()
+                    + "\",\"drain\":true}]}}");
+            LoadReport report = traffic.finish();
+
+            report.lines().forEach(line -> System.out.println("drain: " + line));
+            List<Execution> late = LedgerReader.read(List.of(leaving.ledgerFile())).stream()
+                    .filter(e -> e.startNanos() - noteNanos > TimeUnit.MILLISECONDS.toNanos(NO_NEW_WORK_LIMIT_MS))
+                    .toList();
+            assertThat(late).isEmpty();
+            assertThat(report.violations()).isEmpty();
+            assertThat(report.succeeded()).isEqualTo(report.calls());
+        }
+    }
+
+    private static long currentRevision(TestSite site) {
+        return site.status(site.host(0)).configurationRevision().value();
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/TestSite.java
@@ -0,0 +1,180 @@
+package org.coriandercrank.system;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.coriandercrank.ctl.CrankCtl;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.status.DaemonStatus;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.testkit.HostSpec;
+import org.coriandercrank.testkit.Site;
+import org.coriandercrank.testkit.SiteHost;
+
+/** A site of real processes with the calls that tests make. Not thread safe. */
+final class TestSite implements AutoCloseable {
+    static final String SERVICE = "counter-desk";
+
+    private static final long START_LIMIT_MS = 30_000;
+    private static final long POLL_MS = 50;
+
+    private final Path directory;
+    private final Site site;
+    private final HttpClient http =
+            HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
+
+    private TestSite(Path directory, List<HostSpec> specs) {
+        this.directory = directory;
+        this.site = new Site(directory, specs);
+    }
+
+    /**
+     * Starts hosts of one keyed service and waits until every host serves ranges.
+     *
+     * @param places region and failure domain of each host, as {@code region/domain}
+     */
+    static TestSite start(Path directory, String... places) {
+        List<HostSpec> specs = new ArrayList<>();
+        for (String place : places) {
+            String[] parts = place.split("/", 2);
+            specs.add(new HostSpec("desk-" + (specs.size() + 1), parts[0], parts[1], SERVICE));
+        }
+        TestSite started = new TestSite(directory, specs);
+        started.site.startAll(List.of(), List.of("--service-ms", "2"));
+        started.waitUntil("all daemons answer", () -> started.hosts().stream().allMatch(started::answers));
+        started.submit("{\"id\":\"first\",\"basedOn\":0,\"add\":{\"services\":[{\"name\":\"" + SERVICE
+                + "\",\"keyed\":true,\"placementPolicy\":\"static\"}]}}");
+        started.waitUntil(
+                "all hosts serve ranges",
+                () -> started.hosts().stream()
+                        .noneMatch(h -> started.status(h).serving().isEmpty()));
+        return started;
+    }
+
+    Site site() {
+        return site;
+    }
+
+    List<SiteHost> hosts() {
+        return site.hosts();
+    }
+
+    SiteHost host(int index) {
+        return site.host(index);
+    }
+
+    List<HostAddress> callerAddresses() {
+        return hosts().stream().map(SiteHost::callerAddress).toList();
+    }
+
+    List<Path> ledgers() {
+        return hosts().stream().map(SiteHost::ledgerFile).toList();
+    }
+
+    DaemonStatus status(SiteHost host) {
+        return JsonCodec.decode(
+                call("GET", host.adminAddress(), "/v1/status", "").body(), DaemonStatus.class);
+    }
+
+    boolean answers(SiteHost host) {
+        try {
+            return status(host).backendName().isPresent();
+        } catch (UncheckedIOException e) {
+            return false;
+        }
+    }
+
+    /** Calls an address; header values may be given as {@code name: value}. */
+    HttpResponse<byte[]> call(String method, HostAddress address, String path, String body, String... headers) {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + address + path))
+                .timeout(Duration.ofSeconds(20))
+                .method(method, HttpRequest.BodyPublishers.ofString(body));
+        for (String header : headers) {
+            String[] parts = header.split(": ", 2);
+            request.header(parts[0], parts[1]);
+        }
+        try {
+            return http.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Adds a fault to the store, as its protocol page describes. */
+    void storeFault(String json) {
+        call("POST", site.storeAddress(), "/admin/faults", json);
+    }
+
+    /** Submits a release note and requires that it is accepted and in force. */
+    void submit(String note) {
+        CtlRun run = ctlWithFile(note, "note", "submit");
+        if (run.exitCode() != 0) {
+            throw new AssertionError("note refused: " + run.output());
+        }
+    }
+
+    /** Runs {@code crankctl} in this process. */
+    CtlRun ctl(String... words) {
+        List<String> arguments = new ArrayList<>(List.of(words));
+        arguments.add("--store=" + site.storeAddress());
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        PrintStream print = new PrintStream(out, true, StandardCharsets.UTF_8);
+        int exitCode = CrankCtl.run(arguments, Map.of(), print, print);
+        return new CtlRun(exitCode, out.toString(StandardCharsets.UTF_8));
+    }
+
+    CtlRun ctlWithFile(String text, String... words) {
+        try {
+            Path file = Files.createTempFile(directory, "note", ".json");
+            Files.writeString(file, text);
+            List<String> arguments = new ArrayList<>(List.of(words));
+            arguments.add("--file=" + file);
+            return ctl(arguments.toArray(new String[0]));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** What {@code crankctl} printed and returned. Immutable. */
+    record CtlRun(int exitCode, String output) {}
+
+    void waitUntil(String what, BooleanSupplier condition) {
+        long deadlineNanos = System.nanoTime() + START_LIMIT_MS * 1_000_000;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - deadlineNanos > 0) {
+                throw new AssertionError("not in " + START_LIMIT_MS + " ms: " + what + "; see " + directory);
+            }
+            sleep(POLL_MS);
+        }
+    }
+
+    static void sleep(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        site.close();
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/Traffic.java
@@ -0,0 +1,70 @@
+package org.coriandercrank.system;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.load.CallRecord;
+import org.coriandercrank.load.LedgerReader;
+import org.coriandercrank.load.LoadReport;
+import org.coriandercrank.load.internal.LoadDriver;
+import org.coriandercrank.load.internal.LoadPlan;
+
+/** Callers' traffic in the background of a fault. Not thread safe. */
+final class Traffic {
+    static final int KEYS = 60;
+
+    private static final int RATE_PER_SECOND = 300;
+    private static final long LIMIT_SECONDS = 180;
+
+    private final TestSite site;
+    private final LoadDriver driver;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final CompletableFuture<List<CallRecord>> calls;
+
+    private Traffic(TestSite site, List<HostAddress> targets, LoadPlan plan) {
+        this.site = site;
+        this.driver = new LoadDriver(group, targets, plan, LoadDriver::routed);
+        this.calls = CompletableFuture.supplyAsync(driver::run);
+    }
+
+    /** Starts traffic on evenly used keys, half of it writes; failed operations are repeated. */
+    static Traffic start(TestSite site, List<HostAddress> targets, long durationMs, int maxRepeats) {
+        LoadPlan plan = new LoadPlan(
+                TestSite.SERVICE,
+                true,
+                RATE_PER_SECOND,
+                durationMs,
+                KEYS,
+                0,
+                0,
+                durationMs,
+                50,
+                0,
+                1_000,
+                maxRepeats,
+                7);
+        return new Traffic(site, targets, plan);
+    }
+
+    /** Waits for the end of the schedule and of all repeats. */
+    LoadReport finish() {
+        try {
+            List<CallRecord> records = calls.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+            return LoadReport.of(driver.startedNanos(), records, LedgerReader.read(site.ledgers()));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new AssertionError("traffic did not finish", e);
+        } finally {
+            driver.close();
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+}
