State from when the validity of a grant counts

Cause: a frozen server finds old grants in its receive buffer when it returns. Change: doc comment only; the HTTP protocol passes the time of sending. Conclusion: covered by HttpBackendServerTest.validityCountsFromSending.

--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/Grant.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/Grant.java
@@ -8,7 +8,8 @@
  * The complete set of ranges that a backend server may serve, replacing the set before it. Immutable.
  *
  * @param sequence grows with each grant to a server; the server rejects an older one
- * @param validityMs time from arrival after which the server must reject work unless granted again
+ * @param validityMs time after which the server must reject work unless granted again; counts from the sending of the
+ *     grant where the server can tell it, else from its arrival
  */
 public record Grant(long sequence, List<GrantedRange> ranges, long validityMs) {
     /** A range and its fence. Immutable. */
