Cover clock of grants, early cancels and cold start; reserve unreachable ports

Change: unreachable cases use a port that is bound but not listening, with the same expectation; the server under test takes more connections than announced. Tests for Crank-Sent-At, early cancellation and cold start; GET /admin/faults.

--- a/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/HttpBackendServerTest.java
+++ b/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/HttpBackendServerTest.java
@@ -5,6 +5,12 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -12,6 +18,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
@@ -50,12 +57,16 @@
     @TempDir
     Path directory;
 
+    /** Bound but not listening: connections to its port are refused, and no other process can take the port. */
+    private final Socket unreachable = new Socket();
+
     private CrankBackend program;
     private HttpClient admin;
     private BackendServer server;
 
     @AfterEach
-    void stop() {
+    void stop() throws Exception {
+        unreachable.close();
         server.close();
         program.close();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
@@ -66,10 +77,10 @@
         String capabilities = setup.capabilities().stream()
                 .map(capability -> capability.name().toLowerCase(Locale.ROOT))
                 .collect(Collectors.joining(","));
-        // One more connection than announced serves this test's admin calls.
+        // The server takes more connections than announced, so that an adapter that opens too many is seen.
         startProgram(
                 "--slots=" + setup.slots(),
-                "--max-connections=" + (setup.maxConnections() + 1),
+                "--max-connections=" + (setup.maxConnections() + 5),
                 "--service-ms=" + setup.serviceMs(),
                 "--capabilities=" + capabilities);
         BackendInfo info = program.info();
@@ -108,6 +119,9 @@
     void inject(BackendFault fault) throws Exception {
         if (fault == BackendFault.UNREACHABLE) {
             program.close();
+            unreachable.setReuseAddress(true);
+            unreachable.bind(new InetSocketAddress(
+                    InetAddress.getLoopbackAddress(), program.info().address().port()));
             // Until the client has seen its warm connections close, a call is rightly in doubt.
             Thread.sleep(100);
         } else if (fault != BackendFault.NONE) {
@@ -119,13 +133,12 @@
     @Override
     List<Long> executions(RequestId id) {
         try (var lines = Files.lines(directory.resolve("ledger"))) {
-            return lines.map(line ->
-                            JsonCodec.decode(line.getBytes(java.nio.charset.StandardCharsets.UTF_8), JsonNode.class))
+            return lines.map(line -> JsonCodec.decode(line.getBytes(StandardCharsets.UTF_8), JsonNode.class))
                     .filter(entry -> entry.path("requestId").asText().equals(id.value()))
                     .map(entry -> entry.path("fence").asLong())
                     .toList();
-        } catch (java.io.IOException e) {
-            throw new java.io.UncheckedIOException(e);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
         }
     }
 
@@ -213,7 +226,7 @@
     @Test
     void announcesItselfUntilAcceptedAndAgain() throws Exception {
         AtomicInteger announcements = new AtomicInteger();
-        List<BackendInfo> seen = new ArrayList<>();
+        List<BackendInfo> seen = new CopyOnWriteArrayList<>();
         try (HttpServer daemon = HttpServer.listen(group, ANY_PORT, HttpServerOptions.DEFAULTS, (call, closed) -> {
             seen.add(JsonCodec.decode(call.body(), BackendInfo.class));
             int status = announcements.incrementAndGet() == 1 ? 503 : 200;
@@ -226,6 +239,47 @@
         }
     }
 
+    /** Guards against an adapter that leaves the validity of a grant to count from its arrival. */
+    @Test
+    void grantStatesItsSendingOnTheServersClock() throws Exception {
+        startProgram();
+        List<HttpCall> calls = new CopyOnWriteArrayList<>();
+        HttpReply reply = new HttpReply(
+                200, List.of(new Header("crank-clock", "i:1000")), JsonCodec.encode(Map.of("sequence", 4)));
+        try (HttpServer other = HttpServer.listen(group, ANY_PORT, HttpServerOptions.DEFAULTS, (call, closed) -> {
+            calls.add(call);
+            return CompletableFuture.completedFuture(reply);
+        })) {
+            BackendInfo info = program.info();
+            connect(new BackendInfo(info.name(), info.service(), other.address(), 1, 1, info.capabilities()));
+            assertThat(Outcomes.value(server.grant(grant(4, 5, 1_000)))).isEqualTo(4);
+            String sentAt = calls.get(calls.size() - 1).header("crank-sent-at").orElseThrow();
+            assertThat(sentAt).startsWith("i:");
+            assertThat(Long.parseLong(sentAt.substring(2))).isBetween(1_000L, 2_000_000_000L);
+        }
+    }
+
+    /** Guards against a cancellation that is lost because it overtakes its request on another connection. */
+    @Test
+    void cancellationBeforeItsRequestStopsIt() throws Exception {
+        BackendServer backend = start(Setup.withServiceMs(1));
+        Outcomes.value(backend.grant(grant(1, 5, 60_000)));
+        admin("POST", "/control/cancel/r1", "");
+        assertThat(Outcomes.code(backend.execute(put("r1", 5, TIMEOUT_MS)))).isEqualTo(ResultCode.BACKEND_UNAVAILABLE);
+        assertThat(executions(new RequestId("r1"))).isEmpty();
+    }
+
+    /** Guards against a cold start that costs nothing, which would hide a missing ramp-up at the gate. */
+    @Test
+    void coldStartTakesLonger() throws Exception {
+        startProgram("--service-ms=20", "--cold-start-ms=60000", "--cold-start-factor=10", "--capabilities=none");
+        connect(program.info());
+        long sentAtNanos = System.nanoTime();
+        assertThat(Outcomes.code(server.execute(put("r1", 5, TIMEOUT_MS)))).isEqualTo(ResultCode.OK);
+        assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAtNanos))
+                .isGreaterThanOrEqualTo(100);
+    }
+
     /** Guards against a ledger that a checker cannot read or that disagrees with the file. */
     @Test
     void ledgerListsExecutions() throws Exception {
--- a/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/HttpObjectStoreTest.java
+++ b/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/HttpObjectStoreTest.java
@@ -4,6 +4,9 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -36,6 +39,10 @@
     private static final PluginRegistry REGISTRY = PluginRegistry.load();
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+    /** Bound but not listening: connections to its port are refused, and no other process can take the port. */
+    private final Socket unreachable = new Socket();
+
     private CrankStore program;
     private HttpClient admin;
     private ObjectStore reachable;
@@ -51,7 +58,8 @@
     }
 
     @AfterEach
-    void stop() {
+    void stop() throws Exception {
+        unreachable.close();
         reachable.close();
         program.close();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
@@ -69,10 +77,8 @@
     @Override
     void inject(StoreFault fault) throws Exception {
         if (fault == StoreFault.UNREACHABLE) {
-            HttpServer unused = HttpServer.listen(
-                    group, new HostAddress("127.0.0.1", 0), HttpServerOptions.DEFAULTS, (call, closed) -> null);
-            unused.close();
-            store = open(unused.address());
+            unreachable.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            store = open(new HostAddress("127.0.0.1", unreachable.getLocalPort()));
             return;
         }
         store = reachable;
--- a/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/Outcomes.java
+++ b/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/Outcomes.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
@@ -24,7 +25,7 @@
         try {
             future.get(LIMIT_MS, TimeUnit.MILLISECONDS);
             return ResultCode.OK;
-        } catch (java.util.concurrent.ExecutionException e) {
+        } catch (ExecutionException e) {
             return CrankException.of(e).code();
         }
     }
--- a/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpBackendServer.java
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpBackendServer.java
@@ -50,6 +50,9 @@
     /** Time given to a server to report at the deadline that it did not execute the call. */
     private static final long DEADLINE_GRACE_MS = 100;
 
+    /** Bounds the time-out of a call, so that its arithmetic in nanoseconds cannot overflow. */
+    private static final long MAX_DEADLINE_MS = 86_400_000;
+
     /** The server process was replaced since its clock was last seen; its answer carries the new clock. */
     private static final int STATUS_OTHER_CLOCK = 412;
 
@@ -83,8 +86,8 @@
     public CompletableFuture<CallerAnswer> execute(BackendCall call) {
         CallerRequest request = call.request();
         HttpCall httpCall = new HttpCall(request.method(), request.path(), headers(call), request.body());
-        return BackendReplies.execution(
-                request.id(), requests.call(httpCall, request.remainingMs() + DEADLINE_GRACE_MS));
+        long timeoutMs = Math.min(request.remainingMs(), MAX_DEADLINE_MS) + DEADLINE_GRACE_MS;
+        return BackendReplies.execution(request.id(), requests.call(httpCall, timeoutMs));
     }
 
     /** Headers of the protocol replace those of the caller with the same names. */
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendService.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendService.java
@@ -129,6 +129,7 @@
             case "GET /ledger" -> HttpReply.of(200, "application/x-ndjson", ledger.toJsonLines());
             case "GET /admin/stats" ->
                 Replies.json(200, engine.stats(openConnections.getAsInt(), peakConnections.getAsInt()));
+            case "GET /admin/faults" -> Replies.json(200, faults.list());
             case "POST /admin/faults" -> {
                 faults.add(JsonCodec.decode(call.body(), Fault.class));
                 yield Replies.json(200, faults.list());
