Repeat sends to an unreachable owner within the hold

Cause: a send that failed with PEER_UNREACHABLE waited only for a newer table, so a short loss of a link ended in a refusal. Change: refused and unhandled sends are repeated after a short pause, or at once when the owner changes, until the bounded hold is over.

--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
@@ -136,11 +136,11 @@
                 if (gateGeneration.isNewerThan(attempt.generation())) {
                     dispatch.holdFor(snapshot -> !gateGeneration.isNewerThan(dispatch.generationIn(snapshot)), answer);
                 } else {
-                    dispatch.holdAndRepeat(answer);
+                    dispatch.holdAndRepeat(answer, attempt.snapshot());
                 }
             }
             case RANGE_MOVING, FENCE_REJECTED, LEASE_LAPSED, STARTING, DRAINING, NO_OWNER ->
-                dispatch.holdAndRepeat(answer);
+                dispatch.holdAndRepeat(answer, attempt.snapshot());
             default -> dispatch.finish(answer);
         }
     }
@@ -163,7 +163,7 @@
         if (isBalanced()) {
             dispatch.retry(false, "unreachable", refusal);
         } else if (attempt.target().region().equals(Optional.of(context.parts().region()))) {
-            dispatch.holdForTable(refusal, attempt.snapshot());
+            dispatch.holdAndRepeat(refusal, attempt.snapshot());
         } else {
             dispatch.finish(refusal);
         }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
@@ -196,14 +196,16 @@
                 }));
     }
 
-    /** Waits until the owner of the key, or what is known of the owner, differs from a snapshot. */
-    void holdForTable(CallerAnswer refusal, RoutingSnapshot seen) {
+    private void holdForTable(CallerAnswer refusal, RoutingSnapshot seen) {
+        holdFor(ownerChangedSince(seen), refusal);
+    }
+
+    /** Whether the table of the service, or what is known of the owner of the key, differs from a snapshot. */
+    private Predicate<RoutingSnapshot> ownerChangedSince(RoutingSnapshot seen) {
         Generation generation = generationIn(seen);
         Optional<Member> owner = ownerIn(seen);
-        holdFor(
-                snapshot -> generationIn(snapshot).isNewerThan(generation)
-                        || !ownerIn(snapshot).equals(owner),
-                refusal);
+        return snapshot -> generationIn(snapshot).isNewerThan(generation)
+                || !ownerIn(snapshot).equals(owner);
     }
 
     private Optional<Member> ownerIn(RoutingSnapshot snapshot) {
@@ -211,14 +213,22 @@
                 .flatMap(assignment -> snapshot.member(assignment.owner()));
     }
 
-    /** Repeats a refused send after a short pause; gives the refusal when the hold is over. */
-    void holdAndRepeat(CallerAnswer refusal) {
+    /**
+     * Repeats a refused send after a short pause, or as soon as the owner changes; gives the refusal when the hold is
+     * over.
+     *
+     * @param seen the snapshot that the refused send was based on
+     */
+    void holdAndRepeat(CallerAnswer refusal, RoutingSnapshot seen) {
         lastRefusal = Optional.of(refusal);
         if (hold.remainingMs(refusal.code(), context.nowNanos()) == 0) {
             finish(refusal);
-        } else {
-            after(hold.takeBackoffMs(), () -> route("repeat"));
+            return;
         }
+        context.parts()
+                .view()
+                .await(ownerChangedSince(seen), hold.takeBackoffMs())
+                .whenComplete((snapshot, failure) -> post(() -> route(failure == null ? "newer-table" : "repeat")));
     }
 
     /**
