Let callers read the answer before a connection closes

Cause: the server closed a connection right after its last answer. If the caller was still sending, the connection was reset and a rejection such as 413 could be lost: the new test failed with 'Broken pipe'. Change: the server ends its output and discards input until the caller closes, for at most 1 s.

--- a/org.coriandercrank.http.test/src/test/java/org/coriandercrank/http/ClosingConnectionTest.java
+++ b/org.coriandercrank.http.test/src/test/java/org/coriandercrank/http/ClosingConnectionTest.java
@@ -52,4 +52,28 @@
             group.shutdownGracefully();
         }
     }
+
+    /** Guards against a reset that destroys the rejection while the caller is still sending its body. */
+    @Test
+    void deliversTheRejectionOfABodyThatIsStillBeingSent() throws IOException {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        HttpServerOptions options =
+                new HttpServerOptions(8_192, 16_384, 1_000, status -> HttpReply.text(status, "rejected"));
+        HttpHandler handler = (call, closed) -> CompletableFuture.completedFuture(HttpReply.text(200, "ok"));
+        try (HttpServer server = HttpServer.listen(group, new HostAddress("127.0.0.1", 0), options, handler)) {
+            for (int i = 0; i < 20; i++) {
+                try (Socket socket = new Socket(
+                        InetAddress.getLoopbackAddress(), server.address().port())) {
+                    String head = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n";
+                    socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+                    socket.getOutputStream().write(new byte[BODY_BYTES]);
+                    String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+
+                    assertThat(answer).startsWith("HTTP/1.1 413");
+                }
+            }
+        } finally {
+            group.shutdownGracefully();
+        }
+    }
 }
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
@@ -2,9 +2,9 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -23,6 +23,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /**
  * One connection of {@link HttpServer}. Confined to its event loop. Requests are handled one at a time, which keeps
@@ -35,6 +36,7 @@
     private static final int STATUS_BODY_TOO_LARGE = 413;
     private static final int STATUS_HEADER_TOO_LARGE = 431;
     private static final int STATUS_INTERNAL = 500;
+    private static final long CLOSE_WAIT_MS = 1_000;
 
     private final HttpServerOptions options;
     private final HttpHandler handler;
@@ -146,7 +148,19 @@
         } else {
             // A request that follows on a closing connection could run without its answer ever being written.
             rejected = true;
-            written.addListener(ChannelFutureListener.CLOSE);
+            written.addListener(done -> closeAfterCaller(context));
+        }
+    }
+
+    /**
+     * Ends the output and discards further input until the caller closes, for a bounded time. Closing at once with
+     * unread input resets the connection, which can destroy the answer before the caller reads it.
+     */
+    private static void closeAfterCaller(ChannelHandlerContext context) {
+        if (context.channel() instanceof SocketChannel channel && channel.isActive()) {
+            channel.config().setAutoRead(true);
+            channel.shutdownOutput();
+            context.executor().schedule(() -> context.close(), CLOSE_WAIT_MS, TimeUnit.MILLISECONDS);
         }
     }
 
