Count calls whose answer is not yet written

Cause: a planned stop must not close a connection while an answer is being written. Change: HttpServer.openCalls().

--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpServer.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpServer.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.coriandercrank.kernel.id.HostAddress;
 
 /**
@@ -23,6 +24,7 @@
     private static final int ACCEPT_BACKLOG = 1_024;
 
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final AtomicInteger openCalls = new AtomicInteger();
     private final Channel listener;
 
     private HttpServer(EventLoopGroup group, HostAddress listen, HttpServerOptions options, HttpHandler handler)
@@ -40,7 +42,7 @@
                         channel.pipeline()
                                 .addLast(new HttpServerCodec(
                                         options.maxInitialLineBytes(), options.maxHeaderBytes(), 8_192))
-                                .addLast(new ServerConnectionHandler(options, handler));
+                                .addLast(new ServerConnectionHandler(options, handler, openCalls));
                     }
                 })
                 .bind(listen.ip(), listen.port())
@@ -64,6 +66,11 @@
         return new HostAddress(bound.getAddress().getHostAddress(), bound.getPort());
     }
 
+    /** Calls whose answer has not yet been passed to the operating system as a whole. */
+    public int openCalls() {
+        return openCalls.get();
+    }
+
     /** Accepts no further connections; open ones go on. */
     public void stopAccepting() {
         listener.close().syncUninterruptibly();
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -24,6 +25,7 @@
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * One connection of {@link HttpServer}. Confined to its event loop. Requests are handled one at a time, which keeps
@@ -40,6 +42,7 @@
 
     private final HttpServerOptions options;
     private final HttpHandler handler;
+    private final AtomicInteger openCalls;
 
     private HttpRequest head;
     private ByteArrayOutputStream body;
@@ -47,9 +50,10 @@
     private boolean rejected;
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
 
-    ServerConnectionHandler(HttpServerOptions options, HttpHandler handler) {
+    ServerConnectionHandler(HttpServerOptions options, HttpHandler handler, AtomicInteger openCalls) {
         this.options = options;
         this.handler = handler;
+        this.openCalls = openCalls;
     }
 
     @Override
@@ -111,9 +115,11 @@
         HttpCall call = new HttpCall(
                 head.method().name(), head.uri(), HttpHeadersSupport.fromNetty(head.headers()), body.toByteArray());
         closed = new CompletableFuture<>();
+        openCalls.incrementAndGet();
         handleSafely(call)
                 .whenComplete((reply, failure) -> context.executor()
-                        .execute(() -> write(context, replyOrError(reply, failure), keepAlive, headOnly)));
+                        .execute(() -> write(context, replyOrError(reply, failure), keepAlive, headOnly)
+                                .addListener(done -> openCalls.decrementAndGet())));
     }
 
     private CompletableFuture<HttpReply> handleSafely(HttpCall call) {
@@ -132,7 +138,8 @@
         return HttpReply.text(STATUS_INTERNAL, "internal error\n");
     }
 
-    private void write(ChannelHandlerContext context, HttpReply reply, boolean callerKeepAlive, boolean headOnly) {
+    private ChannelFuture write(
+            ChannelHandlerContext context, HttpReply reply, boolean callerKeepAlive, boolean headOnly) {
         closed = null;
         boolean keepAlive = callerKeepAlive && !reply.asksForClose();
         FullHttpResponse response = new DefaultFullHttpResponse(
@@ -142,7 +149,7 @@
         HttpHeadersSupport.toNetty(reply.headers(), response.headers());
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
         HttpUtil.setKeepAlive(response, keepAlive);
-        var written = context.writeAndFlush(response);
+        ChannelFuture written = context.writeAndFlush(response);
         if (keepAlive) {
             resume(context);
         } else {
@@ -150,6 +157,7 @@
             rejected = true;
             written.addListener(done -> closeAfterCaller(context));
         }
+        return written;
     }
 
     /**
