Drain only after answers are written

Cause: a drain ended a fixed 100 ms after the last answer, which cut off a large answer to a slow caller. Change: wait until the HTTP server has written all answers, at most 5 s.

--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/CallerProtocolTest.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/CallerProtocolTest.java
@@ -183,6 +183,26 @@
         world.ingress.stopAccepting();
     }
 
+    /** Guards against a planned stop that cuts off an answer while it is being written. */
+    @Test
+    void drainsOnlyAfterAnswersAreWritten() throws IOException, InterruptedException {
+        byte[] body = new byte[16_777_216];
+        world.gate.answers = request -> CompletableFuture.completedFuture(CallerAnswer.executed(200, List.of(), body));
+        try (Socket socket = open()) {
+            socket.getOutputStream().write(bytes("GET /v1/cardfront/k1 HTTP/1.1\r\nHost: x\r\n\r\n"));
+            await(() -> !world.gate.submitted.isEmpty() && world.ingress.inFlight() == 0);
+            CompletableFuture<Void> drained = world.ingress.drain();
+            Thread.sleep(100);
+            assertThat(drained).isNotDone();
+
+            CompletableFuture<Void> closing = drained.thenRun(world.ingress::close);
+            byte[] answer = socket.getInputStream().readAllBytes();
+
+            closing.join();
+            assertThat(answer).hasSizeGreaterThan(body.length);
+        }
+    }
+
     private Socket open() throws IOException {
         return new Socket(InetAddress.getLoopbackAddress(), world.address.port());
     }
--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/TestWorld.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/TestWorld.java
@@ -95,7 +95,7 @@
                 1_500,
                 budgetPercent,
                 budgetMinPerSecond,
-                20,
+                5_000,
                 HealthRules.DEFAULTS);
     }
 
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
@@ -37,6 +37,7 @@
 public final class Ingress implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int RING_SLOTS_PER_REQUEST = 4;
+    private static final long WRITTEN_POLL_MS = 10;
     private static final String NO_SERVICE = "none";
 
     private final IngressDependencies parts;
@@ -94,15 +95,25 @@
 
     /**
      * Refuses new requests with {@code DRAINING} and asks callers to close their connections. Completes when all
-     * earlier requests are answered and the time for writing the answers has passed.
+     * earlier requests are answered and the answers are written, or the time for writing them has passed.
      */
     public CompletableFuture<Void> drain() {
         draining = true;
         completeIfIdle();
-        CompletableFuture<Void> written = new CompletableFuture<>();
+        CompletableFuture<Void> drained = new CompletableFuture<>();
         idleWhileDraining.thenRun(
-                () -> parts.timers().once(options.drainLingerMs(), Runnable::run, () -> written.complete(null)));
-        return written;
+                () -> awaitWritten(drained, parts.timers().clock().nowMs() + options.drainWriteMs()));
+        return drained;
+    }
+
+    /** A caller that does not read its answer must not block a planned stop, so the wait is bounded. */
+    private void awaitWritten(CompletableFuture<Void> drained, long untilMs) {
+        boolean written = server == null || server.openCalls() == 0;
+        if (written || parts.timers().clock().nowMs() >= untilMs) {
+            drained.complete(null);
+        } else {
+            parts.timers().once(WRITTEN_POLL_MS, Runnable::run, () -> awaitWritten(drained, untilMs));
+        }
     }
 
     /** Callers' requests that have no answer yet. */
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/IngressOptions.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/IngressOptions.java
@@ -14,7 +14,7 @@
  * @param retryAfterMs {@code Retry-After} of refusals that name none
  * @param retryBudgetPercent retries allowed per hundred requests
  * @param retryBudgetMinPerSecond retries allowed per second in addition
- * @param drainLingerMs time between the last answer and the end of a drain, for answers still being written
+ * @param drainWriteMs longest time that a drain waits, after the last answer, for answers to be written
  */
 public record IngressOptions(
         int maxInFlight,
@@ -29,16 +29,16 @@
         long retryAfterMs,
         int retryBudgetPercent,
         int retryBudgetMinPerSecond,
-        long drainLingerMs,
+        long drainWriteMs,
         HealthRules health) {
     public static final IngressOptions DEFAULTS = new IngressOptions(
-            8_192, 24, 4, 1_500, 1_000, 5, 100, 1_000, 100, 1_000, 10, 10, 100, HealthRules.DEFAULTS);
+            8_192, 24, 4, 1_500, 1_000, 5, 100, 1_000, 100, 1_000, 10, 10, 5_000, HealthRules.DEFAULTS);
 
     public IngressOptions {
         if (maxInFlight < 1 || maxSends < 1 || maxAttemptIds < 1 || maxAttemptIds > 99) {
             throw new IllegalArgumentException("maxInFlight, maxSends and maxAttemptIds (at most 99) must be positive");
         }
-        if (moveWaitMs < 0 || ownerLostWaitMs < 0 || answerGraceMs < 0 || drainLingerMs < 0) {
+        if (moveWaitMs < 0 || ownerLostWaitMs < 0 || answerGraceMs < 0 || drainWriteMs < 0) {
             throw new IllegalArgumentException("waits must not be negative");
         }
         if (backoffMs < 1 || maxBackoffMs < backoffMs || queryTimeoutMs < 1 || retryAfterMs < 1) {
