Count an extra hop only for forwarded requests

Cause: a NOT_OWNER of the local gate was counted as an extra hop. Change: count it only if the request went to another daemon.

--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
@@ -132,7 +132,9 @@
     private void onOwnerRefusal(Attempt attempt, CallerAnswer answer, Generation gateGeneration) {
         switch (answer.code()) {
             case NOT_OWNER -> {
-                context.metrics().extraHop();
+                if (attempt.target().peer().isPresent()) {
+                    context.metrics().extraHop();
+                }
                 if (gateGeneration.isNewerThan(attempt.generation())) {
                     dispatch.holdFor(snapshot -> !gateGeneration.isNewerThan(dispatch.generationIn(snapshot)), answer);
                 } else {
