--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpServer.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpServer.java
@@ -24,6 +24,7 @@
     private static final int ACCEPT_BACKLOG = 1_024;
 
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final AtomicInteger openCalls = new AtomicInteger();
     private final Channel listener;
 
     private final AtomicInteger open = new AtomicInteger();
@@ -56,7 +57,7 @@
                         channel.pipeline()
                                 .addLast(new HttpServerCodec(
                                         options.maxInitialLineBytes(), options.maxHeaderBytes(), 8_192))
-                                .addLast(new ServerConnectionHandler(options, handler));
+                                .addLast(new ServerConnectionHandler(options, handler, openCalls));
                     }
                 })
                 .bind(listen.ip(), listen.port())
@@ -99,6 +100,11 @@
         return peak.get();
     }
 
+    /** Calls whose answer has not yet been passed to the operating system as a whole. */
+    public int openCalls() {
+        return openCalls.get();
+    }
+
     /** Accepts no further connections; open ones go on. */
     public void stopAccepting() {
         listener.close().syncUninterruptibly();
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
@@ -2,9 +2,11 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -27,6 +29,8 @@
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * One connection of {@link HttpServer}. Confined to its event loop. Requests are handled one at a time, which keeps
@@ -39,9 +43,11 @@
     private static final int STATUS_BODY_TOO_LARGE = 413;
     private static final int STATUS_HEADER_TOO_LARGE = 431;
     private static final int STATUS_INTERNAL = 500;
+    private static final long CLOSE_WAIT_MS = 1_000;
 
     private final HttpServerOptions options;
     private final HttpHandler handler;
+    private final AtomicInteger openCalls;
 
     private HttpRequest head;
     private ByteArrayOutputStream body;
@@ -49,9 +55,10 @@
     private boolean rejected;
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
 
-    ServerConnectionHandler(HttpServerOptions options, HttpHandler handler) {
+    ServerConnectionHandler(HttpServerOptions options, HttpHandler handler, AtomicInteger openCalls) {
         this.options = options;
         this.handler = handler;
+        this.openCalls = openCalls;
     }
 
     @Override
@@ -113,19 +120,20 @@
         HttpCall call = new HttpCall(
                 head.method().name(), head.uri(), HttpHeadersSupport.fromNetty(head.headers()), body.toByteArray());
         closed = new CompletableFuture<>();
+        openCalls.incrementAndGet();
         handleSafely(call)
-                .whenComplete((reply, failure) ->
-                        context.executor().execute(() -> finish(context, reply, failure, keepAlive, headOnly)));
+                .whenComplete((reply, failure) -> context.executor()
+                        .execute(() -> finish(context, reply, failure, keepAlive, headOnly)
+                                .addListener(done -> openCalls.decrementAndGet())));
     }
 
-    private void finish(
+    private ChannelFuture finish(
             ChannelHandlerContext context, HttpReply reply, Throwable failure, boolean keepAlive, boolean headOnly) {
         if (failure != null && unwrap(failure) instanceof HttpAbortException abort) {
             closed = null;
-            abort(context, abort);
-        } else {
-            write(context, replyOrError(reply, failure), keepAlive, headOnly);
+            return abort(context, abort);
         }
+        return write(context, replyOrError(reply, failure), keepAlive, headOnly);
     }
 
     private static Throwable unwrap(Throwable failure) {
@@ -133,11 +141,10 @@
     }
 
     /** The rest of a cut answer is missing, so the announced content length exceeds what is written. */
-    private void abort(ChannelHandlerContext context, HttpAbortException abort) {
+    private ChannelFuture abort(ChannelHandlerContext context, HttpAbortException abort) {
         rejected = true;
         if (abort.cutReply().isEmpty()) {
-            context.close();
-            return;
+            return context.close();
         }
         HttpReply reply = abort.cutReply().get();
         DefaultHttpResponse response =
@@ -145,7 +152,7 @@
         HttpHeadersSupport.toNetty(reply.headers(), response.headers());
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length + 1);
         context.write(response);
-        context.writeAndFlush(new DefaultHttpContent(
+        return context.writeAndFlush(new DefaultHttpContent(
                         Unpooled.wrappedBuffer(Arrays.copyOf(reply.body(), reply.body().length / 2))))
                 .addListener(ChannelFutureListener.CLOSE);
     }
@@ -166,7 +173,8 @@
         return HttpReply.text(STATUS_INTERNAL, "internal error\n");
     }
 
-    private void write(ChannelHandlerContext context, HttpReply reply, boolean callerKeepAlive, boolean headOnly) {
+    private ChannelFuture write(
+            ChannelHandlerContext context, HttpReply reply, boolean callerKeepAlive, boolean headOnly) {
         closed = null;
         boolean keepAlive = callerKeepAlive && !reply.asksForClose();
         FullHttpResponse response = new DefaultFullHttpResponse(
@@ -176,13 +184,26 @@
         HttpHeadersSupport.toNetty(reply.headers(), response.headers());
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
         HttpUtil.setKeepAlive(response, keepAlive);
-        var written = context.writeAndFlush(response);
+        ChannelFuture written = context.writeAndFlush(response);
         if (keepAlive) {
             resume(context);
         } else {
             // A request that follows on a closing connection could run without its answer ever being written.
             rejected = true;
-            written.addListener(ChannelFutureListener.CLOSE);
+            written.addListener(done -> closeAfterCaller(context));
+        }
+        return written;
+    }
+
+    /**
+     * Ends the output and discards further input until the caller closes, for a bounded time. Closing at once with
+     * unread input resets the connection, which can destroy the answer before the caller reads it.
+     */
+    private static void closeAfterCaller(ChannelHandlerContext context) {
+        if (context.channel() instanceof SocketChannel channel && channel.isActive()) {
+            channel.config().setAutoRead(true);
+            channel.shutdownOutput();
+            context.executor().schedule(() -> context.close(), CLOSE_WAIT_MS, TimeUnit.MILLISECONDS);
         }
     }
 
