Add crank-experiment for fleets of real processes

Change: a program that starts daemons and a store as processes, samples processor time, memory, control bytes and store calls at rest, and measures how long configuration changes take to be in force everywhere. Measured: nothing yet.

--- /dev/null
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/CrankExperiment.java
@@ -0,0 +1,31 @@
+package org.coriandercrank.experiment;
+
+import java.util.List;
+import java.util.logging.Level;
+import org.coriandercrank.experiment.internal.ExperimentSettings;
+import org.coriandercrank.experiment.internal.FleetExperiment;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.log.LogSetup;
+import org.coriandercrank.kernel.settings.SettingsLoader;
+
+/** The program {@code crank-experiment}. */
+public final class CrankExperiment {
+    private static final int EXIT_SETTINGS = 2;
+
+    private CrankExperiment() {}
+
+    public static void main(String[] arguments) {
+        LogSetup.configure(Level.WARNING);
+        ExperimentSettings settings = new ExperimentSettings();
+        try {
+            SettingsLoader.load(settings, List.of(arguments), System.getenv());
+        } catch (CrankException e) {
+            System.err.println(e.code() + " (" + e.code().number() + "):\n" + e.getMessage());
+            System.err.println(SettingsLoader.usage(settings));
+            System.exit(EXIT_SETTINGS);
+        }
+        FleetExperiment experiment = new FleetExperiment(settings, System.out::println);
+        settings.sizes().forEach(experiment::call);
+        System.exit(0);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/FleetExperiment.java
@@ -0,0 +1,195 @@
+package org.coriandercrank.experiment.internal;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.plugin.PluginRegistry;
+import org.coriandercrank.kernel.plugin.PluginRegistry.Kind;
+import org.coriandercrank.kernel.settings.SettingsLoader;
+import org.coriandercrank.kernel.status.DaemonStatus;
+import org.coriandercrank.kernel.store.ObjectStore;
+import org.coriandercrank.note.NoteApplication;
+import org.coriandercrank.note.SubmitNote;
+import org.coriandercrank.note.SubmitResult;
+import org.coriandercrank.standin.BackendSettings;
+import org.coriandercrank.standin.CrankBackend;
+import org.coriandercrank.testkit.HostSpec;
+import org.coriandercrank.testkit.Site;
+import org.coriandercrank.testkit.SiteHost;
+
+/**
+ * Measures a fleet at rest and the spreading of configuration changes. Not thread safe.
+ *
+ * <p>Daemons and the store are processes; the backend servers share this process, to save memory.
+ */
+public final class FleetExperiment {
+    private static final String SERVICE = "counter-desk";
+    private static final int FAILURE_DOMAINS = 6;
+    private static final long START_LIMIT_MS = 120_000;
+    private static final long POLL_MS = 20;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double BYTES_PER_MB = 1e6;
+
+    private final ExperimentSettings settings;
+    private final Consumer<String> out;
+
+    public FleetExperiment(ExperimentSettings settings, Consumer<String> out) {
+        this.settings = settings;
+        this.out = out;
+    }
+
+    /** Measures one size; blocks. */
+    public void call(int size) {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+        List<CrankBackend> backends = new ArrayList<>();
+        Path directory = createDirectory();
+        try (Site site = new Site(directory, specs(size));
+                FleetProbe probe = new FleetProbe(site, group);
+                ObjectStore store =
+                        PluginRegistry.load().get(Kind.STORE, "http").open(site.storeAddress(), 5_000)) {
+            site.hosts().forEach(host -> host.startDaemon(List.of("--log-level", "WARNING")));
+            site.hosts().forEach(host -> backends.add(backend(host)));
+            waitUntil(() -> site.hosts().stream().allMatch(h -> hasBackend(probe, h)));
+            submit(
+                    store,
+                    "{\"id\":\"first\",\"basedOn\":0,\"add\":{\"services\":[{\"name\":\"" + SERVICE
+                            + "\",\"keyed\":true}]}}");
+            waitUntil(() -> site.hosts().stream().allMatch(h -> serves(probe, h)));
+            sleep(settings.settleMs());
+            measureRest(size, probe);
+            measureChanges(size, site, probe, store);
+        } finally {
+            backends.forEach(CrankBackend::close);
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private static List<HostSpec> specs(int size) {
+        List<HostSpec> specs = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            int domain = i % FAILURE_DOMAINS;
+            specs.add(new HostSpec("h" + i, domain < FAILURE_DOMAINS / 2 ? "r1" : "r2", "d" + domain, SERVICE));
+        }
+        return specs;
+    }
+
+    private static CrankBackend backend(SiteHost host) {
+        BackendSettings backend = SettingsLoader.load(
+                new BackendSettings(),
+                List.of(
+                        "--name=" + host.spec().name(),
+                        "--service=" + SERVICE,
+                        "--listen=" + host.backendAddress(),
+                        "--daemon=" + host.adminAddress()),
+                Map.of());
+        return CrankBackend.start(backend);
+    }
+
+    private void measureRest(int size, FleetProbe probe) {
+        Sample before = probe.sample();
+        sleep(settings.sampleMs());
+        Sample after = probe.sample();
+        double seconds = (after.atNanos() - before.atNanos()) / NANOS_PER_SECOND;
+        double perDaemon = seconds * size;
+        out.accept(String.format(
+                "size %d: cpu %.2f %% of a core, control %.0f bytes/s and %.1f messages/s, heap %.1f MB, resident %.1f MB"
+                        + " per daemon; store reads %.2f/s, writes %.2f/s, watches %.2f/s in all",
+                size,
+                (after.cpuMs() - before.cpuMs()) / 10 / perDaemon,
+                (after.controlBytes() - before.controlBytes()) / perDaemon,
+                (after.controlMessages() - before.controlMessages()) / perDaemon,
+                after.heapBytes() / size / BYTES_PER_MB,
+                after.residentBytes() / size / BYTES_PER_MB,
+                (after.storeReads() - before.storeReads()) / seconds,
+                (after.storeWrites() - before.storeWrites()) / seconds,
+                (after.storeWatches() - before.storeWatches()) / seconds));
+    }
+
+    private void measureChanges(int size, Site site, FleetProbe probe, ObjectStore store) {
+        for (int change = 1; change <= settings.changes(); change++) {
+            Sample before = probe.sample();
+            Revision base = store.get("config/current").join().orElseThrow().revision();
+            Revision accepted = submit(
+                    store,
+                    "{\"id\":\"change-" + change + "\",\"basedOn\":" + base
+                            + ",\"change\":{\"services\":[{\"name\":\"" + SERVICE + "\",\"maxQueueLength\":"
+                            + (100 + change)
+                            + "}]}}");
+            long acceptedNanos = System.nanoTime();
+            waitUntil(() -> site.hosts().stream().allMatch(h -> follows(probe, h, accepted)));
+            double everywhereMs = (System.nanoTime() - acceptedNanos) / 1e6;
+            Sample after = probe.sample();
+            out.accept(String.format(
+                    "size %d: change in force everywhere after %.0f ms; store reads %d, writes %d, watches %d",
+                    size,
+                    everywhereMs,
+                    after.storeReads() - before.storeReads(),
+                    after.storeWrites() - before.storeWrites(),
+                    after.storeWatches() - before.storeWatches()));
+        }
+    }
+
+    private static Revision submit(ObjectStore store, String note) {
+        NoteApplication.Environment environment =
+                new NoteApplication.Environment(Set.<ServiceName>of(), Set.of("availability"), Set.of("two-choices"));
+        SubmitResult result = new SubmitNote(store, environment, 10_000).call(note);
+        if (!result.faults().isEmpty() || result.revision().equals(Revision.NONE)) {
+            throw new IllegalStateException("note refused: " + result);
+        }
+        return result.revision();
+    }
+
+    private static boolean hasBackend(FleetProbe probe, SiteHost host) {
+        return probe.status(host).flatMap(DaemonStatus::backendName).isPresent();
+    }
+
+    private static boolean serves(FleetProbe probe, SiteHost host) {
+        return probe.status(host).map(s -> !s.serving().isEmpty()).orElse(false);
+    }
+
+    private static boolean follows(FleetProbe probe, SiteHost host, Revision revision) {
+        return probe.status(host)
+                .map(s -> s.configurationRevision().compareTo(revision) >= 0)
+                .orElse(false);
+    }
+
+    private static void waitUntil(BooleanSupplier condition) {
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_LIMIT_MS);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - deadlineNanos > 0) {
+                throw new IllegalStateException("the fleet is not ready after " + START_LIMIT_MS + " ms");
+            }
+            sleep(POLL_MS);
+        }
+    }
+
+    private static void sleep(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static Path createDirectory() {
+        try {
+            return Files.createTempDirectory("crank-experiment");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Sampling of daemons and of the store. */
+package org.coriandercrank.experiment.internal;
