Test the control plane in virtual time

Cause: the control plane had no tests. Change: in-memory store and network with faults on a virtual clock; tests of membership, takeover and dissemination. A callback that decodes a bad record fails as a read and no longer stalls the holder.

--- /dev/null
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/DisseminationTest.java
@@ -0,0 +1,138 @@
+package org.coriandercrank.control.test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Random;
+import org.coriandercrank.control.internal.ObjectCache;
+import org.coriandercrank.kernel.config.Configuration;
+import org.coriandercrank.kernel.id.NoteId;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.message.FetchObject;
+import org.coriandercrank.kernel.message.ObjectData;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.kernel.store.ObjectNames;
+import org.coriandercrank.kernel.store.StoredObject;
+import org.junit.jupiter.api.Test;
+
+/** Guards against changes that arrive late, nowhere or are undone by an older copy. */
+class DisseminationTest {
+    /** The design's limit for a change to be in force everywhere. */
+    private static final long IN_FORCE_LIMIT_MS = 4_000;
+
+    private static final int LARGE = 60;
+
+    private final FakeCluster cluster = new FakeCluster(places());
+
+    @Test
+    void changeReachesAllThroughOneRelayPerRegion() {
+        assertThat(cluster.hosts().stream()
+                        .filter(host -> host.control().status().relay()))
+                .hasSize(2);
+        long calls = cluster.store().calls();
+        long tookMs = changeAndWait(cluster.hosts());
+        assertThat(tookMs).isBetween(0L, 1_000L);
+        cluster.time().runFor(10_000);
+        assertThat(cluster.store().calls() - calls).isLessThan(200);
+    }
+
+    @Test
+    void changeReachesAllAfterTheLossOfBothRelays() {
+        List<FakeHost> relays = cluster.hosts().stream()
+                .filter(host -> host.control().status().relay())
+                .toList();
+        relays.forEach(FakeHost::kill);
+        List<FakeHost> others =
+                cluster.hosts().stream().filter(host -> !relays.contains(host)).toList();
+        assertThat(changeAndWait(others)).isBetween(0L, IN_FORCE_LIMIT_MS);
+    }
+
+    @Test
+    void changeReachesAHostThatIsCutOffFromPeers() {
+        FakeHost host = cluster.host(5);
+        host.setCut(true);
+        assertThat(changeAndWait(List.of(host))).isBetween(0L, 25_000L);
+    }
+
+    @Test
+    void deletedMemberDisappearsEverywhere() {
+        FakeHost victim = cluster.host(7);
+        victim.kill();
+        cluster.time().runUntil(() -> cluster.isSealed(victim.control().self()), 10_000);
+        cluster.store().forceDelete(ObjectNames.member(victim.control().self()));
+        cluster.time().runFor(IN_FORCE_LIMIT_MS);
+        cluster.hosts().stream()
+                .filter(host -> host != victim)
+                .forEach(host -> assertThat(host.control().routing().current().members())
+                        .doesNotContainKey(victim.control().self()));
+    }
+
+    @Test
+    void controlTrafficOfADaemonStaysBelowItsLimit() {
+        List<Long> before = cluster.hosts().stream().map(FakeHost::sentBytes).toList();
+        cluster.time().runFor(60_000);
+        for (int i = 0; i < LARGE; i++) {
+            assertThat((cluster.host(i).sentBytes() - before.get(i)) / 60).isLessThan(3_000);
+        }
+    }
+
+    /** A cache that is fed any parts of a history in any order ends like the history and never goes back. */
+    @Test
+    void cacheNeverGoesBack() {
+        for (long seed = 0; seed < 500; seed++) {
+            Random random = new Random(seed);
+            ObjectCache source = new ObjectCache(FetchObject.Kind.MEMBERS);
+            ObjectCache copy = new ObjectCache(FetchObject.Kind.MEMBERS);
+            ObjectData stale = source.since(Revision.NONE);
+            for (long revision = 1; revision < 100; revision++) {
+                String name = "members/m" + random.nextInt(5);
+                boolean deleted = random.nextInt(3) == 0;
+                StoredObject change = new StoredObject(name, new Revision(revision), new byte[] {1}, deleted);
+                source.apply(List.of(change), new Revision(revision), false);
+                if (random.nextInt(4) == 0) {
+                    apply(copy, source.since(copy.completeUpTo()));
+                }
+                if (random.nextInt(4) == 0) {
+                    apply(copy, stale);
+                }
+                if (random.nextInt(4) == 0) {
+                    stale = source.since(
+                            new Revision(random.nextLong(copy.completeUpTo().value() + 1)));
+                }
+            }
+            apply(copy, source.since(copy.completeUpTo()));
+            assertThat(copy.since(Revision.NONE).objects())
+                    .as("seed %d", seed)
+                    .filteredOn(object -> !object.deleted())
+                    .containsExactlyInAnyOrderElementsOf(source.since(Revision.NONE).objects().stream()
+                            .filter(object -> !object.deleted())
+                            .toList());
+        }
+    }
+
+    private static void apply(ObjectCache cache, ObjectData data) {
+        cache.apply(data.objects(), data.upTo(), data.reset());
+    }
+
+    private long changeAndWait(List<FakeHost> hosts) {
+        Configuration changed = new Configuration(List.of(), List.of(), List.of(new NoteId("note")));
+        Revision revision = cluster.store().force(ObjectNames.CONFIGURATION, JsonCodec.encode(changed));
+        return cluster.time()
+                .runUntil(
+                        () -> hosts.stream()
+                                .allMatch(host -> host.control()
+                                        .routing()
+                                        .current()
+                                        .configurationRevision()
+                                        .equals(revision)),
+                        30_000);
+    }
+
+    private static String[] places() {
+        String[] places = new String[LARGE];
+        for (int i = 0; i < LARGE; i++) {
+            places[i] = "r" + i % 2 + "/d" + i / 2 % 3;
+        }
+        return places;
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/FakeCluster.java
@@ -0,0 +1,90 @@
+package org.coriandercrank.control.test;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.kernel.store.ObjectNames;
+import org.coriandercrank.kernel.table.BackendInfo;
+import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.MemberState;
+
+/** Daemons with a store and a network in virtual time. Not thread safe. */
+final class FakeCluster {
+    private static final long PLANNER_RENEWAL_MS = 500;
+    private static final long JOIN_SPACING_MS = 20;
+    private static final long SETTLE_MS = 5_000;
+
+    private final VirtualTime time = new VirtualTime();
+    private final FakeStore store = new FakeStore(time);
+    private final Map<HostAddress, FakeHost> network = new HashMap<>();
+    private final List<FakeHost> hosts = new ArrayList<>();
+
+    /** Starts one daemon per place, of the form region/domain, and lets them settle. */
+    FakeCluster(String... places) {
+        renewPlanner();
+        for (String place : places) {
+            add(place);
+            time.runFor(JOIN_SPACING_MS);
+        }
+        time.runFor(SETTLE_MS);
+    }
+
+    FakeHost add(String place) {
+        FakeHost host = new FakeHost(time, network, store, hosts.size() + 1, place);
+        hosts.add(host);
+        host.control().start();
+        host.control().backendAnnounced(backend(hosts.size()));
+        return host;
+    }
+
+    VirtualTime time() {
+        return time;
+    }
+
+    FakeStore store() {
+        return store;
+    }
+
+    List<FakeHost> hosts() {
+        return hosts;
+    }
+
+    FakeHost host(int index) {
+        return hosts.get(index);
+    }
+
+    Optional<Member> record(MemberId member) {
+        return store.find(ObjectNames.member(member)).map(object -> JsonCodec.decode(object.value(), Member.class));
+    }
+
+    boolean isSealed(MemberId member) {
+        return record(member).map(Member::state).orElse(MemberState.JOINING) == MemberState.SEALED;
+    }
+
+    double sum(String meter) {
+        return hosts.stream().mapToDouble(host -> host.count(meter)).sum();
+    }
+
+    static BackendInfo backend(int number) {
+        return new BackendInfo(
+                "backend" + number,
+                new ServiceName("cardfront"),
+                new HostAddress("127.0.0.1", 9_000),
+                12,
+                110,
+                Set.of());
+    }
+
+    /** The planner's renewals advance the revision of the store, as in a running system. */
+    private void renewPlanner() {
+        store.force(ObjectNames.PLANNER, new byte[0]);
+        time.after(PLANNER_RENEWAL_MS, this::renewPlanner);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/FakeStore.java
@@ -0,0 +1,169 @@
+package org.coriandercrank.control.test;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.store.ObjectStore;
+import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.kernel.store.WatchBatch;
+
+/** In-memory object store in virtual time with outages. Not thread safe. */
+final class FakeStore implements ObjectStore {
+    /** How the store behaves. */
+    enum Mode {
+        UP,
+        /** Calls fail at once without effect. */
+        DOWN,
+        /** Calls are not answered and have no effect. */
+        SILENT,
+        /** Calls have their effect, and writes are not answered. */
+        UNANSWERED_WRITES,
+        /** Writes take effect after 3 s and are not answered; reads work. */
+        LATE_WRITES
+    }
+
+    private static final long LATENCY_MS = 2;
+    private static final long LATE_MS = 3_000;
+    private static final long WATCH_POLL_MS = 10;
+
+    private final VirtualTime time;
+    private final Map<String, StoredObject> objects = new HashMap<>();
+    private Mode mode = Mode.UP;
+    private long revision = 100;
+    private long calls;
+    private long puts;
+
+    FakeStore(VirtualTime time) {
+        this.time = time;
+    }
+
+    void setMode(Mode newMode) {
+        mode = newMode;
+    }
+
+    long calls() {
+        return calls;
+    }
+
+    long puts() {
+        return puts;
+    }
+
+    /** Writes without a condition, as an operator's program does. */
+    Revision force(String name, byte[] value) {
+        revision++;
+        objects.put(name, StoredObject.of(name, new Revision(revision), value));
+        return new Revision(revision);
+    }
+
+    void forceDelete(String name) {
+        revision++;
+        objects.put(name, new StoredObject(name, new Revision(revision), new byte[0], true));
+    }
+
+    Optional<StoredObject> find(String name) {
+        return Optional.ofNullable(objects.get(name)).filter(object -> !object.deleted());
+    }
+
+    @Override
+    public CompletableFuture<Optional<StoredObject>> get(String name) {
+        return read(() -> find(name));
+    }
+
+    @Override
+    public CompletableFuture<WatchBatch> list(String prefix) {
+        return read(() -> new WatchBatch(new Revision(revision), changes(prefix, Revision.NONE, false), true));
+    }
+
+    @Override
+    public CompletableFuture<Revision> put(String name, byte[] value, Revision expected) {
+        calls++;
+        puts++;
+        CompletableFuture<Revision> result = new CompletableFuture<>();
+        Mode atCall = mode;
+        if (atCall == Mode.DOWN) {
+            time.after(LATENCY_MS, () -> result.completeExceptionally(failure(ResultCode.STORE_UNAVAILABLE)));
+        } else if (atCall != Mode.SILENT) {
+            time.after(atCall == Mode.LATE_WRITES ? LATE_MS : LATENCY_MS, () -> {
+                Revision current = find(name).map(StoredObject::revision).orElse(Revision.NONE);
+                boolean matches = current.equals(expected);
+                Revision written = matches ? force(name, value) : Revision.NONE;
+                if (atCall == Mode.UP && matches) {
+                    result.complete(written);
+                } else if (atCall == Mode.UP) {
+                    result.completeExceptionally(failure(ResultCode.REVISION_CONFLICT));
+                }
+            });
+        }
+        return result;
+    }
+
+    @Override
+    public CompletableFuture<Void> delete(String name, Revision expected) {
+        throw new UnsupportedOperationException("not used by the control plane");
+    }
+
+    @Override
+    public CompletableFuture<WatchBatch> watch(String prefix, Revision after, long waitMs) {
+        calls++;
+        CompletableFuture<WatchBatch> result = new CompletableFuture<>();
+        poll(prefix, after, time.nowMs() + waitMs, result);
+        return result;
+    }
+
+    @Override
+    public void close() {}
+
+    private void poll(String prefix, Revision after, long endMs, CompletableFuture<WatchBatch> result) {
+        if (mode == Mode.SILENT) {
+            return;
+        }
+        if (mode == Mode.DOWN) {
+            time.after(LATENCY_MS, () -> result.completeExceptionally(failure(ResultCode.STORE_UNAVAILABLE)));
+            return;
+        }
+        List<StoredObject> changes = changes(prefix, after, true);
+        if (!changes.isEmpty() || time.nowMs() >= endMs) {
+            Revision upTo = new Revision(revision);
+            time.after(LATENCY_MS, () -> result.complete(new WatchBatch(upTo, changes, false)));
+        } else {
+            time.after(WATCH_POLL_MS, () -> poll(prefix, after, endMs, result));
+        }
+    }
+
+    private <T> CompletableFuture<T> read(Supplier<T> value) {
+        calls++;
+        CompletableFuture<T> result = new CompletableFuture<>();
+        if (mode == Mode.DOWN) {
+            time.after(LATENCY_MS, () -> result.completeExceptionally(failure(ResultCode.STORE_UNAVAILABLE)));
+        } else if (mode != Mode.SILENT) {
+            time.after(LATENCY_MS, () -> result.complete(value.get()));
+        }
+        return result;
+    }
+
+    private List<StoredObject> changes(String prefix, Revision after, boolean withDeletions) {
+        List<StoredObject> result = new ArrayList<>();
+        for (StoredObject object : objects.values()) {
+            if (object.name().startsWith(prefix)
+                    && object.revision().isNewerThan(after)
+                    && (withDeletions || !object.deleted())) {
+                result.add(object);
+            }
+        }
+        result.sort(Comparator.comparing(StoredObject::revision));
+        return result;
+    }
+
+    private static CrankException failure(ResultCode code) {
+        return new CrankException(code, "fake store");
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/MembershipTest.java
@@ -0,0 +1,188 @@
+package org.coriandercrank.control.test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.coriandercrank.control.ControlStatus;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.table.MemberState;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Guards against lost leases of live members, unsealed dead ones and returning ones that believe they are alive. */
+class MembershipTest {
+    private static final String[] THREE = {"r/a", "r/a", "r/b"};
+    private static final String[] EIGHT = {"r/a", "r/a", "r/a", "r/a", "r/b", "r/b", "r/b", "r/b"};
+
+    /** TTL x margin and the second that the design allows for the seal. */
+    private static final long SEAL_LIMIT_MS = 2_100 + 1_000;
+
+    @Test
+    void membersBecomeActiveWithWitnessesOfBothDomains() {
+        FakeCluster cluster = new FakeCluster(EIGHT);
+        for (FakeHost host : cluster.hosts()) {
+            assertThat(host.isLeaseValid()).isTrue();
+            ControlStatus status = host.control().status();
+            assertThat(status.state()).isEqualTo(MemberState.ACTIVE);
+            assertThat(status.witnesses()).hasSize(4);
+            long ownDomain = status.witnesses().stream()
+                    .filter(witness -> cluster.record(witness.witness())
+                            .orElseThrow()
+                            .failureDomain()
+                            .equals(cluster.record(status.memberId())
+                                    .orElseThrow()
+                                    .failureDomain()))
+                    .count();
+            assertThat(ownDomain).isEqualTo(2);
+        }
+    }
+
+    @Test
+    void singleMemberRenewsThroughTheStore() {
+        FakeCluster cluster = new FakeCluster("r/a");
+        for (int i = 0; i < 100; i++) {
+            cluster.time().runFor(100);
+            assertThat(cluster.host(0).isLeaseValid()).isTrue();
+        }
+        cluster.store().setMode(FakeStore.Mode.DOWN);
+        cluster.time().runFor(2_500);
+        assertThat(cluster.host(0).isLeaseValid()).isFalse();
+    }
+
+    @Test
+    void unchangedAnnouncementWritesNothingAndNormalOperationNeedsNoWrites() {
+        FakeCluster cluster = new FakeCluster(THREE);
+        long puts = cluster.store().puts();
+        cluster.host(0).control().backendAnnounced(FakeCluster.backend(1));
+        cluster.time().runFor(20_000);
+        assertThat(cluster.store().puts()).isEqualTo(puts);
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = FakeStore.Mode.class,
+            names = {"UP"},
+            mode = EnumSource.Mode.EXCLUDE)
+    void leasesOutliveFaultsOfTheStore(FakeStore.Mode mode) {
+        FakeCluster cluster = new FakeCluster(THREE);
+        cluster.store().setMode(mode);
+        for (int i = 0; i < 2_000; i++) {
+            cluster.time().runFor(100);
+            cluster.hosts().forEach(host -> assertThat(host.isLeaseValid()).isTrue());
+        }
+        cluster.store().setMode(FakeStore.Mode.UP);
+        cluster.time().runFor(10_000);
+        cluster.hosts().forEach(host -> assertThat(host.sealedIncarnations()).isEmpty());
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = FakeStore.Mode.class,
+            names = {"UNANSWERED_WRITES", "LATE_WRITES"})
+    void joinSurvivesUnansweredWrites(FakeStore.Mode mode) {
+        FakeCluster cluster = new FakeCluster(THREE);
+        cluster.store().setMode(mode);
+        FakeHost joiner = cluster.add("r/b");
+        cluster.time().runFor(6_000);
+        cluster.store().setMode(FakeStore.Mode.UP);
+        cluster.time().runFor(6_000);
+        assertThat(joiner.isLeaseValid()).isTrue();
+        assertThat(joiner.control().status().state()).isEqualTo(MemberState.ACTIVE);
+        assertThat(joiner.sealedIncarnations()).isEmpty();
+    }
+
+    @Test
+    void killedMemberIsSealedOnceAndOthersKeepTheirLeases() {
+        for (String[] places : List.of(THREE, EIGHT)) {
+            FakeCluster cluster = new FakeCluster(places);
+            FakeHost victim = cluster.host(1);
+            MemberId member = victim.control().self();
+            victim.kill();
+            long tookMs = cluster.time().runUntil(() -> cluster.isSealed(member), 10_000);
+            assertThat(tookMs).isBetween(1_000L, SEAL_LIMIT_MS);
+            for (int i = 0; i < 100; i++) {
+                cluster.time().runFor(100);
+                cluster.hosts().stream()
+                        .filter(host -> host != victim)
+                        .forEach(host -> assertThat(host.isLeaseValid()).isTrue());
+            }
+            assertThat(cluster.sum("crank.control.seals")).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void pausedMemberLearnsThatItWasSealedAndJoinsAgain() {
+        FakeCluster cluster = new FakeCluster(EIGHT);
+        FakeHost host = cluster.host(2);
+        MemberId former = host.control().self();
+        host.pause();
+        cluster.time().runFor(8_000);
+        assertThat(cluster.isSealed(former)).isTrue();
+        assertThat(host.isLeaseValid()).isFalse();
+        host.resume();
+        cluster.time().runFor(3_000);
+        assertThat(host.sealedIncarnations()).containsExactly(former);
+        assertThat(cluster.sum("crank.control.seals")).isEqualTo(1);
+        CompletableFuture<MemberId> rejoined = host.control().rejoin();
+        cluster.time().runFor(3_000);
+        assertThat(rejoined.join())
+                .isNotEqualTo(former)
+                .isEqualTo(host.control().self());
+        assertThat(host.isLeaseValid()).isTrue();
+    }
+
+    @Test
+    void shortPauseSealsNobody() {
+        FakeCluster cluster = new FakeCluster(EIGHT);
+        cluster.host(3).pause();
+        cluster.time().runFor(1_200);
+        cluster.host(3).resume();
+        cluster.time().runFor(10_000);
+        assertThat(cluster.sum("crank.control.seals")).isZero();
+        assertThat(cluster.host(3).isLeaseValid()).isTrue();
+    }
+
+    @Test
+    void lostFailureDomainIsSealed() {
+        FakeCluster cluster = new FakeCluster(EIGHT);
+        List<FakeHost> lost = cluster.hosts().subList(4, 8);
+        lost.forEach(FakeHost::kill);
+        long tookMs = cluster.time()
+                .runUntil(
+                        () -> lost.stream()
+                                .allMatch(
+                                        host -> cluster.isSealed(host.control().self())),
+                        10_000);
+        assertThat(tookMs).isBetween(1_000L, SEAL_LIMIT_MS);
+    }
+
+    @Test
+    void memberCutOffFromPeersKeepsItsLeaseThroughTheStore() {
+        FakeCluster cluster = new FakeCluster(EIGHT);
+        FakeHost host = cluster.host(0);
+        host.setCut(true);
+        cluster.time().runFor(20_000);
+        host.setCut(false);
+        cluster.time().runFor(5_000);
+        assertThat(host.isLeaseValid() || !host.sealedIncarnations().isEmpty()).isTrue();
+    }
+
+    @Test
+    void plannedStopLeavesThenSeals() {
+        FakeCluster cluster = new FakeCluster(THREE);
+        FakeHost host = cluster.host(0);
+        CompletableFuture<Void> left = host.control().leave();
+        cluster.time().runFor(200);
+        assertThat(left).isCompleted();
+        assertThat(host.isLeaseValid()).isTrue();
+        CompletableFuture<Void> sealed = host.control().sealSelf();
+        cluster.time().runUntil(() -> !host.isLeaseValid(), 200);
+        assertThat(cluster.isSealed(host.control().self())).isFalse();
+        cluster.time().runFor(200);
+        assertThat(sealed).isCompleted();
+        assertThat(cluster.isSealed(host.control().self())).isTrue();
+        assertThat(host.sealedIncarnations()).isEmpty();
+    }
+}
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
@@ -52,7 +52,7 @@
         view = new ClusterView(context, self);
         metrics = new ControlMetrics(context.services().metrics(), this::leaseRemainingMs);
         dissemination = new Dissemination(context, view, metrics);
-        takeovers = new TakeoverDuty(context, view, dissemination, metrics, self);
+        takeovers = new TakeoverDuty(context, view, metrics, self);
         membership = newMembership(self);
         lastTickNanos = context.nowNanos();
         status = buildStatus(lastTickNanos);
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -33,7 +33,11 @@
     private static final int MAX_FALLBACK_RANK = 8;
     private static final long FETCH_TIMEOUT_MS = 1_000;
     private static final long FIRST_RETRY_MS = 200;
-    private static final long MAX_RETRY_MS = 4_000;
+    private static final long MAX_RETRY_MS = 1_000;
+
+    /** Many daemons may watch as fallback during an outage of the store, so they retry rarely. */
+    private static final long MAX_FALLBACK_RETRY_MS = 16_000;
+
     private static final long NANOS_PER_MS = 1_000_000;
 
     /** Ranking a region of 405 members at each tick is work that the result does not need: it changes only when members do. */
@@ -100,11 +104,6 @@
         return news;
     }
 
-    /** Marks news that came by another way than this class, such as an own write. */
-    public void markNews() {
-        newsToPush = true;
-    }
-
     /**
      * Lists or watches the store, as due.
      *
@@ -140,6 +139,7 @@
         boolean newRelay = rank == 0 || self.witnesses().isEmpty();
         if (newRelay != relay) {
             relay = newRelay;
+            feeds.values().forEach(feed -> feed.retryAtNanos = nowNanos);
             context.log(() -> "event=relay member=" + self.id() + " active=" + newRelay + " rank=" + rank);
         }
         boolean newFallback = !relay && (fallback ? keepsFallback(nowNanos) : isStale(rank, nowNanos));
@@ -216,13 +216,22 @@
         feed.retryMs = FIRST_RETRY_MS;
         long now = context.nowNanos();
         feed.retryAtNanos = now;
-        apply(feed.kind, new ObjectData(feed.kind, batch.upTo(), batch.reset(), batch.changes()), now);
+        ObjectData data = new ObjectData(feed.kind, batch.upTo(), batch.reset(), batch.changes());
+        if (!apply(feed.kind, data, now)) {
+            storeIsIdle(now);
+        }
+    }
+
+    /** The store itself has nothing newer, so standing still is no sign of a lost relay. */
+    private void storeIsIdle(long nowNanos) {
+        lastAdvanceNanos = nowNanos;
+        fallback = false;
     }
 
     private void storeFailed(Feed feed, String operation, CrankException failure) {
         long retryMs = context.jitteredMs(feed.retryMs);
         feed.retryAtNanos = context.nowNanos() + retryMs * NANOS_PER_MS;
-        feed.retryMs = Math.min(2 * feed.retryMs, MAX_RETRY_MS);
+        feed.retryMs = Math.min(2 * feed.retryMs, fallback ? MAX_FALLBACK_RETRY_MS : MAX_RETRY_MS);
         context.log(() -> "event=store-retry operation=" + operation + " kind=" + feed.kind + " code=" + failure.code()
                 + " retryMs=" + retryMs);
     }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
@@ -132,7 +132,8 @@
     /** Evaluates the lease, then does what is due. Joins once the store has been listed. */
     public void tick(long nowNanos) {
         if (holder.isEmpty()) {
-            if (dissemination.isListed()) {
+            boolean stopped = leaving.isDone() || sealed.isDone();
+            if (dissemination.isListed() && !stopped) {
                 join(nowNanos);
             }
             return;
@@ -156,8 +157,11 @@
         }
     }
 
-    /** Asks for no new ranges; done when the record says so. */
+    /** Asks for no new ranges; done when the record says so. Before the join it prevents the join. */
     public CompletableFuture<Void> leave() {
+        if (holder.isEmpty()) {
+            leaving.complete(null);
+        }
         if (wanted.state() == MemberState.JOINING || wanted.state() == MemberState.ACTIVE) {
             want(wanted.withState(MemberState.LEAVING));
         }
@@ -166,6 +170,9 @@
 
     /** Ends the lease at once and seals the own record; done when it is sealed. */
     public CompletableFuture<Void> sealSelf() {
+        if (holder.isEmpty()) {
+            sealed.complete(null);
+        }
         want(wanted.withState(MemberState.SEALED));
         return sealed;
     }
@@ -311,8 +318,8 @@
                 (revision, failure) -> {
                     long now = context.nowNanos();
                     if (failure == null) {
-                        view.applyMember(new KnownMember(write.record(), revision));
                         perform(lease.writeSucceeded(write.operation(), revision, now));
+                        view.applyMember(new KnownMember(write.record(), revision));
                         recordConfirmed();
                     } else {
                         writeFailed(lease, write, failure, now);
@@ -336,15 +343,17 @@
     private void readRecord(HolderAction.ReadRecord read) {
         LeaseHolder lease = holder.orElseThrow();
         context.call(
-                () -> context.services().store().get(ObjectNames.member(id)),
+                () -> context.services()
+                        .store()
+                        .get(ObjectNames.member(id))
+                        .thenApply(object -> object.map(Membership::decode)),
                 context.options().storeTimeoutMs(),
-                (object, failure) -> {
+                (found, failure) -> {
                     long now = context.nowNanos();
                     if (failure != null) {
                         lease.readFailed(read.operation(), now);
                         return;
                     }
-                    Optional<KnownMember> found = object.map(Membership::decode);
                     found.ifPresent(view::applyMember);
                     perform(lease.readSucceeded(read.operation(), found, now));
                     recordConfirmed();
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/TakeoverDuty.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/TakeoverDuty.java
@@ -28,22 +28,15 @@
 
     private final ControlContext context;
     private final ClusterView view;
-    private final Dissemination dissemination;
     private final ControlMetrics metrics;
     private final Map<MemberId, Takeover> running = new HashMap<>();
-    private WitnessDuty witnessDuty;
+    private final WitnessDuty witnessDuty;
     private MemberId self;
     private long aliveSinceNanos;
 
-    public TakeoverDuty(
-            ControlContext context,
-            ClusterView view,
-            Dissemination dissemination,
-            ControlMetrics metrics,
-            MemberId self) {
+    public TakeoverDuty(ControlContext context, ClusterView view, ControlMetrics metrics, MemberId self) {
         this.context = context;
         this.view = view;
-        this.dissemination = dissemination;
         this.metrics = metrics;
         this.self = self;
         this.aliveSinceNanos = context.nowNanos();
@@ -87,7 +80,7 @@
         for (Takeover takeover : List.copyOf(running.values())) {
             MemberId member = takeover.target().member().id();
             KnownMember record = snapshot.members().get(member);
-            if (record == null) {
+            if (record == null || !mayTake(record.member())) {
                 running.remove(member);
             } else {
                 takeover.recordLearned(record, now);
@@ -107,12 +100,15 @@
         if (member.id().equals(self) || member.state() == MemberState.SEALED) {
             return false;
         }
-        boolean mayTake = member.witnesses().isEmpty() || member.witnesses().contains(self);
-        return mayTake
+        return mayTake(member)
                 && nowNanos - lastHeardNanos(member.id())
                         > context.options().leaseTiming().expiryNanos();
     }
 
+    private boolean mayTake(Member member) {
+        return member.witnesses().isEmpty() || member.witnesses().contains(self);
+    }
+
     /** A new revision of the record is a sign of life too; a member without witnesses gives no other. */
     private long lastHeardNanos(MemberId member) {
         long heard = aliveSinceNanos;
@@ -204,7 +200,6 @@
                         context.log(() -> "event=sealed member=" + member + " revision=" + revision + " taker=" + self);
                         takeover.sealSucceeded(seal.operation(), revision, context.nowNanos());
                         view.applyMember(new KnownMember(seal.sealed(), revision));
-                        dissemination.markNews();
                     } else {
                         sealFailed(takeover, seal, failure);
                     }
@@ -225,15 +220,18 @@
     private void read(Takeover takeover, TakeoverAction.ReadRecord read) {
         MemberId member = takeover.target().member().id();
         context.call(
-                () -> context.services().store().get(ObjectNames.member(member)),
+                () -> context.services()
+                        .store()
+                        .get(ObjectNames.member(member))
+                        .thenApply(object -> object.map(Membership::decode)),
                 context.options().storeTimeoutMs(),
-                (object, failure) -> {
+                (found, failure) -> {
                     long now = context.nowNanos();
                     if (failure != null) {
                         takeover.storeFailed(read.operation(), now);
                     } else {
-                        takeover.readSucceeded(read.operation(), object.map(Membership::decode), now);
-                        object.map(Membership::decode).ifPresent(view::applyMember);
+                        takeover.readSucceeded(read.operation(), found, now);
+                        found.ifPresent(view::applyMember);
                     }
                     finishIfDone(takeover);
                 });
