--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
@@ -32,6 +32,9 @@
 public final class ControlLoop implements AutoCloseable {
     private static final long NANOS_PER_MS = 1_000_000;
 
+    /** About 51 bits, ten characters; the id is part of each heartbeat. */
+    private static final long MEMBER_ID_RANDOM_BOUND = 3_656_158_440_062_976L;
+
     /** A longer gap between ticks counts as a pause of the process. */
     private static final long PAUSE_NANOS = 500 * NANOS_PER_MS;
 
@@ -120,7 +123,7 @@
 
     private MemberId newMemberId() {
         return new MemberId(context.identity().name() + "-"
-                + Long.toHexString(context.random().nextLong()));
+                + Long.toString(context.random().nextLong(MEMBER_ID_RANDOM_BOUND), Character.MAX_RADIX));
     }
 
     private Membership newMembership(MemberId self) {
