Skip witness choice and ranking while nothing changed

Cause: each daemon ranked its region and counted duties several times a second; a simulation of 810 daemons spent most of its time there.

--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
@@ -52,6 +52,7 @@
     private final List<Waiter> waiters = new ArrayList<>();
     private Configuration configuration = Configuration.EMPTY;
     private Revision configurationRevision = Revision.NONE;
+    private long version;
     private volatile RoutingSnapshot snapshot;
 
     public ClusterView(ControlContext context, MemberId self) {
@@ -101,6 +102,11 @@
         publish(self);
     }
 
+    /** Number of snapshots published so far. */
+    public long version() {
+        return version;
+    }
+
     /** Every change of a kind up to this revision is known. */
     public Revision completeUpTo(FetchObject.Kind kind) {
         return caches.get(kind).completeUpTo();
@@ -197,6 +203,7 @@
 
     private void publish(MemberId self) {
         RoutingSnapshot next = new RoutingSnapshot(self, configurationRevision, configuration, tables, members);
+        version++;
         snapshot = next;
         for (Consumer<RoutingSnapshot> listener : listeners) {
             try {
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -40,9 +40,6 @@
 
     private static final long NANOS_PER_MS = 1_000_000;
 
-    /** Ranking a region of 405 members at each tick is work that the result does not need: it changes only when members do. */
-    private static final long ROLE_INTERVAL_NANOS = 250 * NANOS_PER_MS;
-
     /** State of the transfers of one kind. */
     private static final class Feed {
         private final FetchObject.Kind kind;
@@ -63,9 +60,11 @@
     private final ControlMetrics metrics;
     private final Map<FetchObject.Kind, Feed> feeds = new EnumMap<>(FetchObject.Kind.class);
     private final int fallbackSpread;
-    private long roleChosenNanos;
     private long lastAdvanceNanos;
     private long lastPeerAdvanceNanos;
+    private long rankedVersion = -1;
+    private Set<MemberId> rankedSuspects = Set.of();
+    private int rank;
     private boolean relay;
     private boolean fallback;
     private boolean newsToPush;
@@ -76,7 +75,6 @@
         this.metrics = metrics;
         this.fallbackSpread = context.random().nextInt(MAX_FALLBACK_RANK);
         long now = context.nowNanos();
-        roleChosenNanos = now - ROLE_INTERVAL_NANOS;
         lastAdvanceNanos = now;
         lastPeerAdvanceNanos = now;
         for (FetchObject.Kind kind : FetchObject.Kind.values()) {
@@ -111,10 +109,7 @@
      * @param suspects members that do not answer this daemon
      */
     public void tick(Member self, Set<MemberId> suspects, long nowNanos) {
-        if (nowNanos - roleChosenNanos >= ROLE_INTERVAL_NANOS) {
-            roleChosenNanos = nowNanos;
-            chooseRole(self, suspects, nowNanos);
-        }
+        chooseRole(self, suspects, nowNanos);
         for (Feed feed : feeds.values()) {
             if (feed.storeCallInFlight || nowNanos - feed.retryAtNanos < 0) {
                 continue;
@@ -135,7 +130,12 @@
     }
 
     private void chooseRole(Member self, Set<MemberId> suspects, long nowNanos) {
-        int rank = rank(self, suspects);
+        long version = view.version();
+        if (version != rankedVersion || !suspects.equals(rankedSuspects)) {
+            rankedVersion = version;
+            rankedSuspects = Set.copyOf(suspects);
+            rank = rank(self, suspects);
+        }
         boolean newRelay = rank == 0 || self.witnesses().isEmpty();
         if (newRelay != relay) {
             relay = newRelay;
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
@@ -54,6 +54,8 @@
     private Optional<LeaseHolder> holder = Optional.empty();
     private Member wanted;
     private long reviewedNanos;
+    private long reviewedVersion;
+    private Set<MemberId> reviewedSuspects = Set.of();
     private long rebalanceNanos;
     private long lastHeartbeatNanos;
     private long aliveSinceNanos;
@@ -225,6 +227,13 @@
         if (rebalance) {
             rebalanceNanos = nowNanos + nextRebalanceNanos();
         }
+        long version = view.version();
+        Set<MemberId> suspects = suspects();
+        if (!rebalance && version == reviewedVersion && suspects.equals(reviewedSuspects)) {
+            return;
+        }
+        reviewedVersion = version;
+        reviewedSuspects = suspects;
         List<MemberId> witnesses = chooseWitnesses(rebalance);
         if (!witnesses.equals(wanted.witnesses())) {
             context.log(() -> "event=witness-change member=" + id + " from=" + wanted.witnesses() + " to=" + witnesses
--- a/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/LeaseHolder.java
+++ b/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/LeaseHolder.java
@@ -50,7 +50,7 @@
         this.desired = initial;
         this.startNanos = nowNanos;
         this.votes = new VoteTable(timing, nowNanos);
-        this.backoff = new StoreBackoff(timing, nowNanos);
+        this.backoff = new StoreBackoff(timing, nowNanos, initial.id().hashCode());
     }
 
     /** Time until which the lease holds; in the past if it does not. */
--- a/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/Takeover.java
+++ b/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/Takeover.java
@@ -53,7 +53,7 @@
         this.target = target;
         this.knownSinceNanos = knownSinceNanos;
         this.startAtNanos = startAtNanos;
-        this.backoff = new StoreBackoff(timing, startAtNanos);
+        this.backoff = new StoreBackoff(timing, startAtNanos, knownSinceNanos);
     }
 
     public State state() {
