--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/WitnessSelector.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/WitnessSelector.java
@@ -113,15 +113,24 @@
     }
 
     private void take(Predicate<Member> group, int limit, Set<MemberId> kept) {
-        others.stream()
-                .filter(group)
-                .map(Member::id)
-                .filter(member -> !chosen.contains(member))
-                .sorted(Comparator.<MemberId, Boolean>comparing(member -> !kept.contains(member))
-                        .thenComparing(this::duties)
-                        .thenComparing(Rendezvous.comparator(self.id().value())))
-                .limit(Math.max(0, limit - chosen.size()))
-                .forEach(chosen::add);
+        Comparator<MemberId> byDuties = Comparator.comparing(this::duties);
+        fill(group.and(member -> kept.contains(member.id())), limit, byDuties);
+        fill(
+                group,
+                limit,
+                byDuties.thenComparing(Rendezvous.comparator(self.id().value())));
+    }
+
+    private void fill(Predicate<Member> group, int limit, Comparator<MemberId> order) {
+        if (chosen.size() < limit) {
+            others.stream()
+                    .filter(group)
+                    .map(Member::id)
+                    .filter(member -> !chosen.contains(member))
+                    .sorted(order)
+                    .limit(limit - chosen.size())
+                    .forEach(chosen::add);
+        }
     }
 
     /** Keeps the order of witnesses that stay, because an unchanged list needs no write. */
