Scan only the members that a daemon may take over

Cause: each daemon checked all members at each tick of 50 ms. Conclusion: the cost of a tick depends on the duties, not on the fleet.

--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/TakeoverDuty.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/TakeoverDuty.java
@@ -31,6 +31,8 @@
     private final ControlMetrics metrics;
     private final Map<MemberId, Takeover> running = new HashMap<>();
     private final WitnessDuty witnessDuty;
+    private List<KnownMember> charges = List.of();
+    private long chargesVersion = -1;
     private MemberId self;
     private long aliveSinceNanos;
 
@@ -62,7 +64,8 @@
 
     /** Starts takeovers of members not heard of and advances the running ones. */
     public void tick(long nowNanos) {
-        for (KnownMember known : view.current().members().values()) {
+        findCharges();
+        for (KnownMember known : charges) {
             if (isSuspect(known, nowNanos)
                     && !running.containsKey(known.member().id())) {
                 start(known, nowNanos);
@@ -95,14 +98,21 @@
         }
     }
 
-    private boolean isSuspect(KnownMember known, long nowNanos) {
-        Member member = known.member();
-        if (member.id().equals(self) || member.state() == MemberState.SEALED) {
-            return false;
+    /** Finds the members that this daemon may take over; only a new snapshot changes them. */
+    private void findCharges() {
+        if (view.version() != chargesVersion) {
+            chargesVersion = view.version();
+            charges = view.current().members().values().stream()
+                    .filter(known -> !known.member().id().equals(self))
+                    .filter(known -> known.member().state() != MemberState.SEALED)
+                    .filter(known -> mayTake(known.member()))
+                    .toList();
         }
-        return mayTake(member)
-                && nowNanos - lastHeardNanos(member.id())
-                        > context.options().leaseTiming().expiryNanos();
+    }
+
+    private boolean isSuspect(KnownMember known, long nowNanos) {
+        return nowNanos - lastHeardNanos(known.member().id())
+                > context.options().leaseTiming().expiryNanos();
     }
 
     private boolean mayTake(Member member) {
