--- a/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/MembershipTest.java
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/MembershipTest.java
@@ -93,6 +93,16 @@
         assertThat(joiner.sealedIncarnations()).isEmpty();
     }
 
+    @Test
+    void startWaitsForTheStore() {
+        FakeCluster cluster = new FakeCluster(THREE);
+        cluster.store().setMode(FakeStore.Mode.DOWN);
+        FakeHost joiner = cluster.add("r/b");
+        cluster.time().runFor(30_000);
+        cluster.store().setMode(FakeStore.Mode.UP);
+        assertThat(cluster.time().runUntil(joiner::isLeaseValid, 3_000)).isNotNegative();
+    }
+
     @Test
     void killedMemberIsSealedOnceAndOthersKeepTheirLeases() {
         for (String[] places : List.of(THREE, EIGHT)) {
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlStatus.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlStatus.java
@@ -16,6 +16,7 @@
  * @param watching whether this daemon watches the store, as relay or as fallback
  * @param configurationRevision revision of the configuration in force here
  * @param knownUpTo revisions up to which every change is known
+ * @param takeovers members that this daemon is trying to seal
  */
 public record ControlStatus(
         MemberId memberId,
@@ -26,7 +27,8 @@
         boolean relay,
         boolean watching,
         Revision configurationRevision,
-        Digest knownUpTo) {
+        Digest knownUpTo,
+        List<MemberId> takeovers) {
     /**
      * A witness of this daemon. Immutable.
      *
@@ -36,5 +38,6 @@
 
     public ControlStatus {
         witnesses = List.copyOf(witnesses);
+        takeovers = List.copyOf(takeovers);
     }
 }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
@@ -53,7 +53,10 @@
         this.context = context;
         MemberId self = newMemberId();
         view = new ClusterView(context, self);
-        metrics = new ControlMetrics(context.services().metrics(), this::leaseRemainingMs);
+        metrics = new ControlMetrics(
+                context.services().metrics(),
+                () -> status.leaseRemainingMs(),
+                () -> status.takeovers().size());
         dissemination = new Dissemination(context, view, metrics);
         takeovers = new TakeoverDuty(context, view, metrics, self);
         membership = newMembership(self);
@@ -203,7 +206,8 @@
                 dissemination.isRelay(),
                 dissemination.isWatching(),
                 view.current().configurationRevision(),
-                view.digest());
+                view.digest(),
+                takeovers.runningTakeovers());
     }
 
     private OptionalLong voteAgeMs(MemberId witness, long nowNanos) {
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlMetrics.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlMetrics.java
@@ -14,7 +14,7 @@
     private final Counter fetches;
     private final Counter recordWrites;
 
-    public ControlMetrics(MeterRegistry registry, Supplier<Number> leaseRemainingMs) {
+    public ControlMetrics(MeterRegistry registry, Supplier<Number> leaseRemainingMs, Supplier<Number> takeovers) {
         heartbeats = registry.counter("crank.control.heartbeats.sent");
         refusals = registry.counter("crank.control.refusals");
         seals = registry.counter("crank.control.seals");
@@ -22,6 +22,7 @@
         fetches = registry.counter("crank.control.fetches");
         recordWrites = registry.counter("crank.control.record.writes");
         Gauge.builder("crank.lease.remaining.ms", leaseRemainingMs).register(registry);
+        Gauge.builder("crank.control.takeovers.running", takeovers).register(registry);
     }
 
     public void heartbeatSent() {
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/TakeoverDuty.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/TakeoverDuty.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.control.internal;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,13 +24,18 @@
 
 /** Finds members that are no longer heard of and drives a {@link Takeover} for each. Control thread only. */
 public final class TakeoverDuty {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long NANOS_PER_MS = 1_000_000;
     private static final int MAX_RANK = 10;
 
+    /** A longer takeover probably lacks witnesses that can refuse, and its member's keys wait for an operator. */
+    private static final long STUCK_NANOS = 10_000 * NANOS_PER_MS;
+
     private final ControlContext context;
     private final ClusterView view;
     private final ControlMetrics metrics;
     private final Map<MemberId, Takeover> running = new HashMap<>();
+    private final Map<MemberId, Long> stuckAtNanos = new HashMap<>();
     private final WitnessDuty witnessDuty;
     private List<KnownMember> charges = List.of();
     private long chargesVersion = -1;
@@ -75,6 +81,26 @@
             perform(takeover, takeover.tick(nowNanos));
             finishIfDone(takeover);
         }
+        reportStuck(nowNanos);
+    }
+
+    /** Members whose takeover is going on. */
+    public List<MemberId> runningTakeovers() {
+        return running.keySet().stream().sorted().toList();
+    }
+
+    private void reportStuck(long nowNanos) {
+        stuckAtNanos.keySet().retainAll(running.keySet());
+        for (Takeover takeover : running.values()) {
+            Member member = takeover.target().member();
+            Long stuckAt = stuckAtNanos.putIfAbsent(member.id(), nowNanos + STUCK_NANOS);
+            if (stuckAt != null && nowNanos - stuckAt >= 0) {
+                stuckAtNanos.put(member.id(), nowNanos + STUCK_NANOS);
+                logger.atWarning().log(
+                        "event=takeover-stuck member=%s revision=%s refusals=%d witnesses=%s",
+                        member.id(), takeover.target().revision(), takeover.refusalCount(), member.witnesses());
+            }
+        }
     }
 
     /** Tells running takeovers of newer records. */
