--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -33,11 +33,12 @@
     private static final int MAX_FALLBACK_RANK = 8;
     private static final long FETCH_TIMEOUT_MS = 1_000;
     private static final long FIRST_RETRY_MS = 200;
-    private static final long MAX_RETRY_MS = 4_000;
-    private static final long NANOS_PER_MS = 1_000_000;
+    private static final long MAX_RETRY_MS = 1_000;
+
+    /** Many daemons may watch as fallback during an outage of the store, so they retry rarely. */
+    private static final long MAX_FALLBACK_RETRY_MS = 16_000;
 
-    /** Ranking a region of 405 members at each tick is work that the result does not need: it changes only when members do. */
-    private static final long ROLE_INTERVAL_NANOS = 250 * NANOS_PER_MS;
+    private static final long NANOS_PER_MS = 1_000_000;
 
     /** State of the transfers of one kind. */
     private static final class Feed {
@@ -59,9 +60,11 @@
     private final ControlMetrics metrics;
     private final Map<FetchObject.Kind, Feed> feeds = new EnumMap<>(FetchObject.Kind.class);
     private final int fallbackSpread;
-    private long roleChosenNanos;
     private long lastAdvanceNanos;
     private long lastPeerAdvanceNanos;
+    private long rankedVersion = -1;
+    private Set<MemberId> rankedSuspects = Set.of();
+    private int rank;
     private boolean relay;
     private boolean fallback;
     private boolean newsToPush;
@@ -72,7 +75,6 @@
         this.metrics = metrics;
         this.fallbackSpread = context.random().nextInt(MAX_FALLBACK_RANK);
         long now = context.nowNanos();
-        roleChosenNanos = now - ROLE_INTERVAL_NANOS;
         lastAdvanceNanos = now;
         lastPeerAdvanceNanos = now;
         for (FetchObject.Kind kind : FetchObject.Kind.values()) {
@@ -100,11 +102,6 @@
         return news;
     }
 
-    /** Marks news that came by another way than this class, such as an own write. */
-    public void markNews() {
-        newsToPush = true;
-    }
-
     /**
      * Lists or watches the store, as due.
      *
@@ -112,10 +109,7 @@
      * @param suspects members that do not answer this daemon
      */
     public void tick(Member self, Set<MemberId> suspects, long nowNanos) {
-        if (nowNanos - roleChosenNanos >= ROLE_INTERVAL_NANOS) {
-            roleChosenNanos = nowNanos;
-            chooseRole(self, suspects, nowNanos);
-        }
+        chooseRole(self, suspects, nowNanos);
         for (Feed feed : feeds.values()) {
             if (feed.storeCallInFlight || nowNanos - feed.retryAtNanos < 0) {
                 continue;
@@ -136,10 +130,16 @@
     }
 
     private void chooseRole(Member self, Set<MemberId> suspects, long nowNanos) {
-        int rank = rank(self, suspects);
+        long version = view.version();
+        if (version != rankedVersion || !suspects.equals(rankedSuspects)) {
+            rankedVersion = version;
+            rankedSuspects = Set.copyOf(suspects);
+            rank = rank(self, suspects);
+        }
         boolean newRelay = rank == 0 || self.witnesses().isEmpty();
         if (newRelay != relay) {
             relay = newRelay;
+            feeds.values().forEach(feed -> feed.retryAtNanos = nowNanos);
             context.log(() -> "event=relay member=" + self.id() + " active=" + newRelay + " rank=" + rank);
         }
         boolean newFallback = !relay && (fallback ? keepsFallback(nowNanos) : isStale(rank, nowNanos));
@@ -216,13 +216,22 @@
         feed.retryMs = FIRST_RETRY_MS;
         long now = context.nowNanos();
         feed.retryAtNanos = now;
-        apply(feed.kind, new ObjectData(feed.kind, batch.upTo(), batch.reset(), batch.changes()), now);
+        ObjectData data = new ObjectData(feed.kind, batch.upTo(), batch.reset(), batch.changes());
+        if (!apply(feed.kind, data, now)) {
+            storeIsIdle(now);
+        }
+    }
+
+    /** The store itself has nothing newer, so standing still is no sign of a lost relay. */
+    private void storeIsIdle(long nowNanos) {
+        lastAdvanceNanos = nowNanos;
+        fallback = false;
     }
 
     private void storeFailed(Feed feed, String operation, CrankException failure) {
         long retryMs = context.jitteredMs(feed.retryMs);
         feed.retryAtNanos = context.nowNanos() + retryMs * NANOS_PER_MS;
-        feed.retryMs = Math.min(2 * feed.retryMs, MAX_RETRY_MS);
+        feed.retryMs = Math.min(2 * feed.retryMs, fallback ? MAX_FALLBACK_RETRY_MS : MAX_RETRY_MS);
         context.log(() -> "event=store-retry operation=" + operation + " kind=" + feed.kind + " code=" + failure.code()
                 + " retryMs=" + retryMs);
     }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
@@ -54,6 +54,8 @@
     private Optional<LeaseHolder> holder = Optional.empty();
     private Member wanted;
     private long reviewedNanos;
+    private long reviewedVersion;
+    private Set<MemberId> reviewedSuspects = Set.of();
     private long rebalanceNanos;
     private long lastHeartbeatNanos;
     private long aliveSinceNanos;
@@ -132,7 +134,8 @@
     /** Evaluates the lease, then does what is due. Joins once the store has been listed. */
     public void tick(long nowNanos) {
         if (holder.isEmpty()) {
-            if (dissemination.isListed()) {
+            boolean stopped = leaving.isDone() || sealed.isDone();
+            if (dissemination.isListed() && !stopped) {
                 join(nowNanos);
             }
             return;
@@ -156,8 +159,11 @@
         }
     }
 
-    /** Asks for no new ranges; done when the record says so. */
+    /** Asks for no new ranges; done when the record says so. Before the join it prevents the join. */
     public CompletableFuture<Void> leave() {
+        if (holder.isEmpty()) {
+            leaving.complete(null);
+        }
         if (wanted.state() == MemberState.JOINING || wanted.state() == MemberState.ACTIVE) {
             want(wanted.withState(MemberState.LEAVING));
         }
@@ -166,6 +172,9 @@
 
     /** Ends the lease at once and seals the own record; done when it is sealed. */
     public CompletableFuture<Void> sealSelf() {
+        if (holder.isEmpty()) {
+            sealed.complete(null);
+        }
         want(wanted.withState(MemberState.SEALED));
         return sealed;
     }
@@ -218,6 +227,13 @@
         if (rebalance) {
             rebalanceNanos = nowNanos + nextRebalanceNanos();
         }
+        long version = view.version();
+        Set<MemberId> suspects = suspects();
+        if (!rebalance && version == reviewedVersion && suspects.equals(reviewedSuspects)) {
+            return;
+        }
+        reviewedVersion = version;
+        reviewedSuspects = suspects;
         List<MemberId> witnesses = chooseWitnesses(rebalance);
         if (!witnesses.equals(wanted.witnesses())) {
             context.log(() -> "event=witness-change member=" + id + " from=" + wanted.witnesses() + " to=" + witnesses
@@ -311,8 +327,8 @@
                 (revision, failure) -> {
                     long now = context.nowNanos();
                     if (failure == null) {
-                        view.applyMember(new KnownMember(write.record(), revision));
                         perform(lease.writeSucceeded(write.operation(), revision, now));
+                        view.applyMember(new KnownMember(write.record(), revision));
                         recordConfirmed();
                     } else {
                         writeFailed(lease, write, failure, now);
@@ -336,15 +352,17 @@
     private void readRecord(HolderAction.ReadRecord read) {
         LeaseHolder lease = holder.orElseThrow();
         context.call(
-                () -> context.services().store().get(ObjectNames.member(id)),
+                () -> context.services()
+                        .store()
+                        .get(ObjectNames.member(id))
+                        .thenApply(object -> object.map(Membership::decode)),
                 context.options().storeTimeoutMs(),
-                (object, failure) -> {
+                (found, failure) -> {
                     long now = context.nowNanos();
                     if (failure != null) {
                         lease.readFailed(read.operation(), now);
                         return;
                     }
-                    Optional<KnownMember> found = object.map(Membership::decode);
                     found.ifPresent(view::applyMember);
                     perform(lease.readSucceeded(read.operation(), found, now));
                     recordConfirmed();
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/TakeoverDuty.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/TakeoverDuty.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.control.internal;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,27 +24,27 @@
 
 /** Finds members that are no longer heard of and drives a {@link Takeover} for each. Control thread only. */
 public final class TakeoverDuty {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long NANOS_PER_MS = 1_000_000;
     private static final int MAX_RANK = 10;
 
+    /** A longer takeover probably lacks witnesses that can refuse, and its member's keys wait for an operator. */
+    private static final long STUCK_NANOS = 10_000 * NANOS_PER_MS;
+
     private final ControlContext context;
     private final ClusterView view;
-    private final Dissemination dissemination;
     private final ControlMetrics metrics;
     private final Map<MemberId, Takeover> running = new HashMap<>();
-    private WitnessDuty witnessDuty;
+    private final Map<MemberId, Long> stuckAtNanos = new HashMap<>();
+    private final WitnessDuty witnessDuty;
+    private List<KnownMember> charges = List.of();
+    private long chargesVersion = -1;
     private MemberId self;
     private long aliveSinceNanos;
 
-    public TakeoverDuty(
-            ControlContext context,
-            ClusterView view,
-            Dissemination dissemination,
-            ControlMetrics metrics,
-            MemberId self) {
+    public TakeoverDuty(ControlContext context, ClusterView view, ControlMetrics metrics, MemberId self) {
         this.context = context;
         this.view = view;
-        this.dissemination = dissemination;
         this.metrics = metrics;
         this.self = self;
         this.aliveSinceNanos = context.nowNanos();
@@ -69,7 +70,8 @@
 
     /** Starts takeovers of members not heard of and advances the running ones. */
     public void tick(long nowNanos) {
-        for (KnownMember known : view.current().members().values()) {
+        findCharges();
+        for (KnownMember known : charges) {
             if (isSuspect(known, nowNanos)
                     && !running.containsKey(known.member().id())) {
                 start(known, nowNanos);
@@ -79,6 +81,26 @@
             perform(takeover, takeover.tick(nowNanos));
             finishIfDone(takeover);
         }
+        reportStuck(nowNanos);
+    }
+
+    /** Members whose takeover is going on. */
+    public List<MemberId> runningTakeovers() {
+        return running.keySet().stream().sorted().toList();
+    }
+
+    private void reportStuck(long nowNanos) {
+        stuckAtNanos.keySet().retainAll(running.keySet());
+        for (Takeover takeover : running.values()) {
+            Member member = takeover.target().member();
+            Long stuckAt = stuckAtNanos.putIfAbsent(member.id(), nowNanos + STUCK_NANOS);
+            if (stuckAt != null && nowNanos - stuckAt >= 0) {
+                stuckAtNanos.put(member.id(), nowNanos + STUCK_NANOS);
+                logger.atWarning().log(
+                        "event=takeover-stuck member=%s revision=%s refusals=%d witnesses=%s",
+                        member.id(), takeover.target().revision(), takeover.refusalCount(), member.witnesses());
+            }
+        }
     }
 
     /** Tells running takeovers of newer records. */
@@ -87,7 +109,7 @@
         for (Takeover takeover : List.copyOf(running.values())) {
             MemberId member = takeover.target().member().id();
             KnownMember record = snapshot.members().get(member);
-            if (record == null) {
+            if (record == null || !mayTake(record.member())) {
                 running.remove(member);
             } else {
                 takeover.recordLearned(record, now);
@@ -102,15 +124,25 @@
         }
     }
 
-    private boolean isSuspect(KnownMember known, long nowNanos) {
-        Member member = known.member();
-        if (member.id().equals(self) || member.state() == MemberState.SEALED) {
-            return false;
+    /** Finds the members that this daemon may take over; only a new snapshot changes them. */
+    private void findCharges() {
+        if (view.version() != chargesVersion) {
+            chargesVersion = view.version();
+            charges = view.current().members().values().stream()
+                    .filter(known -> !known.member().id().equals(self))
+                    .filter(known -> known.member().state() != MemberState.SEALED)
+                    .filter(known -> mayTake(known.member()))
+                    .toList();
         }
-        boolean mayTake = member.witnesses().isEmpty() || member.witnesses().contains(self);
-        return mayTake
-                && nowNanos - lastHeardNanos(member.id())
-                        > context.options().leaseTiming().expiryNanos();
+    }
+
+    private boolean isSuspect(KnownMember known, long nowNanos) {
+        return nowNanos - lastHeardNanos(known.member().id())
+                > context.options().leaseTiming().expiryNanos();
+    }
+
+    private boolean mayTake(Member member) {
+        return member.witnesses().isEmpty() || member.witnesses().contains(self);
     }
 
     /** A new revision of the record is a sign of life too; a member without witnesses gives no other. */
@@ -204,7 +236,6 @@
                         context.log(() -> "event=sealed member=" + member + " revision=" + revision + " taker=" + self);
                         takeover.sealSucceeded(seal.operation(), revision, context.nowNanos());
                         view.applyMember(new KnownMember(seal.sealed(), revision));
-                        dissemination.markNews();
                     } else {
                         sealFailed(takeover, seal, failure);
                     }
@@ -225,15 +256,18 @@
     private void read(Takeover takeover, TakeoverAction.ReadRecord read) {
         MemberId member = takeover.target().member().id();
         context.call(
-                () -> context.services().store().get(ObjectNames.member(member)),
+                () -> context.services()
+                        .store()
+                        .get(ObjectNames.member(member))
+                        .thenApply(object -> object.map(Membership::decode)),
                 context.options().storeTimeoutMs(),
-                (object, failure) -> {
+                (found, failure) -> {
                     long now = context.nowNanos();
                     if (failure != null) {
                         takeover.storeFailed(read.operation(), now);
                     } else {
-                        takeover.readSucceeded(read.operation(), object.map(Membership::decode), now);
-                        object.map(Membership::decode).ifPresent(view::applyMember);
+                        takeover.readSucceeded(read.operation(), found, now);
+                        found.ifPresent(view::applyMember);
                     }
                     finishIfDone(takeover);
                 });
