--- a/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/LeaseHolderTest.java
+++ b/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/LeaseHolderTest.java
@@ -3,9 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
+import org.coriandercrank.kernel.id.FailureDomain;
+import org.coriandercrank.kernel.id.HostAddress;
 import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.Region;
 import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.ownership.KnownMember;
 import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.MemberState;
 import org.coriandercrank.lease.HolderAction;
 import org.coriandercrank.lease.LeaseHolder;
 import org.coriandercrank.lease.LeaseTiming;
@@ -20,6 +26,15 @@
 
     private final LeaseHolder holder = new LeaseHolder(LeaseTiming.ofMs(2_000, 500, 105), member(A, B), 0);
 
+    @Test
+    void witnessesKeepTheLeaseWhileNoWriteIsAnswered() {
+        join();
+        for (long ms = 1; ms < 600_000; ms += 50) {
+            answerHeartbeats(holder.tick(ms * MS), ms * MS, A, B);
+            assertThat(holder.validUntilNanos()).as("at %d ms", ms).isGreaterThan(ms * MS);
+        }
+    }
+
     @Test
     void changeOfAWitnessDoesNotInterruptTheLease() {
         join();
@@ -47,6 +62,30 @@
                 .isEqualTo(new Revision(10));
     }
 
+    @Test
+    void unansweredWriteIsResolvedByReading() {
+        HolderAction.WriteRecord write = writes(holder.tick(0)).get(0);
+        List<HolderAction> actions = holder.writeUnanswered(write.operation(), 400 * MS);
+        HolderAction.ReadRecord read = (HolderAction.ReadRecord) actions.get(0);
+        Optional<KnownMember> found = Optional.of(new KnownMember(write.record(), new Revision(10)));
+        holder.readSucceeded(read.operation(), found, 410 * MS);
+        assertThat(holder.confirmed()).isEqualTo(found);
+    }
+
+    @Test
+    void sealedRecordEndsTheIncarnation() {
+        join();
+        HolderAction.WriteRecord write =
+                writes(holder.refused(new Revision(10), MS)).get(0);
+        HolderAction.ReadRecord read = (HolderAction.ReadRecord)
+                holder.writeConflicted(write.operation(), 2 * MS).get(0);
+        Member sealed = write.record().withState(MemberState.SEALED);
+        assertThat(holder.readSucceeded(
+                        read.operation(), Optional.of(new KnownMember(sealed, new Revision(11))), 3 * MS))
+                .containsExactly(new HolderAction.End("sealed"));
+        assertThat(holder.isEnded()).isTrue();
+    }
+
     private void join() {
         HolderAction.WriteRecord write = writes(holder.tick(0)).get(0);
         answerHeartbeats(holder.writeSucceeded(write.operation(), new Revision(10), 0), 0, A, B);
@@ -69,6 +108,16 @@
     }
 
     private static Member member(MemberId... witnesses) {
-        return LeaseSimulation.member(List.of(witnesses));
+        HostAddress address = new HostAddress("127.0.0.1", 1);
+        return new Member(
+                new MemberId("holder"),
+                address,
+                address,
+                address,
+                new Region("r"),
+                new FailureDomain("d"),
+                MemberState.ACTIVE,
+                Optional.empty(),
+                List.of(witnesses));
     }
 }
