Stop a daemon without waiting when no server can take its ranges

Change: a leaving daemon waits only while another active server of its service exists; a test stops all daemons at once.

--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Incarnation.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Incarnation.java
@@ -27,6 +27,7 @@
 import org.coriandercrank.kernel.id.ServiceName;
 import org.coriandercrank.kernel.log.DecisionLog;
 import org.coriandercrank.kernel.ownership.GateStatus;
+import org.coriandercrank.kernel.ownership.KnownMember;
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
 import org.coriandercrank.kernel.peer.PeerHandlers;
 import org.coriandercrank.kernel.plugin.PluginRegistry;
@@ -35,6 +36,7 @@
 import org.coriandercrank.kernel.store.ObjectStore;
 import org.coriandercrank.kernel.table.AssignmentTable;
 import org.coriandercrank.kernel.table.BackendInfo;
+import org.coriandercrank.kernel.table.MemberState;
 import org.coriandercrank.kernel.time.TimerService;
 import org.coriandercrank.peer.PeerNetwork;
 import org.coriandercrank.peer.PeerOptions;
@@ -173,12 +175,25 @@
     private CompletableFuture<Void> awaitNoRanges() {
         return control.routing()
                 .await(
-                        snapshot ->
-                                snapshot.tables().values().stream().noneMatch(table -> table.mentions(control.self())),
+                        snapshot -> hasNoRanges(snapshot) || hasNoSuccessor(snapshot),
                         environment.settings().drainTimeoutMs())
                 .thenApply(snapshot -> null);
     }
 
+    private boolean hasNoRanges(RoutingSnapshot snapshot) {
+        return snapshot.tables().values().stream().noneMatch(table -> table.mentions(control.self()));
+    }
+
+    /** Without another server of the service the ranges stay assigned until one joins; waiting is pointless. */
+    private boolean hasNoSuccessor(RoutingSnapshot snapshot) {
+        Optional<ServiceName> service = backend().map(BackendInfo::service);
+        return snapshot.members().values().stream()
+                .map(KnownMember::member)
+                .filter(member ->
+                        member.state() == MemberState.ACTIVE && !member.id().equals(control.self()))
+                .noneMatch(member -> member.backend().map(BackendInfo::service).equals(service));
+    }
+
     @Override
     public void close() {
         ingress.close();
--- a/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/PlannedStopTest.java
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/PlannedStopTest.java
@@ -15,6 +15,7 @@
 /** Guards against planned stops that cut off requests, and leaving servers that still get new work. */
 class PlannedStopTest {
     private static final long NO_NEW_WORK_LIMIT_MS = 3_000;
+    private static final long ALL_STOPPED_LIMIT_MS = 10_000;
 
     @TempDir
     Path directory;
@@ -33,6 +34,19 @@
         }
     }
 
+    @Test
+    void stopOfAllDaemonsAtOnceDoesNotWaitForSuccessors() {
+        try (TestSite site = TestSite.start(directory, "r1/a", "r1/a", "r1/b")) {
+            long startedNanos = System.nanoTime();
+            site.hosts().forEach(host -> host.daemon().requestStop());
+            site.hosts().forEach(host -> host.daemon().waitForEnd());
+
+            assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos))
+                    .isLessThan(ALL_STOPPED_LIMIT_MS);
+            site.hosts().forEach(host -> assertThat(host.daemon().output()).contains("event=left"));
+        }
+    }
+
     @Test
     void drainedServerGetsNoNewWorkAndNoRequestFails() {
         try (TestSite site = TestSite.start(directory, "r1/a", "r1/a", "r1/b", "r1/b")) {
