--- /dev/null
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateFixture.java
@@ -0,0 +1,167 @@
+package org.coriandercrank.gate.test;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.nio.charset.StandardCharsets;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.coriandercrank.gate.GateInputs;
+import org.coriandercrank.gate.GateOptions;
+import org.coriandercrank.gate.internal.GateCore;
+import org.coriandercrank.gate.internal.GateMetrics;
+import org.coriandercrank.gate.internal.GateRuntime;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.config.BackendRule;
+import org.coriandercrank.kernel.config.Configuration;
+import org.coriandercrank.kernel.config.ServiceConfig;
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.id.IdempotencyKey;
+import org.coriandercrank.kernel.id.Key;
+import org.coriandercrank.kernel.id.KeyHash;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.RequestId;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.log.DecisionLog;
+import org.coriandercrank.kernel.message.OutcomeAnswer;
+import org.coriandercrank.kernel.message.OutcomeQuery;
+import org.coriandercrank.kernel.ownership.InheritedRecords;
+import org.coriandercrank.kernel.ownership.RoutingSnapshot;
+import org.coriandercrank.kernel.ownership.RoutingView;
+import org.coriandercrank.kernel.request.CallerAnswer;
+import org.coriandercrank.kernel.request.CallerRequest;
+import org.coriandercrank.kernel.table.BackendInfo;
+import org.coriandercrank.kernel.table.BackendInfo.Capability;
+import org.coriandercrank.kernel.table.KeyRange;
+
+/** A gate core with a fake backend server in virtual time. Not thread safe. */
+final class GateFixture implements RoutingView {
+    static final ServiceName SERVICE = new ServiceName("counter-desk");
+    static final Set<Capability> ALL = EnumSet.allOf(Capability.class);
+    static final KeyRange LOW = new KeyRange(KeyHash.MIN, new KeyHash(Long.MAX_VALUE));
+    static final KeyRange HIGH = new KeyRange(new KeyHash(Long.MIN_VALUE), KeyHash.MAX);
+
+    final ManualTimers timers = new ManualTimers();
+    final FakeBackend backend = new FakeBackend(timers.clock());
+    final SimpleMeterRegistry meters = new SimpleMeterRegistry();
+    final GateCore core;
+    long leaseUntilNanos;
+    boolean leaseRenewed = true;
+    ServiceConfig rules = ServiceConfig.withDefaults(SERVICE, true);
+    List<BackendRule> backendRules = List.of();
+    private int nextId;
+
+    GateFixture() {
+        this(GateOptions.DEFAULTS.withRampMs(0));
+    }
+
+    GateFixture(GateOptions options) {
+        GateInputs inputs =
+                new GateInputs(SERVICE, this, this::leaseUntil, timers, new DecisionLog(0, timers.clock()), meters);
+        core = new GateCore(new GateRuntime(inputs, options, timers, new GateMetrics(meters), () -> false));
+        timers.every(options.tickMs(), timers, core::tick);
+    }
+
+    private long leaseUntil() {
+        return leaseRenewed ? now() + TimeUnit.SECONDS.toNanos(2) : leaseUntilNanos;
+    }
+
+    long now() {
+        return timers.clock().nowNanos();
+    }
+
+    void lapseLease() {
+        leaseRenewed = false;
+        leaseUntilNanos = now() - 1;
+    }
+
+    /** Stops renewals; what is left of the lease runs out. */
+    void stopLeaseIn(long ms) {
+        leaseRenewed = false;
+        leaseUntilNanos = now() + TimeUnit.MILLISECONDS.toNanos(ms);
+    }
+
+    void attach(int slots, Set<Capability> capabilities) {
+        core.attach(
+                new BackendInfo("desk-1", SERVICE, HostAddress.parse("127.0.0.1:9000"), slots, 110, capabilities),
+                backend);
+        timers.settle();
+    }
+
+    /** Attaches a server with all capabilities and serves the whole hash space, with no record missing. */
+    GateFixture serving(int slots) {
+        attach(slots, ALL);
+        acquire(KeyRange.ALL, 1, InheritedRecords.NEVER_OWNED);
+        return this;
+    }
+
+    CompletableFuture<Void> acquire(KeyRange range, long fence, InheritedRecords inherited) {
+        CompletableFuture<Void> result = core.acquire(range, new Generation(fence), inherited);
+        timers.settle();
+        return result;
+    }
+
+    CompletableFuture<InheritedRecords> release(KeyRange range) {
+        CompletableFuture<InheritedRecords> result = core.release(range);
+        timers.settle();
+        return result;
+    }
+
+    CompletableFuture<CallerAnswer> submit(CallerRequest request) {
+        CompletableFuture<CallerAnswer> result = new CompletableFuture<>();
+        core.submit(request, now(), result);
+        timers.settle();
+        return result;
+    }
+
+    OutcomeAnswer.State resolve(CallerRequest request) {
+        return core.resolve(
+                        new OutcomeQuery(request.id(), SERVICE, request.key().map(Key::hash)))
+                .state();
+    }
+
+    CallerRequest post(String key) {
+        return request("r" + nextId++, key, "POST", 1_000, null, OptionalLong.empty());
+    }
+
+    static CallerRequest request(
+            String id, String key, String method, long remainingMs, String idempotencyKey, OptionalLong ageMs) {
+        return new CallerRequest(
+                new RequestId(id),
+                SERVICE,
+                Optional.of(new Key(key)),
+                method,
+                "/tickets",
+                List.of(),
+                "body".getBytes(StandardCharsets.UTF_8),
+                remainingMs,
+                Optional.ofNullable(idempotencyKey).map(IdempotencyKey::new),
+                ageMs);
+    }
+
+    static ResultCode codeOf(CompletableFuture<CallerAnswer> answer) {
+        return answer.isDone() ? answer.join().code() : null;
+    }
+
+    @Override
+    public RoutingSnapshot current() {
+        Configuration configuration = new Configuration(List.of(rules), backendRules, List.of());
+        return new RoutingSnapshot(new MemberId("m1"), new Revision(1), configuration, Map.of(), Map.of());
+    }
+
+    @Override
+    public void subscribe(Consumer<RoutingSnapshot> listener) {}
+
+    @Override
+    public CompletableFuture<RoutingSnapshot> await(Predicate<RoutingSnapshot> condition, long waitMs) {
+        return CompletableFuture.completedFuture(current());
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateProperties.java
@@ -0,0 +1,67 @@
+package org.coriandercrank.gate.test;
+
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.EdgeCasesMode;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.statistics.Statistics;
+import org.coriandercrank.gate.GateOptions;
+import org.coriandercrank.kernel.table.BackendInfo.Capability;
+
+/**
+ * Random interleavings of submit, repeat, cancel, resolve, acquire, release, lease lapse and return, and faults of the
+ * backend server. Guards against double execution, execution without lease, range or slot, a wrong NOT_RUN, and a
+ * release that completes too early. jqwik prints the seed.
+ */
+class GateProperties {
+    private static final int TRIES = 3_000;
+    private static final GateOptions OPTIONS = GateOptions.DEFAULTS.withRampMs(0);
+
+    record Action(int kind, int pick) {}
+
+    @Property(tries = TRIES, edgeCases = EdgeCasesMode.NONE)
+    void promisesHoldWithACapableServer(@ForAll("actions") List<Action> actions) {
+        run(GateFixture.ALL, OPTIONS, actions);
+    }
+
+    @Property(tries = TRIES, edgeCases = EdgeCasesMode.NONE)
+    void promisesHoldWithAServerThatChecksNothing(@ForAll("actions") List<Action> actions) {
+        run(Set.of(), OPTIONS, actions);
+    }
+
+    @Property(tries = TRIES, edgeCases = EdgeCasesMode.NONE)
+    void promisesHoldWithAServerThatOnlyHonoursDeadlines(@ForAll("actions") List<Action> actions) {
+        run(Set.of(Capability.DEADLINE, Capability.FENCE), OPTIONS, actions);
+    }
+
+    /** Records are evicted all the time; keys are then protected by their stated age, ids by their tombstones. */
+    @Property(tries = TRIES, edgeCases = EdgeCasesMode.NONE)
+    void promisesHoldWithFewRecords(@ForAll("actions") List<Action> actions) {
+        run(GateFixture.ALL, OPTIONS.withRecordLimits(600_000, 4, 100_000), actions);
+    }
+
+    private static void run(Set<Capability> capabilities, GateOptions options, List<Action> actions) {
+        GateModel model = new GateModel(capabilities, options);
+        for (Action action : actions) {
+            model.act(action.kind(), action.pick());
+        }
+        model.finish();
+        Statistics.label("at least 5 executions")
+                .collect(model.executions() >= 5)
+                .coverage(c -> c.check(true).percentage(p -> p > 50));
+    }
+
+    @Provide
+    Arbitrary<List<Action>> actions() {
+        Arbitrary<Action> action = Combinators.combine(
+                        Arbitraries.integers().between(0, 22).withoutEdgeCases(),
+                        Arbitraries.integers().between(0, 719).withoutEdgeCases())
+                .as(Action::new);
+        return action.list().ofMinSize(20).ofMaxSize(150);
+    }
+}
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GrantDriver.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GrantDriver.java
@@ -94,7 +94,7 @@
 
     private boolean isLapsedWithoutAnswer(RangeEntry entry, long nowNanos) {
         if (outstanding != null
-                && RangeTable.isPartOf(entry, outstanding.grant().ranges())) {
+                && RangeTable.isHeldThrough(entry, outstanding.grant().ranges())) {
             return false;
         }
         boolean honoursValidity = backend != null && backend.has(Capability.VALIDITY);
@@ -157,12 +157,12 @@
             dirty = true;
         }
         for (RangeEntry entry : ranges.inState(State.REVOKING)) {
-            if (!RangeTable.isPartOf(entry, granted)) {
+            if (!RangeTable.isHeldThrough(entry, granted)) {
                 ranges.advance(entry, State.REVOKED);
             }
         }
         for (RangeEntry entry : ranges.inState(State.ACQUIRING)) {
-            if (RangeTable.isPartOf(entry, granted)) {
+            if (granted.stream().anyMatch(entry::isServedThrough)) {
                 ranges.advance(entry, State.SERVING);
             }
         }
@@ -177,9 +177,8 @@
         runtime.metrics().onGrantFailure();
         runtime.logDecision(() -> "event=grant-failed sequence=" + sent.grant().sequence() + " code=" + failure.code());
         for (RangeEntry entry : ranges.inState(State.ACQUIRING)) {
-            if (RangeTable.isPartOf(entry, sent.grant().ranges())) {
-                ranges.remove(entry);
-                entry.acquired().completeExceptionally(failure);
+            if (RangeTable.isHeldThrough(entry, sent.grant().ranges())) {
+                entry.failAcquire(failure);
             }
         }
     }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeEntry.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeEntry.java
@@ -1,6 +1,10 @@
 package org.coriandercrank.gate.internal;
 
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.coriandercrank.kernel.backend.Grant.GrantedRange;
+import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.ownership.InheritedRecords;
 import org.coriandercrank.kernel.table.KeyRange;
@@ -28,9 +32,12 @@
     private final InheritedRecords inherited;
     private final CompletableFuture<Void> acquired;
     private final LoadMeter load;
+    private final Set<Generation> replacedFences = new HashSet<>();
     private State state;
     private Horizon horizon;
+    private Horizon dropHorizon = Horizon.UNLIMITED;
     private long servingSinceNanos;
+    private boolean acquireFailed;
     private boolean everGranted;
     private long heldUntilNanos;
 
@@ -64,6 +71,9 @@
         RangeEntry part = new RangeEntry(partRange, fence, inherited, acquired, load.part(share), horizon);
         part.state = state;
         part.servingSinceNanos = servingSinceNanos;
+        part.acquireFailed = acquireFailed;
+        part.dropHorizon = dropHorizon;
+        part.replacedFences.addAll(replacedFences);
         part.everGranted = everGranted;
         part.heldUntilNanos = heldUntilNanos;
         return part;
@@ -98,8 +108,21 @@
         return horizon;
     }
 
+    /**
+     * Time since when no record was dropped by this gate or the owner before it. Unlike {@link #horizon()} it does not
+     * start with a takeover, which happens seconds after the last execution of the lost owner.
+     */
+    public Horizon dropHorizon() {
+        return dropHorizon;
+    }
+
     public void moveHorizon(long sinceNanos) {
         horizon = horizon.later(Horizon.since(sinceNanos));
+        dropHorizon = dropHorizon.later(Horizon.since(sinceNanos));
+    }
+
+    public void limitDropHorizon(Horizon limit) {
+        dropHorizon = dropHorizon.later(limit);
     }
 
     /** Time since when this gate has seen every request of the range. */
@@ -118,6 +141,48 @@
         state = newState;
     }
 
+    /**
+     * Ends an acquire that did not succeed; the backend server may have the grant, so it is revoked. The range may be
+     * acquired again under the same fence, unless it is released meanwhile.
+     */
+    public void failAcquire(CrankException failure) {
+        advance(State.REVOKING);
+        acquireFailed = true;
+        acquired.completeExceptionally(failure);
+    }
+
+    public boolean isAcquireFailed() {
+        return acquireFailed;
+    }
+
+    /** Notes that the range is released, so that the fence is used up. */
+    public void startRelease() {
+        acquireFailed = false;
+        if (state.compareTo(State.RELEASING) < 0) {
+            advance(State.RELEASING);
+        }
+    }
+
+    /** Takes over what the backend server may hold of a part of the range that this entry replaces. */
+    void inheritHold(RangeEntry replaced) {
+        replacedFences.add(replaced.fence);
+        replacedFences.addAll(replaced.replacedFences);
+        if (replaced.everGranted) {
+            hold(replaced.heldUntilNanos);
+        }
+    }
+
+    /** Whether a granted range gives rights to part of this entry, under its fence or one that it replaced. */
+    public boolean isHeldThrough(GrantedRange granted) {
+        return granted.range().overlaps(range)
+                && (granted.fence().equals(fence) || replacedFences.contains(granted.fence()));
+    }
+
+    /** Whether a granted range contains this entry under its fence. */
+    public boolean isServedThrough(GrantedRange granted) {
+        return granted.range().contains(range) && granted.fence().equals(fence);
+    }
+
     /** Notes that the backend server may believe until a time that it holds the range. */
     public void hold(long untilNanos) {
         heldUntilNanos = everGranted && heldUntilNanos - untilNanos > 0 ? heldUntilNanos : untilNanos;
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeService.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeService.java
@@ -42,6 +42,7 @@
     private final RecordTable records;
     private final GrantDriver grants;
     private final ReleaseRules rules;
+    private final FenceHistory fences = new FenceHistory();
     private final List<Release> releases = new ArrayList<>();
 
     RangeService(GateRuntime runtime, RangeTable ranges, RecordTable records, GrantDriver grants) {
@@ -68,8 +69,9 @@
             runtime.logDecision(() -> line("acquire-refused", range, fence) + " code=" + refusal.code());
             return CompletableFuture.failedFuture(refusal);
         }
-        RangeEntry entry = newEntry(range, fence, inherited, live);
+        RangeEntry entry = newEntry(range, fence, inherited);
         ranges.add(entry);
+        fences.onAcquire(range, fence);
         grants.requestGrant();
         runtime.logDecision(() -> line("acquire", range, fence));
         return entry.acquired();
@@ -85,9 +87,8 @@
         if (!runtime.isLeaseValid()) {
             return new CrankException(ResultCode.LEASE_LAPSED, "the lease is not valid");
         }
-        if (ranges.isReleasedSince(range, fence)) {
-            return new CrankException(
-                    ResultCode.RANGE_MOVING, "the range was released under this fence or a newer one");
+        if (!fences.allows(range, fence)) {
+            return new CrankException(ResultCode.RANGE_MOVING, "the fence is older than one used before");
         }
         if (live.stream().anyMatch(e -> !fence.isNewerThan(e.fence()))) {
             return new CrankException(
@@ -96,35 +97,45 @@
         return null;
     }
 
-    /** Replaces what is served of a range under older fences; records that the gate has itself stay complete. */
-    private RangeEntry newEntry(
-            KeyRange range, Generation fence, InheritedRecords inherited, List<RangeEntry> replaced) {
+    /** Replaces what is held of a range under older fences; records that the gate has itself stay complete. */
+    private RangeEntry newEntry(KeyRange range, Generation fence, InheritedRecords inherited) {
         long nowNanos = runtime.nowNanos();
         Horizon inheritedHorizon = Horizon.reachingBack(nowNanos, inherited.completeForMs());
         Horizon ownHorizon = Horizon.UNLIMITED;
-        long ownSinceNanos = Long.MIN_VALUE;
-        List<KeyRange> served = new ArrayList<>();
-        for (RangeEntry old : replaced) {
-            if (old.state() == State.ACQUIRING) {
-                ranges.remove(old);
-                failAcquire(old, "the range was acquired under a newer fence");
-                continue;
-            }
-            RangeEntry part = ranges.cutOut(old, range);
-            ranges.remove(part);
-            served.add(part.range());
+        List<RangeEntry> replaced = takeReplaced(range, fence);
+        long ownSinceNanos = replaced.isEmpty() ? nowNanos : replaced.get(0).servingSinceNanos();
+        for (RangeEntry part : replaced) {
             ownHorizon = ownHorizon.later(part.horizon());
-            ownSinceNanos = served.size() == 1 || part.servingSinceNanos() - ownSinceNanos > 0
-                    ? part.servingSinceNanos()
-                    : ownSinceNanos;
+            ownSinceNanos = part.servingSinceNanos() - ownSinceNanos > 0 ? part.servingSinceNanos() : ownSinceNanos;
         }
-        if (!served.isEmpty() && RangeTable.covers(served, range)) {
-            RangeEntry entry =
-                    RangeEntry.acquiring(range, fence, inherited, ownHorizon.earlier(inheritedHorizon), nowNanos);
+        boolean covered =
+                RangeTable.covers(replaced.stream().map(RangeEntry::range).toList(), range);
+        Horizon horizon = covered ? ownHorizon.earlier(inheritedHorizon) : inheritedHorizon;
+        RangeEntry entry = RangeEntry.acquiring(range, fence, inherited, horizon, nowNanos);
+        if (covered) {
             entry.keepServingSince(ownSinceNanos);
-            return entry;
+        } else if (inherited.completeForMs() > 0) {
+            entry.limitDropHorizon(inheritedHorizon);
         }
-        return RangeEntry.acquiring(range, fence, inherited, inheritedHorizon, nowNanos);
+        replaced.forEach(part -> entry.limitDropHorizon(part.dropHorizon()));
+        replaced.forEach(entry::inheritHold);
+        return entry;
+    }
+
+    /** Removes the parts of a range that are served under an older fence, or whose acquire failed under this one. */
+    private List<RangeEntry> takeReplaced(KeyRange range, Generation fence) {
+        List<RangeEntry> taken = new ArrayList<>();
+        for (RangeEntry old : ranges.overlapping(range)) {
+            if (old.state() == State.ACQUIRING) {
+                old.failAcquire(new CrankException(ResultCode.RANGE_MOVING, "acquired under a newer fence"));
+            } else if (old.state() == State.SERVING
+                    || (old.isAcquireFailed() && old.fence().equals(fence))) {
+                RangeEntry part = ranges.cutOut(old, range);
+                ranges.remove(part);
+                taken.add(part);
+            }
+        }
+        return taken;
     }
 
     /**
@@ -142,22 +153,18 @@
         Release release = new Release(range, unsettled);
         for (RangeEntry overlapping : ranges.overlapping(range)) {
             if (overlapping.state() == State.ACQUIRING) {
-                ranges.remove(overlapping);
-                ranges.addReleased(overlapping.part(RangeTable.intersection(overlapping.range(), range)));
                 records.putAll(overlapping.inherited(), runtime.nowNanos());
-                failAcquire(overlapping, "the range is released");
-                grants.requestGrant();
-                continue;
+                overlapping.failAcquire(new CrankException(ResultCode.RANGE_MOVING, "the range is released"));
             }
             RangeEntry entry = ranges.cutOut(overlapping, range);
-            if (entry != overlapping) {
+            if (!entry.range().equals(overlapping.range())) {
                 replaceInReleases(overlapping);
             }
-            if (entry.state() == State.SERVING) {
-                ranges.advance(entry, State.RELEASING);
-            }
+            ranges.startRelease(entry);
             release.entries.add(entry);
         }
+        fences.onRelease(range);
+        grants.requestGrant();
         releases.add(release);
         runtime.logDecision(() -> "event=release range=" + range + " entries=" + release.entries.size() + " in-flight="
                 + unsettled.size());
@@ -193,10 +200,8 @@
     void tick(long nowNanos) {
         if (!runtime.isLeaseValid()) {
             for (RangeEntry entry : ranges.inState(State.ACQUIRING)) {
-                ranges.remove(entry);
                 grants.requestGrant();
-                entry.acquired()
-                        .completeExceptionally(new CrankException(ResultCode.LEASE_LAPSED, "the lease is not valid"));
+                entry.failAcquire(new CrankException(ResultCode.LEASE_LAPSED, "the lease is not valid"));
             }
         }
         for (Release release : releases) {
@@ -283,10 +288,6 @@
                 .toList();
     }
 
-    private static void failAcquire(RangeEntry entry, String reason) {
-        entry.acquired().completeExceptionally(new CrankException(ResultCode.RANGE_MOVING, reason));
-    }
-
     private static String line(String event, KeyRange range, Generation fence) {
         return "event=" + event + " range=" + range + " fence=" + fence;
     }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeTable.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeTable.java
@@ -78,6 +78,12 @@
         index(entry);
     }
 
+    /** Takes an entry out of service. */
+    public void startRelease(RangeEntry entry) {
+        servingByFirst.remove(entry.range().first(), entry);
+        entry.startRelease();
+    }
+
     /** Splits an entry at the ends of a range and returns the part inside; the entry itself is then no longer used. */
     public RangeEntry cutOut(RangeEntry entry, KeyRange range) {
         if (range.contains(entry.range())) {
@@ -95,16 +101,15 @@
     /** Notes for what is left of granted ranges that the backend server may hold them until a time. */
     public void hold(List<GrantedRange> granted, long untilNanos) {
         for (RangeEntry entry : entries) {
-            if (isPartOf(entry, granted)) {
+            if (isHeldThrough(entry, granted)) {
                 entry.hold(untilNanos);
             }
         }
     }
 
-    /** Whether an entry, or a larger one that it was split from, is among granted ranges. */
-    public static boolean isPartOf(RangeEntry entry, List<GrantedRange> granted) {
-        return granted.stream()
-                .anyMatch(g -> g.fence().equals(entry.fence()) && g.range().overlaps(entry.range()));
+    /** Whether granted ranges give the backend server rights to part of an entry. */
+    public static boolean isHeldThrough(RangeEntry entry, List<GrantedRange> granted) {
+        return granted.stream().anyMatch(entry::isHeldThrough);
     }
 
     /** Moves the horizon after the loss of a record that was made at a time. */
@@ -125,16 +130,6 @@
         }
     }
 
-    /** Whether any part of a range was released under a fence or a newer one, or is being released. */
-    public boolean isReleasedSince(KeyRange range, Generation fence) {
-        boolean before = released.stream().anyMatch(r -> r.range().overlaps(range) && !fence.isNewerThan(r.fence()));
-        boolean now = entries.stream()
-                .anyMatch(e -> e.state().compareTo(State.RELEASING) >= 0
-                        && e.range().overlaps(range)
-                        && !fence.isNewerThan(e.fence()));
-        return before || now;
-    }
-
     public List<Released> releasedIn(KeyRange range) {
         return released.stream().filter(r -> r.range().overlaps(range)).toList();
     }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
@@ -50,6 +50,7 @@
     private final List<Execution> lostCalls = new ArrayList<>();
     private final Runnable onEnd;
     private Horizon unkeyedHorizon;
+    private Horizon unkeyedDropHorizon = Horizon.UNLIMITED;
     private Backend backend;
     private ConcurrencyLimit concurrency;
 
@@ -99,6 +100,7 @@
 
     void moveUnkeyedHorizon(long sinceNanos) {
         unkeyedHorizon = unkeyedHorizon.later(Horizon.since(sinceNanos));
+        unkeyedDropHorizon = unkeyedDropHorizon.later(Horizon.since(sinceNanos));
     }
 
     void submit(CallerRequest request, long arrivedAtNanos, CompletableFuture<CallerAnswer> result) {
@@ -178,21 +180,26 @@
         return ranges.newest(hash).isPresent() ? RangeStanding.MOVING : RangeStanding.NOT_SERVED;
     }
 
-    /** A stated age of 0 is the first attempt; any other is extended by the time that the request travelled. */
+    /**
+     * Whether an earlier attempt may have run and left no record. The stated age is extended by the time that the
+     * request travelled. A stated age of 0 is a first attempt, or a repeat within less than a millisecond; for it only
+     * dropped records matter, so that first attempts are admitted right after a takeover.
+     */
     private boolean isRecordLost(CallerRequest request, ServiceConfig rules, KeyHash hash, long nowNanos) {
-        if (request.idempotencyKey().isEmpty()) {
+        Optional<RangeEntry> entry = ranges.serving(hash);
+        if (request.idempotencyKey().isEmpty() || (rules.keyed() && entry.isEmpty())) {
             return false;
         }
-        Horizon horizon = rules.keyed()
-                ? ranges.serving(hash).map(RangeEntry::horizon).orElse(Horizon.UNLIMITED)
-                : unkeyedHorizon;
+        Horizon horizon = rules.keyed() ? entry.get().horizon() : unkeyedHorizon;
+        Horizon dropHorizon = rules.keyed() ? entry.get().dropHorizon() : unkeyedDropHorizon;
         OptionalLong ageMs = request.idempotencyKeyAgeMs();
         if (ageMs.isEmpty()) {
             return !horizon.unlimited();
         }
         long boundedAgeMs = Math.min(ageMs.getAsLong(), Integer.MAX_VALUE)
                 + runtime.options().ageMarginMs();
-        return ageMs.getAsLong() != 0 && !horizon.covers(nowNanos - TimeUnit.MILLISECONDS.toNanos(boundedAgeMs));
+        long firstAttemptNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(boundedAgeMs);
+        return !(ageMs.getAsLong() == 0 ? dropHorizon : horizon).covers(firstAttemptNanos);
     }
 
     /** Starts waiting requests while slots are free. */
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestTable.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestTable.java
@@ -67,9 +67,13 @@
         if (kept.isPresent()) {
             return kept.get().isSameRequest(hash, digest) ? Lookup.of(kept.get().answer()) : otherRequestWithId();
         }
-        if (bars.find(request.id()).isPresent()) {
+        Optional<Certainty> barred = bars.find(request.id());
+        if (barred.equals(Optional.of(Certainty.NOT_RUN))) {
             return Lookup.of(ResultCode.BARRED, "the request id was barred");
         }
+        if (barred.isPresent()) {
+            return Lookup.of(ResultCode.OUTCOME_UNKNOWN, "the request id was barred; it may have been executed before");
+        }
         if (records.lostAnswerOf(request.id())) {
             return Lookup.of(ResultCode.OUTCOME_UNKNOWN, "the request was executed; its answer is not kept any more");
         }
