Test admission, requests, ranges and hot keys of the gate

Heavy hitters: the sketch of 64 entries over-reported (8 hashes named where 1 was hot); 512 entries and the lower bound name 1.

--- /dev/null
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/AdmissionTest.java
@@ -0,0 +1,71 @@
+package org.coriandercrank.gate.test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.coriandercrank.gate.internal.Admission;
+import org.coriandercrank.gate.internal.Admission.RangeStanding;
+import org.coriandercrank.gate.internal.Admission.Situation;
+import org.coriandercrank.gate.internal.ConcurrencyLimit;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.request.CallerAnswer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.aggregator.ArgumentsAccessor;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class AdmissionTest {
+    /** Guards against a wrong code or order of checks. */
+    @ParameterizedTest
+    @CsvSource({
+        // lease, range, draining, attached, grants fail, record lost, remaining, share, queued, running, wait, code
+        "true,  SERVED,     false, true,  false, false, 100, false, 0,  0, 0,   ",
+        "false, NOT_SERVED, true,  false, true,  true,  0,   true,  10, 4, 500, LEASE_LAPSED",
+        "true,  NOT_SERVED, true,  false, true,  true,  0,   true,  10, 4, 500, NOT_OWNER",
+        "true,  MOVING,     true,  false, true,  true,  0,   true,  10, 4, 500, RANGE_MOVING",
+        "true,  SERVED,     true,  false, true,  true,  0,   true,  10, 4, 500, DRAINING",
+        "true,  SERVED,     false, false, true,  true,  0,   true,  10, 4, 500, RECORD_LOST",
+        "true,  SERVED,     false, false, false, false, 0,   true,  10, 4, 500, BACKEND_UNAVAILABLE",
+        "true,  SERVED,     false, true,  true,  false, 0,   true,  10, 4, 500, BACKEND_UNAVAILABLE",
+        "true,  SERVED,     false, true,  false, false, 0,   true,  10, 4, 500, DEADLINE_EXPIRED",
+        "true,  SERVED,     false, true,  false, false, 100, true,  10, 4, 500, KEY_SHARE_EXCEEDED",
+        "true,  SERVED,     false, true,  false, false, 100, false, 10, 4, 500, OVERLOADED",
+        "true,  SERVED,     false, true,  false, false, 100, false, 9,  4, 101, OVERLOADED",
+        "true,  SERVED,     false, true,  false, false, 100, false, 9,  4, 99,  ",
+        "true,  SERVED,     false, true,  false, false, 100, false, 0,  3, 0,   ",
+    })
+    void refusals(ArgumentsAccessor row) {
+        Situation situation = new Situation(
+                row.getBoolean(0),
+                row.get(1, RangeStanding.class),
+                row.getBoolean(2),
+                row.getBoolean(3),
+                row.getBoolean(4),
+                row.getBoolean(5),
+                row.getLong(6),
+                row.getBoolean(7),
+                row.getInteger(8),
+                10,
+                row.getInteger(9),
+                4,
+                row.getLong(10),
+                50);
+        ResultCode code = row.get(11, ResultCode.class);
+        assertThat(Admission.refusal(situation).map(CallerAnswer::code).orElse(null))
+                .isEqualTo(code);
+    }
+
+    /** Guards against a limit above the slots or below 1, and against one that stays low after an overload. */
+    @Test
+    void overloadHalvesTheLimitForAMoment() {
+        ConcurrencyLimit limit = new ConcurrencyLimit(12, 0, 1_000, 0);
+        assertThat(limit.limit(0)).isEqualTo(12);
+        limit.onOverload(0);
+        limit.onOverload(1_000_000);
+        assertThat(limit.limit(1_000_000)).isEqualTo(6);
+        for (int i = 1; i <= 20; i++) {
+            limit.onOverload(i * 100_000_000L);
+        }
+        assertThat(limit.limit(2_000_000_000L)).isEqualTo(1);
+        assertThat(limit.limit(3_100_000_000L)).isEqualTo(12);
+    }
+}
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/LoadMeter.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/LoadMeter.java
@@ -13,7 +13,7 @@
  * <p>The rate is smoothed over some seconds. Heavy hitters are those of the last full window. Not thread safe.
  */
 public final class LoadMeter {
-    private static final int SKETCH_ENTRIES = 64;
+    private static final int SKETCH_ENTRIES = 512;
     private static final int MAX_HOT_HASHES = 8;
     private static final double MIN_HOT_SHARE = 0.01;
     private static final double SMOOTHING_SECONDS = 3;
@@ -71,10 +71,10 @@
     }
 
     private List<HotHash> topHashes(double windowSeconds) {
-        double minEstimate = sketch.getStreamLength() * MIN_HOT_SHARE;
+        double minRequests = sketch.getStreamLength() * MIN_HOT_SHARE;
         List<HotHash> top = new ArrayList<>();
-        for (LongsSketch.Row row : sketch.getFrequentItems(ErrorType.NO_FALSE_NEGATIVES)) {
-            if (top.size() < MAX_HOT_HASHES && row.getEstimate() > minEstimate) {
+        for (LongsSketch.Row row : sketch.getFrequentItems(ErrorType.NO_FALSE_POSITIVES)) {
+            if (top.size() < MAX_HOT_HASHES && row.getLowerBound() > minRequests) {
                 top.add(new HotHash(new KeyHash(row.getItem()), row.getEstimate() / windowSeconds));
             }
         }
