--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/Gate.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/Gate.java
@@ -56,13 +56,23 @@
     public CompletableFuture<CallerAnswer> submit(CallerRequest request) {
         CompletableFuture<CallerAnswer> result = new CompletableFuture<>();
         long arrivedAtNanos = timers.clock().nowNanos();
-        if (!duty.offer(() -> core.submit(request, arrivedAtNanos, result))) {
+        if (!duty.offer(() -> submitOnDuty(request, arrivedAtNanos, result))) {
             result.complete(CallerAnswer.retryLater(
                     ResultCode.OVERLOADED, "the gate takes no request at present", RING_FULL_RETRY_MS));
         }
         return result;
     }
 
+    /** An unexpected error must not leave the caller without an answer; the duty logs it. */
+    private void submitOnDuty(CallerRequest request, long arrivedAtNanos, CompletableFuture<CallerAnswer> result) {
+        try {
+            core.submit(request, arrivedAtNanos, result);
+        } catch (RuntimeException e) {
+            result.complete(CallerAnswer.of(ResultCode.INTERNAL, "the gate failed"));
+            throw e;
+        }
+    }
+
     @Override
     public void cancel(RequestId requestId) {
         duty.offer(() -> core.cancel(requestId));
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/WorkQueue.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/WorkQueue.java
@@ -14,7 +14,7 @@
  * Waiting requests in order of arrival and the use of queue and slots by key.
  *
  * <p>Per-key share: a key may use the configured share of slots and queue. Above it, a request is refused only while
- * others wait or the queue is three quarters full, so a lone hot key still gets the whole server. Slots are handed out
+ * others wait or three quarters of slots and queue are in use, so a lone hot key still gets the whole server. Slots are handed out
  * in order of arrival, but while requests of other keys wait, a key that already has its share of the running calls is
  * passed over. A share of 100 percent is plain order of arrival. Not thread safe.
  */
@@ -28,6 +28,7 @@
 
     private final LinkedHashSet<Execution> queue = new LinkedHashSet<>();
     private final Map<KeyHash, Usage> usageByHash = new HashMap<>();
+    private int running;
 
     public int queued() {
         return queue.size();
@@ -43,7 +44,8 @@
             return false;
         }
         boolean othersWait = queue.size() > usage.queued;
-        boolean nearFull = queue.size() * 100 >= rules.maxQueueLength() * NEAR_FULL_PERCENT;
+        long inUse = (long) queue.size() + running;
+        boolean nearFull = inUse * 100 >= (long) (slots + rules.maxQueueLength()) * NEAR_FULL_PERCENT;
         return rules.maxKeySharePercent() < 100 && (othersWait || nearFull);
     }
 
@@ -92,10 +94,12 @@
         Usage usage = usage(execution);
         usage.queued--;
         usage.running++;
+        running++;
     }
 
     public void onEnd(Execution execution) {
         usage(execution).running--;
+        running--;
         forgetIfIdle(execution);
     }
 
