Keep log handlers until the process ends

Cause: the log manager of the JDK removes handlers in its own shutdown hook, so that a planned stop was not logged. Change: a log manager whose reset does nothing.

--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/log/LogSetup.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/log/LogSetup.java
@@ -9,6 +9,10 @@
 public final class LogSetup {
     private static final String ROOT_PACKAGE = "org.coriandercrank";
 
+    static {
+        System.setProperty("java.util.logging.manager", PersistentLogManager.class.getName());
+    }
+
     /** Kept so that the level of the logger is not lost to garbage collection. */
     private static final Logger PROJECT_LOGGER = Logger.getLogger(ROOT_PACKAGE);
 
