--- /dev/null
+++ b/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of placement. */
+package org.coriandercrank.placement;
--- /dev/null
+++ b/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/trial/package-info.java
@@ -0,0 +1,2 @@
+/** Step-by-step trial of placement decisions. */
+package org.coriandercrank.placement.trial;
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/MoveSearch.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/MoveSearch.java
@@ -71,8 +71,8 @@
             offer(index, parts, moved, hot.requestsPerSecond(), true);
         }
         double even = slot.load().evenPerSecond();
-        double wanted =
-                Math.min(table.load(source) - table.fairLoad(source), table.fairLoad(target) - table.load(target));
+        double spare = table.load(source) - rules.lowMark() * table.fairLoad(source);
+        double wanted = Math.min(spare, table.fairLoad(target) - table.load(target));
         if (wanted > 0 && even > 0) {
             List<KeyRange> parts = KeyRanges.splitAt(slot.range(), Math.min(wanted / even, WHOLE_FRACTION));
             for (int part = 0; part < parts.size(); part++) {
@@ -92,7 +92,8 @@
                 table.ratio(source, table.load(source) - load), table.ratio(target, table.load(target) + load));
         double gain = before - after;
         double cost = rules.moveCost() + rules.shareCost() * parts.get(moved).share() / table.fairShare(source);
-        if (gain >= MIN_GAIN && gain > cost) {
+        double needed = table.ratio(source) - rules.lowMark();
+        if (gain >= Math.max(MIN_GAIN, needed * rules.minGainPart())) {
             found.add(new Move(index, parts, moved, target, gain - cost, hot));
         }
     }
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/RebalanceRules.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/RebalanceRules.java
@@ -12,6 +12,7 @@
  * @param fillBelow share of hash space over the fair share below which a server gets more of it
  * @param shareCost cost of moving the hash space of one server's fair share, in units of the marks
  * @param moveCost cost of one move, in units of the marks
+ * @param minGainPart least gain of a move, as part of the distance from the low mark
  */
 public record RebalanceRules(
         double highMark,
@@ -22,15 +23,18 @@
         int maxMovesPerServer,
         double fillBelow,
         double shareCost,
-        double moveCost) {
+        double moveCost,
+        double minGainPart) {
     /** Reacts at once and keeps the moves of each server few. */
-    public static final RebalanceRules AVAILABILITY = new RebalanceRules(1.25, 1.12, 4_000, 0, 64, 4, 0.7, 0.5, 0.005);
+    public static final RebalanceRules AVAILABILITY =
+            new RebalanceRules(1.2, 1.08, 2_000, 0, 64, 8, 0.7, 1.0, 0.01, 0.2);
 
     /** Acts on lasting imbalance only and prefers moves of little hash space. */
-    public static final RebalanceRules LOW_CHURN = new RebalanceRules(1.25, 1.18, 10_000, 4_000, 64, 8, 0.5, 2.0, 0.01);
+    public static final RebalanceRules LOW_CHURN =
+            new RebalanceRules(1.25, 1.08, 2_000, 2_000, 64, 8, 0.5, 3.0, 0.01, 0.2);
 
     /** Evens out the load at each decision and takes no account of what a move costs. */
-    public static final RebalanceRules GREEDY = new RebalanceRules(1.02, 1.02, 0, 0, 256, 256, 0, 0, 0);
+    public static final RebalanceRules GREEDY = new RebalanceRules(1.02, 1.02, 0, 0, 256, 256, 0, 0, 0, 0);
 
     public RebalanceRules {
         if (lowMark < 1 || highMark < lowMark) {
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TableCompaction.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TableCompaction.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.coriandercrank.kernel.id.MemberId;
 
 /** Keeps the number of ranges of a table bounded. Stateless and thread safe. */
@@ -12,6 +13,7 @@
     private static final int MAX_RETURNS = 16;
     private static final int RANGES_ADDED_BY_SPLIT = 2;
     private static final double HOT_RATIO = 0.02;
+    private static final double FRAGMENT_RATIO = 0.03;
 
     private TableCompaction() {}
 
@@ -21,8 +23,8 @@
     }
 
     /**
-     * Merges adjacent ranges of one owner while the table is above its soft bound, the smallest load first, and gives
-     * single hashes that are no longer hot back to the owner around them.
+     * Merges adjacent ranges of one owner while the table is above its soft bound, the smallest first, and gives small
+     * ranges without much load, such as hashes that are no longer hot, to the owner of a neighbour.
      */
     static void compact(WorkingTable table) {
         int softBound = MERGE_ABOVE_PER_MEMBER * table.weights().size();
@@ -30,26 +32,33 @@
         if (excess <= 0) {
             return;
         }
-        returnColdHashes(table, Math.min(MAX_RETURNS, excess));
+        returnFragments(table, Math.min(MAX_RETURNS, excess));
         mergeNeighbours(table, excess);
     }
 
-    private static void returnColdHashes(WorkingTable table, int limit) {
-        int returned = 0;
+    private static void returnFragments(WorkingTable table, int limit) {
         List<WorkingTable.Slot> slots = table.slots();
-        for (int i = 1; i < slots.size() - 1 && returned < limit; i++) {
-            WorkingTable.Slot slot = slots.get(i);
-            MemberId around = slots.get(i - 1).owner();
-            boolean enclosed = around.equals(slots.get(i + 1).owner()) && !around.equals(slot.owner());
-            if (enclosed
-                    && slot.settled()
-                    && !slot.moved()
-                    && KeyRanges.isSingleHash(slot.range())
-                    && !isHot(table, slot)) {
-                table.assign(i, around, "no-longer-hot");
-                returned++;
-            }
-        }
+        IntStream.range(1, slots.size() - 1)
+                .filter(i -> isColdFragment(table, i))
+                .boxed()
+                .sorted(Comparator.comparingDouble(i -> slots.get(i).range().share()))
+                .limit(limit)
+                .forEach(i -> {
+                    MemberId left = slots.get(i - 1).owner();
+                    MemberId right = slots.get(i + 1).owner();
+                    boolean toLeft = left.equals(right) || table.ratio(left) <= table.ratio(right);
+                    table.assign(i, toLeft ? left : right, "rejoin");
+                });
+    }
+
+    private static boolean isColdFragment(WorkingTable table, int index) {
+        WorkingTable.Slot slot = table.slots().get(index);
+        return slot.settled()
+                && !slot.moved()
+                && slot.range().share() <= FRAGMENT_RATIO / table.weights().size()
+                && !isHot(table, slot)
+                && !table.slots().get(index - 1).owner().equals(slot.owner())
+                && !table.slots().get(index + 1).owner().equals(slot.owner());
     }
 
     private static void mergeNeighbours(WorkingTable table, int excess) {
