--- a/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/internal/OwnershipProperties.java
+++ b/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/internal/OwnershipPropertyTest.java
@@ -7,7 +7,7 @@
 import net.jqwik.api.constraints.IntRange;
 
 /** Properties of range ownership under faults; jqwik prints the seed of each run. */
-final class OwnershipProperties {
+final class OwnershipPropertyTest {
     /** Guards against two owners of a hash at one time, and against ranges that stay unserved after the faults end. */
     @Property(tries = 400)
     void neverTwoOwnersAndServedAfterFaults(@ForAll long seed, @ForAll @IntRange(min = 2, max = 5) int size) {
--- /dev/null
+++ b/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/internal/PolicyPropertyTest.java
@@ -0,0 +1,112 @@
+package org.coriandercrank.placement.internal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.coriandercrank.kernel.config.BackendRule;
+import org.coriandercrank.kernel.config.Configuration;
+import org.coriandercrank.kernel.id.KeyHash;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.message.LoadReport;
+import org.coriandercrank.kernel.placement.RangeLoad;
+import org.coriandercrank.kernel.plugin.PluginRegistry;
+import org.coriandercrank.kernel.table.AssignmentTable;
+import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.MemberState;
+import org.coriandercrank.kernel.table.RangeAssignment;
+import org.coriandercrank.placement.TestFleet;
+
+/** Properties of each registered policy under random load and membership. */
+final class PolicyPropertyTest {
+    private static final int MAX_RANGES_PER_MEMBER = 16;
+
+    /**
+     * Guards against invalid tables, tables that grow without bound, ranges placed on servers that may not have any, and
+     * takeovers that move ranges of healthy members. ServicePlan throws if a policy leaves a hole.
+     */
+    @Property(tries = 60)
+    void tablesStayValidAndBounded(@ForAll long seed, @ForAll @IntRange(min = 0, max = 3) int policyIndex) {
+        PluginRegistry registry = PluginRegistry.load();
+        String name = List.copyOf(registry.names(PluginRegistry.Kind.PLACEMENT)).get(policyIndex);
+        ServicePlan plan = new ServicePlan(registry.get(PluginRegistry.Kind.PLACEMENT, name), 0);
+        Random random = new Random(seed);
+        Map<MemberId, Member> members = new HashMap<>();
+        Set<MemberId> gone = new HashSet<>();
+        AssignmentTable table = AssignmentTable.empty(TestFleet.SERVICE);
+        int largestFleet = 0;
+        for (int step = 0; step < 120; step++) {
+            changeMembers(random, members, gone);
+            Configuration configuration = TestFleet.configuration(
+                    new BackendRule("server-001", random.nextInt(3) * 100, random.nextInt(10) == 0));
+            ServicePlan.View view = new ServicePlan.View(
+                    configuration, members, gone, table, reports(random, table, gone), step * 20_000L, 0, 0, 0);
+            largestFleet = Math.max(largestFleet, ServicePlan.candidates(view).size());
+            Optional<ServicePlan.Decision> decision = plan.decide(view);
+            if (decision.isEmpty()) {
+                continue;
+            }
+            OwnershipChecks.checkNext(table, decision.get(), gone);
+            List<MemberId> allowed =
+                    ServicePlan.candidates(view).stream().map(Member::id).toList();
+            decision.get().changes().forEach(c -> assertThat(allowed).contains(c.to()));
+            table = decision.get().table();
+            assertThat(table.assignments().size())
+                    .as("policy %s seed %d step %d", name, seed, step)
+                    .isLessThanOrEqualTo(MAX_RANGES_PER_MEMBER * largestFleet);
+        }
+    }
+
+    private static void changeMembers(Random random, Map<MemberId, Member> members, Set<MemberId> gone) {
+        List<MemberId> active = members.values().stream()
+                .filter(m -> m.state() == MemberState.ACTIVE)
+                .map(Member::id)
+                .sorted()
+                .toList();
+        if (active.size() < 3 || (random.nextInt(10) == 0 && active.size() < 10)) {
+            Member member = TestFleet.member(members.size(), MemberState.ACTIVE);
+            members.put(member.id(), member);
+        } else if (random.nextInt(10) == 0) {
+            MemberId id = active.get(random.nextInt(active.size()));
+            MemberState state = random.nextBoolean() ? MemberState.SEALED : MemberState.LEAVING;
+            members.computeIfPresent(id, (k, m) -> m.withState(state));
+            if (state == MemberState.SEALED) {
+                gone.add(id);
+            }
+        }
+    }
+
+    private static Map<MemberId, LoadReport> reports(Random random, AssignmentTable table, Set<MemberId> gone) {
+        Map<MemberId, List<RangeLoad>> loads = new HashMap<>();
+        for (RangeAssignment a : table.assignments()) {
+            double even = random.nextInt(20) == 0 ? 500 : random.nextInt(20);
+            long width = a.range().last().value() - a.range().first().value();
+            KeyHash hash = new KeyHash(a.range().first().value()
+                    + Long.remainderUnsigned(random.nextLong(), width == -1 ? width : width + 1));
+            double hot = random.nextInt(4) == 0 ? random.nextInt(300) : 0;
+            loads.computeIfAbsent(a.owner(), m -> new ArrayList<>())
+                    .add(new RangeLoad(
+                            a.range(),
+                            a.fence(),
+                            random.nextInt(4) > 0,
+                            even + hot,
+                            List.of(new RangeLoad.HotHash(hash, hot))));
+        }
+        Map<MemberId, LoadReport> reports = new HashMap<>();
+        loads.forEach((m, list) -> {
+            if (!gone.contains(m)) {
+                reports.put(m, new LoadReport(m, TestFleet.SERVICE, table.generation(), list));
+            }
+        });
+        return reports;
+    }
+}
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/MoveSearch.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/MoveSearch.java
@@ -22,7 +22,7 @@
         }
     }
 
-    private static final double MIN_GAIN = 0.01;
+    private static final double MIN_GAIN = 0.03;
     private static final double WHOLE_FRACTION = 0.9;
     private static final double FILL_MAX_RATIO = 1.0;
 
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TableCompaction.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TableCompaction.java
@@ -12,7 +12,7 @@
     private static final int MERGE_ABOVE_PER_MEMBER = 10;
     private static final int MAX_RETURNS = 16;
     private static final int RANGES_ADDED_BY_SPLIT = 2;
-    private static final double HOT_RATIO = 0.02;
+    private static final double HOT_RATIO = 0.05;
     private static final double FRAGMENT_RATIO = 0.03;
 
     private TableCompaction() {}
