Test planner and ownership of four daemons together

Cause: the wiring of the duty threads, store calls and handlers was not covered by the tests of the pure parts.

--- /dev/null
+++ b/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/PlacementTest.java
@@ -0,0 +1,136 @@
+package org.coriandercrank.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.coriandercrank.kernel.config.Configuration;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.plugin.PluginRegistry;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.kernel.store.ObjectNames;
+import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.MemberState;
+import org.coriandercrank.kernel.table.RangeAssignment;
+import org.coriandercrank.kernel.time.SystemTimerService;
+import org.coriandercrank.placement.internal.KeyRanges;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Planner and range ownership of four daemons together, over stand-ins of the other parts. */
+final class PlacementTest {
+    private static final long WAIT_MS = 10_000;
+    private static final PlannerOptions OPTIONS = new PlannerOptions(100, 400, 50, 1_000, 3, 20, 200, 200, 150, 60_000);
+
+    private final FakeDaemons daemons = new FakeDaemons();
+    private final SystemTimerService timers = new SystemTimerService();
+    private final List<AutoCloseable> parts = new ArrayList<>();
+    private final List<Member> members = new ArrayList<>();
+
+    @BeforeEach
+    void start() {
+        daemons.write(ObjectNames.CONFIGURATION, JsonCodec.encode(TestFleet.configuration()));
+        for (int i = 0; i < 4; i++) {
+            startDaemon(i);
+        }
+        awaitServed();
+    }
+
+    private void startDaemon(int number) {
+        Member member = TestFleet.member(number, MemberState.ACTIVE);
+        members.add(member);
+        daemons.write(member);
+        PlacementContext context = daemons.context(member.id(), timers);
+        RangeOwnership ownership = new RangeOwnership(
+                context, () -> Long.MAX_VALUE / 2, daemons.gates.get(member.id()), RangeOwnershipOptions.DEFAULTS);
+        Planner planner = new Planner(context, PluginRegistry.load(), OPTIONS);
+        ownership.start();
+        planner.start();
+        parts.add(planner);
+        parts.add(ownership);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        for (AutoCloseable part : parts) {
+            part.close();
+        }
+        timers.close();
+    }
+
+    /** Guards against keys that stay without an owner after a loss, and against moves of healthy ranges. */
+    @Test
+    void takesOverRangesOfASealedMember() {
+        List<RangeAssignment> before = daemons.table().assignments();
+        MemberId lost = members.get(0).id();
+        daemons.write(members.get(0).withState(MemberState.SEALED));
+        await(() -> !daemons.table().mentions(lost));
+        awaitServed();
+        for (RangeAssignment old : before) {
+            if (!old.owner().equals(lost)) {
+                assertThat(daemons.table()
+                                .find(old.range().first())
+                                .orElseThrow()
+                                .owner())
+                        .isEqualTo(old.owner());
+            }
+        }
+    }
+
+    /** Guards against a leaving member that keeps ranges, and a joining one that gets none. */
+    @Test
+    void movesRangesOnLeaveAndJoin() {
+        daemons.write(members.get(1).withState(MemberState.LEAVING));
+        await(() -> daemons.table().ownedBy(members.get(1).id()).isEmpty());
+        awaitServed();
+        await(() -> daemons.gates.get(members.get(1).id()).loads().isEmpty());
+        startDaemon(4);
+        await(() -> !daemons.gates.get(members.get(4).id()).loads().isEmpty());
+        awaitServed();
+    }
+
+    /** Guards against ranges of a withdrawn service that stay served, and a table that starts again at generation 1. */
+    @Test
+    void withdrawsAndAddsAgain() {
+        daemons.write(ObjectNames.CONFIGURATION, JsonCodec.encode(Configuration.EMPTY));
+        await(() -> daemons.table().assignments().isEmpty()
+                && daemons.gates.values().stream().allMatch(g -> g.loads().isEmpty()));
+        long generation = daemons.table().generation().value();
+        daemons.write(ObjectNames.CONFIGURATION, JsonCodec.encode(TestFleet.configuration()));
+        awaitServed();
+        assertThat(daemons.table().assignments())
+                .allSatisfy(a -> assertThat(a.fence().value()).isGreaterThan(generation));
+    }
+
+    private void awaitServed() {
+        await(() -> {
+            List<RangeAssignment> assignments = daemons.table().assignments();
+            return !assignments.isEmpty()
+                    && assignments.stream().allMatch(a -> a.previousOwners().isEmpty() && isServed(a));
+        });
+    }
+
+    private boolean isServed(RangeAssignment assignment) {
+        List<KeyRange> served = daemons.gates.get(assignment.owner()).loads().stream()
+                .map(load -> load.range())
+                .toList();
+        return KeyRanges.subtract(assignment.range(), served).isEmpty();
+    }
+
+    private void await(BooleanSupplier condition) {
+        long deadlineMs = timers.clock().nowMs() + WAIT_MS;
+        while (!condition.getAsBoolean()) {
+            assertThat(timers.clock().nowMs())
+                    .as("time limit, table %s", daemons.table())
+                    .isLessThan(deadlineMs);
+            try {
+                Thread.sleep(5);
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        }
+    }
+}
