Test fault cases of range ownership

Cause: the property test does not check outcome records and single cases.

Change: tables of fault cases for OwnershipState.

--- /dev/null
+++ b/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/internal/OwnershipStateTest.java
@@ -0,0 +1,166 @@
+package org.coriandercrank.placement.internal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.KeyHash;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.message.ReleaseAnswer;
+import org.coriandercrank.kernel.message.ReleaseRequest;
+import org.coriandercrank.kernel.ownership.InheritedRecords;
+import org.coriandercrank.kernel.table.AssignmentTable;
+import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.RangeAssignment;
+import org.coriandercrank.placement.TestFleet;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Fault cases of the ownership of ranges. */
+final class OwnershipStateTest {
+    private static final MemberId A = new MemberId("a");
+    private static final MemberId B = new MemberId("b");
+    private static final MemberId C = new MemberId("c");
+    private static final KeyRange LOW = new KeyRange(KeyHash.MIN, new KeyHash(99));
+    private static final KeyRange HIGH = new KeyRange(new KeyHash(100), KeyHash.MAX);
+    private static final long KEPT_MS = 5_000;
+
+    private final OwnershipState state = new OwnershipState(A, TestFleet.SERVICE, 1, 4, 100);
+
+    private static AssignmentTable table(long generation, RangeAssignment... assignments) {
+        return new AssignmentTable(TestFleet.SERVICE, new Generation(generation), List.of(assignments));
+    }
+
+    private static RangeAssignment range(KeyRange range, MemberId owner, long fence, MemberId... previous) {
+        return new RangeAssignment(range, owner, new Generation(fence), List.of(previous));
+    }
+
+    private static ReleaseRequest request(MemberId requester, KeyRange range, long generation) {
+        return new ReleaseRequest(requester, TestFleet.SERVICE, range, new Generation(generation));
+    }
+
+    private List<OwnershipAction> poll(MemberId... sealed) {
+        return state.poll(1_000, Set.of(sealed)::contains);
+    }
+
+    private void serveAllFromGenerationOne() {
+        state.applyTable(table(1, range(KeyRange.ALL, A, 1)));
+        OwnershipAction.Acquire acquire = (OwnershipAction.Acquire) poll().get(0);
+        assertThat(acquire.inherited()).isEqualTo(InheritedRecords.NEVER_OWNED);
+        state.acquired(acquire);
+    }
+
+    private void finishRelease(KeyRange range) {
+        assertThat(poll()).containsExactly(new OwnershipAction.Release(range));
+        state.released(new OwnershipAction.Release(range), new InheritedRecords(KEPT_MS, List.of()), 1_000);
+    }
+
+    /** Guards against an old table that makes a daemon serve a range again which it released to a newer owner. */
+    @Test
+    void staysReleasedUntilTheTableIsAsNew() {
+        serveAllFromGenerationOne();
+        assertThat(state.requestRelease(request(B, KeyRange.ALL, 5), 1_000)).isEmpty();
+        finishRelease(KeyRange.ALL);
+        assertThat(state.requestRelease(request(B, KeyRange.ALL, 5), 1_000)).isPresent();
+        state.applyTable(table(4, range(KeyRange.ALL, A, 4)));
+        assertThat(poll()).isEmpty();
+        state.applyTable(table(6, range(KeyRange.ALL, A, 6, B)));
+        assertThat(poll()).containsExactly(new OwnershipAction.Ask(KeyRange.ALL, new Generation(6), B));
+    }
+
+    /** Guards against a daemon that never served a range and acquires it after it has answered. */
+    @Test
+    void keepsThePromiseForARangeNeverServed() {
+        assertThat(state.requestRelease(request(B, LOW, 5), 1_000).orElseThrow().recordsCompleteForMs())
+                .isEqualTo(ReleaseAnswer.NOT_SERVED);
+        state.applyTable(table(3, range(KeyRange.ALL, A, 3)));
+        assertThat(poll()).singleElement().extracting("range").isEqualTo(HIGH);
+    }
+
+    /** Guards against a stale requester that takes a range from its newer owner. */
+    @Test
+    void refusesAStaleRequest() {
+        serveAllFromGenerationOne();
+        state.applyTable(table(7, range(KeyRange.ALL, A, 7)));
+        assertThat(state.requestRelease(request(B, LOW, 5), 1_000)).contains(ReleaseAnswer.notYet());
+        assertThat(poll()).isEmpty();
+    }
+
+    /** Guards against an interruption of the part that stays when a range is split. */
+    @Test
+    void releasesOnlyTheMovedPartOfASplitRange() {
+        serveAllFromGenerationOne();
+        state.applyTable(table(2, range(LOW, A, 1), range(HIGH, B, 2, A)));
+        assertThat(state.settledGeneration()).isEqualTo(Generation.NONE);
+        finishRelease(HIGH);
+        assertThat(state.settledGeneration()).isEqualTo(new Generation(2));
+        assertThat(poll()).isEmpty();
+    }
+
+    /** Guards against a second acquire while the first runs, and against serving a range that was moved meanwhile. */
+    @Test
+    void releasesARangeThatMovedDuringAcquire() {
+        state.applyTable(table(1, range(KeyRange.ALL, A, 1)));
+        OwnershipAction.Acquire acquire = (OwnershipAction.Acquire) poll().get(0);
+        state.applyTable(table(2, range(KeyRange.ALL, B, 2, A)));
+        assertThat(poll()).isEmpty();
+        assertThat(state.requestRelease(request(B, KeyRange.ALL, 2), 1_000)).isEmpty();
+        state.acquired(acquire);
+        assertThat(poll()).containsExactly(new OwnershipAction.Release(KeyRange.ALL));
+    }
+
+    /** Guards against a sealed daemon that goes on serving or acquires ranges. */
+    @Test
+    void dropsEverythingWhenSealed() {
+        serveAllFromGenerationOne();
+        state.seal();
+        finishRelease(KeyRange.ALL);
+        state.applyTable(table(2, range(KeyRange.ALL, A, 2)));
+        assertThat(poll()).isEmpty();
+    }
+
+    /** Guards against records that count as complete although another member may have served the range since. */
+    @ParameterizedTest
+    @CsvSource({
+        "the first requester gets them,                b, 5, 5100",
+        "another requester does not,                   c, 6, -1",
+        "nor the same one under a later fence,         b, 8, -1",
+    })
+    void vouchesForRecordsOnce(String label, String requester, long generation, long completeForMs) {
+        serveAllFromGenerationOne();
+        assertThat(state.requestRelease(request(B, KeyRange.ALL, 5), 1_000)).isEmpty();
+        finishRelease(KeyRange.ALL);
+        assertThat(state.requestRelease(request(B, KeyRange.ALL, 5), 1_050)).isPresent();
+        Optional<ReleaseAnswer> answer =
+                state.requestRelease(request(new MemberId(requester), KeyRange.ALL, generation), 1_100);
+        assertThat(answer.orElseThrow().recordsCompleteForMs()).as(label).isEqualTo(completeForMs);
+    }
+
+    /** Guards against a second run of a request whose record was lost with a sealed owner. */
+    @ParameterizedTest
+    @CsvSource({
+        "both answered; one served,     3000, -1,   false, 3000",
+        "the smaller of two counts,     3000, 2000, false, 2000",
+        "nobody served,                 -1,   -1,   false, 0",
+        "one is sealed,                 3000, 0,    true,  0",
+    })
+    void inheritsFromPreviousOwners(String label, long fromB, long fromC, boolean sealedC, long expectedMs) {
+        state.applyTable(table(4, range(KeyRange.ALL, A, 4, B, C)));
+        poll();
+        OwnershipAction.Ask askB = new OwnershipAction.Ask(KeyRange.ALL, new Generation(4), B);
+        OwnershipAction.Ask askC = new OwnershipAction.Ask(KeyRange.ALL, new Generation(4), C);
+        state.askAnswered(askB, new ReleaseAnswer(true, fromB, List.of()), 1_000);
+        assertThat(poll()).isEmpty();
+        if (!sealedC) {
+            state.askAnswered(askC, new ReleaseAnswer(true, fromC, List.of()), 1_000);
+        }
+        List<OwnershipAction> actions = sealedC ? poll(C) : poll();
+        assertThat(actions)
+                .as(label)
+                .containsExactly(new OwnershipAction.Acquire(
+                        KeyRange.ALL, new Generation(4), new InheritedRecords(expectedMs, List.of())));
+    }
+}
