Bound the store reads of planner candidates

Cause: a candidate whose read failed read again at each tick of 100 ms, so that a store outage would have multiplied the reads of the fleet. A planner that leaves kept the role for up to 1.5 s. The rank was found by sorting all members at each tick.

Change: a failed read keeps the period of reads; the role of a leaving or sealed holder is taken at the next read; the rank is counted.

--- a/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/internal/PlannerElectionTest.java
+++ b/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/internal/PlannerElectionTest.java
@@ -66,6 +66,16 @@
         assertThat(election.next(40, true, 0, false)).isEqualTo(Step.NONE);
     }
 
+    /** Guards against reads at every tick while the store is down. */
+    @Test
+    void keepsThePeriodOfReadsWhenTheStoreFails() {
+        election.readStarted();
+        election.callFailed(100);
+        assertThat(election.next(599, true, 0, false)).isEqualTo(Step.NONE);
+        assertThat(election.next(600, true, 0, false)).isEqualTo(Step.READ);
+        assertThat(election.next(10_099, true, 3, false)).isEqualTo(Step.NONE);
+    }
+
     /** Guards against two planners: the role lapses when it could not be renewed, or another member has taken it. */
     @Test
     void losesTheRole() {
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/PlannerElection.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/PlannerElection.java
@@ -41,6 +41,7 @@
     private boolean callOutstanding;
     private boolean held;
     private boolean known;
+    private boolean read;
     private Optional<PlannerRecord> record = Optional.empty();
     private Revision revision = Revision.NONE;
     private long unchangedSinceMs;
@@ -56,7 +57,7 @@
     /**
      * @param eligible whether this daemon may hold the role
      * @param rank position of this daemon among the candidates, 0 first
-     * @param holderLost whether the holder is known to be sealed
+     * @param holderLost whether the holder is known to be sealed or leaving
      */
     public Step next(long nowMs, boolean eligible, int rank, boolean holderLost) {
         if (callOutstanding || !eligible) {
@@ -69,7 +70,7 @@
             return Step.WRITE;
         }
         long readPeriodMs = rank < delays.readers ? delays.renewMs : delays.idleReadMs;
-        return known && nowMs - lastReadMs < readPeriodMs ? Step.NONE : Step.READ;
+        return read && nowMs - lastReadMs < readPeriodMs ? Step.NONE : Step.READ;
     }
 
     /** The read must be as fresh as a reader's, so that a change since then is rarely missed. */
@@ -93,6 +94,7 @@
 
     public void readDone(Optional<PlannerRecord> found, Revision foundRevision, long nowMs) {
         callOutstanding = false;
+        read = true;
         lastReadMs = nowMs;
         if (!known || !found.equals(record)) {
             unchangedSinceMs = nowMs;
@@ -106,8 +108,11 @@
         }
     }
 
-    public void callFailed() {
+    /** The next read keeps its period, so that an outage of the store does not multiply the reads. */
+    public void callFailed(long nowMs) {
         callOutstanding = false;
+        read = true;
+        lastReadMs = nowMs;
         held = false;
         known = false;
     }
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/PlannerRole.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/PlannerRole.java
@@ -2,13 +2,12 @@
 
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
-import java.util.Comparator;
-import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.ownership.KnownMember;
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
 import org.coriandercrank.kernel.store.JsonCodec;
 import org.coriandercrank.kernel.store.ObjectNames;
@@ -30,6 +29,7 @@
     private final MonotonicClock clock;
     private final Consumer<Runnable> post;
     private final PlannerElection election;
+    private final long ownOrder;
 
     public PlannerRole(
             MemberId self,
@@ -41,6 +41,7 @@
         this.store = store;
         this.clock = clock;
         this.post = post;
+        this.ownOrder = order(self);
         this.election = new PlannerElection(self, delays);
     }
 
@@ -53,7 +54,7 @@
         boolean eligible = snapshot.member(self).map(Member::state).orElse(null) == MemberState.ACTIVE;
         boolean holderLost = election.holder()
                 .flatMap(snapshot::member)
-                .map(m -> m.state() == MemberState.SEALED)
+                .map(m -> m.state() == MemberState.SEALED || m.state() == MemberState.LEAVING)
                 .orElse(false);
         switch (election.next(clock.nowMs(), eligible, rank(snapshot), holderLost)) {
             case READ -> read();
@@ -64,13 +65,10 @@
 
     /** Position among the active members by a hash of the id, so that neighbours in one host group rank apart. */
     private int rank(RoutingSnapshot snapshot) {
-        List<MemberId> active = snapshot.members().values().stream()
-                .map(known -> known.member())
-                .filter(m -> m.state() == MemberState.ACTIVE)
-                .map(Member::id)
-                .sorted(Comparator.comparingLong(PlannerRole::order).thenComparing(m -> m))
-                .toList();
-        return Math.max(0, active.indexOf(self));
+        return (int) snapshot.members().values().stream()
+                .map(KnownMember::member)
+                .filter(m -> m.state() == MemberState.ACTIVE && order(m.id()) < ownOrder)
+                .count();
     }
 
     private static long order(MemberId id) {
@@ -84,7 +82,7 @@
         store.get(ObjectNames.PLANNER)
                 .whenComplete((found, failure) -> post.accept(() -> {
                     if (failure != null) {
-                        election.callFailed();
+                        election.callFailed(clock.nowMs());
                     } else {
                         readDone(found);
                     }
@@ -96,7 +94,7 @@
             Optional<PlannerRecord> record = found.map(o -> JsonCodec.decode(o.value(), PlannerRecord.class));
             election.readDone(record, found.map(StoredObject::revision).orElse(Revision.NONE), clock.nowMs());
         } catch (CrankException e) {
-            election.callFailed();
+            election.callFailed(clock.nowMs());
             throw e;
         }
     }
