Give hash space only to nearly empty servers

Cause: a server that had shed its hash space for a hot key was filled up again as soon as the key cooled, because the policies filled every server below 0.7 or 0.5 of its fair share, as after a join.

Change: the mark is 0.2; load alone decides above it. Greedy does not act without load reports.

--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/RebalanceRules.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/RebalanceRules.java
@@ -27,14 +27,14 @@
         double minGainPart) {
     /** Reacts at once and keeps the moves of each server few. */
     public static final RebalanceRules AVAILABILITY =
-            new RebalanceRules(1.2, 1.08, 2_000, 0, 64, 8, 0.7, 1.0, 0.01, 0.2);
+            new RebalanceRules(1.2, 1.08, 2_000, 0, 64, 8, 0.2, 1.0, 0.01, 0.2);
 
     /** Acts on lasting imbalance only and prefers moves of little hash space. */
     public static final RebalanceRules LOW_CHURN =
-            new RebalanceRules(1.25, 1.08, 2_000, 2_000, 64, 8, 0.5, 3.0, 0.01, 0.2);
+            new RebalanceRules(1.25, 1.08, 2_000, 2_000, 64, 8, 0.2, 3.0, 0.01, 0.2);
 
     /** Evens out the load at each decision and takes no account of what a move costs. */
-    public static final RebalanceRules GREEDY = new RebalanceRules(1.02, 1.02, 0, 0, 256, 256, 0, 0, 0, 0);
+    public static final RebalanceRules GREEDY = new RebalanceRules(1.02, 1.02, 1, 0, 256, 256, 0, 0, 0, 0);
 
     public RebalanceRules {
         if (lowMark < 1 || highMark < lowMark) {
