--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/RebalancePolicy.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/RebalancePolicy.java
@@ -76,7 +76,7 @@
                 .mapToDouble(table::ratio)
                 .max()
                 .orElse(0);
-        if (highest <= rules.highMark()) {
+        if (highest <= rules.highMark() || !table.isLoadSignificant()) {
             return;
         }
         Set<MemberId> stuck = new HashSet<>();
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/WorkingTable.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/WorkingTable.java
@@ -33,11 +33,15 @@
 
     private static final double IDLE_TOTAL_PER_SECOND = 1.0;
 
+    /** Below this rate the noise of the counts in a report alone exceeds the marks of the policies. */
+    private static final double MIN_MEAN_LOAD_PER_SECOND = 20;
+
     private final Map<MemberId, Double> weights;
     private final List<Slot> slots = new ArrayList<>();
     private final Map<MemberId, Double> loads = new HashMap<>();
     private final Map<MemberId, Double> shares = new HashMap<>();
     private double totalLoad;
+    private final double reportedLoad;
     private final double totalWeight;
 
     WorkingTable(PlacementInput input) {
@@ -46,6 +50,7 @@
         AssignmentTable table = input.table();
         List<RangeLoads.Load> reported = RangeLoads.of(table, input.loads());
         double sum = reported.stream().mapToDouble(RangeLoads.Load::perSecond).sum();
+        reportedLoad = sum;
         for (int i = 0; i < reported.size(); i++) {
             RangeAssignment a = table.assignments().get(i);
             RangeLoads.Load load = sum >= IDLE_TOTAL_PER_SECOND
@@ -83,6 +88,11 @@
         return weights.get(member) / totalWeight;
     }
 
+    /** Whether the reported load is high enough to move ranges for it. */
+    boolean isLoadSignificant() {
+        return reportedLoad >= MIN_MEAN_LOAD_PER_SECOND * weights.size();
+    }
+
     double totalLoad() {
         return totalLoad;
     }
