--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RetryBudget.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RetryBudget.java
@@ -1,8 +1,8 @@
 package org.coriandercrank.ingress.internal.routing;
 
 /**
- * Bounds retries to a share of the requests plus a small rate, so that retries cannot multiply an overload. Not thread
- * safe; time is an argument.
+ * Bounds retries to a share of the requests plus a small rate, so that retries cannot multiply an overload. Starts full,
+ * so that a daemon that just started can repeat what a lost link took. Not thread safe; time is an argument.
  */
 public final class RetryBudget {
     private static final double BURST_SECONDS = 2;
@@ -21,7 +21,7 @@
         tokensPerRequest = percent / PERCENT;
         tokensPerSecond = minPerSecond;
         maxTokens = minPerSecond * BURST_SECONDS + (percent > 0 ? MAX_SAVED_TOKENS : 0);
-        tokens = minPerSecond * BURST_SECONDS;
+        tokens = maxTokens;
         refilledAtNanos = nowNanos;
     }
 
