Answer DEADLINE_EXPIRED when a backend server stops at the deadline

Cause: a server that honours deadlines refuses with reason deadline; the adapter reported it as unavailable, so callers got 503 in place of 504 and the server counted as unhealthy (found by a test of the whole path).

--- a/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/BackendReplies.java
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/BackendReplies.java
@@ -61,6 +61,7 @@
         ResultCode code = switch (reason) {
             case "fence", "range", "validity" -> ResultCode.FENCE_REJECTED;
             case "overload" -> ResultCode.OVERLOADED;
+            case "deadline" -> ResultCode.DEADLINE_EXPIRED;
             default -> ResultCode.BACKEND_UNAVAILABLE;
         };
         return new CrankException(code, id + ": backend server did not execute, reason " + reason);
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
@@ -266,7 +266,7 @@
         onEnd.run();
     }
 
-    /** Only the three codes by which a backend server states that it did not execute the call mean NOT_RUN. */
+    /** Only the codes by which a backend server states that it did not execute the call mean NOT_RUN. */
     private CallerAnswer failureAnswer(Execution execution, CrankException failure, long nowNanos) {
         return switch (failure.code()) {
             case OVERLOADED -> {
@@ -286,6 +286,8 @@
             case BACKEND_UNAVAILABLE ->
                 CallerAnswer.retryLater(
                         ResultCode.BACKEND_UNAVAILABLE, "the backend server was not reached", BACKEND_RETRY_MS);
+            case DEADLINE_EXPIRED ->
+                CallerAnswer.of(ResultCode.DEADLINE_EXPIRED, "the backend server stopped the request at its deadline");
             default ->
                 CallerAnswer.of(
                         execution.isCancelRequested() ? ResultCode.CANCELLED_RUNNING : ResultCode.OUTCOME_UNKNOWN,
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/BackendServer.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/BackendServer.java
@@ -8,8 +8,8 @@
  * A backend server. Implementations are thread safe and never block the caller.
  *
  * <p>Futures fail with a {@link org.coriandercrank.kernel.code.CrankException}: {@code BACKEND_UNAVAILABLE},
- * {@code FENCE_REJECTED} or {@code OVERLOADED} if the server certainly did not execute the call,
- * {@code OUTCOME_UNKNOWN} if it may have.
+ * {@code FENCE_REJECTED}, {@code OVERLOADED} or {@code DEADLINE_EXPIRED} if the server certainly did not execute the
+ * call, {@code OUTCOME_UNKNOWN} if it may have.
  */
 public interface BackendServer extends AutoCloseable {
     /** Sends a call exactly once over a pooled connection. */
--- a/org.coriandercrank.load/src/main/java/org/coriandercrank/load/LoadReport.java
+++ b/org.coriandercrank.load/src/main/java/org/coriandercrank/load/LoadReport.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.HdrHistogram.Histogram;
@@ -15,7 +16,8 @@
  * Figures of one run. Immutable.
  *
  * @param outcomes number of calls by what they said, {@code no-answer} included
- * @param unavailableKeySeconds sum over keys of the time between a failed call and the next success of that key
+ * @param unavailableKeySeconds sum over keys of the time between the instant a failed or late call was due and the
+ *     next success of that key
  * @param longestGapMs longest such time of one key
  * @param imbalance mean over seconds of the busiest server's executions over the mean of all servers; 0 without ledgers
  * @param perSecond time series for the plot
@@ -36,6 +38,10 @@
         List<Violation> violations) {
     private static final long MAX_LATENCY_US = TimeUnit.MINUTES.toMicros(2);
     private static final double NANOS_PER_MS = 1e6;
+
+    /** The target for the unavailable time of a planned move; a key that is served later counts as not served. */
+    private static final long LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private static final double NANOS_PER_SECOND = 1e9;
 
     /** One second of a run. Immutable. */
@@ -97,21 +103,29 @@
         return gaps;
     }
 
+    /**
+     * Adds the times in which a key was not served: from the instant at which a failed or late call was due to the first
+     * success of the key after it. Overlapping times are merged.
+     */
     private static void addGaps(List<CallRecord> ofKey, List<Long> gaps) {
+        TreeSet<Long> served = ofKey.stream()
+                .filter(CallRecord::succeeded)
+                .map(CallRecord::endedNanos)
+                .collect(Collectors.toCollection(TreeSet::new));
+        long lastEndNanos =
+                ofKey.stream().mapToLong(CallRecord::endedNanos).max().orElse(0);
         List<CallRecord> ordered = new ArrayList<>(ofKey);
-        ordered.sort(Comparator.comparingLong(CallRecord::endedNanos));
-        long failingSinceNanos = 0;
+        ordered.sort(Comparator.comparingLong(CallRecord::intendedNanos));
+        long coveredUntilNanos = Long.MIN_VALUE;
         for (CallRecord call : ordered) {
-            if (!call.succeeded() && failingSinceNanos == 0) {
-                failingSinceNanos = call.intendedNanos();
-            } else if (call.succeeded() && failingSinceNanos != 0) {
-                gaps.add(call.endedNanos() - failingSinceNanos);
-                failingSinceNanos = 0;
+            Long servedNanos = served.ceiling(call.intendedNanos());
+            long untilNanos = servedNanos == null ? lastEndNanos : servedNanos;
+            boolean notServed = !call.succeeded() || untilNanos - call.intendedNanos() > LATE_NANOS;
+            if (notServed && untilNanos > coveredUntilNanos) {
+                gaps.add(untilNanos - call.intendedNanos());
+                coveredUntilNanos = untilNanos;
             }
         }
-        if (failingSinceNanos != 0) {
-            gaps.add(ordered.get(ordered.size() - 1).endedNanos() - failingSinceNanos);
-        }
     }
 
     private static List<Second> seconds(long startedNanos, List<CallRecord> calls, List<Execution> executions) {
