Report the exact result and revision of a release note

A submission reported the present revision as the one at which an earlier or unanswered note was accepted, STORE_UNAVAILABLE (not run) when reading failed after an unanswered write, a note as accepted when another text had taken its id since, and could mark the record of that text as refused. A note whose acceptance had left the list of recent notes was reported as a conflict.

AcceptanceHistory derives the revision of each listed note.

--- a/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/internal/CtlSettings.java
+++ b/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/internal/CtlSettings.java
@@ -1,6 +1,8 @@
 package org.coriandercrank.ctl.internal;
 
 import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.id.Key;
+import org.coriandercrank.kernel.id.NoteId;
 import org.coriandercrank.kernel.id.ServiceName;
 import org.coriandercrank.kernel.settings.Faults;
 import org.coriandercrank.kernel.settings.Settings;
@@ -26,9 +28,15 @@
     @Option(name = "--wait-ms", metaVar = "MS", usage = "time to wait for a note to be in force; 0: do not wait")
     private long waitMs = 10_000;
 
-    @Option(name = "--timeout-ms", metaVar = "MS", usage = "time for the store to answer")
+    @Option(
+            name = "--timeout-ms",
+            metaVar = "MS",
+            usage = "time after which a note without a certain answer is given up")
     private long timeoutMs = 15_000;
 
+    @Option(name = "--store-timeout-ms", metaVar = "MS", usage = "time-out of a call of the store")
+    private long storeTimeoutMs = 2_000;
+
     @Option(name = "--note", metaVar = "ID", usage = "id of a release note")
     private String note = "";
 
@@ -45,9 +53,16 @@
         storeAddress = faults.parse("--store", store, HostAddress::parse);
         faults.requireRange("--wait-ms", waitMs, 0, MAX_WAIT_MS);
         faults.requireRange("--timeout-ms", timeoutMs, 1, MAX_WAIT_MS);
+        faults.requireRange("--store-timeout-ms", storeTimeoutMs, 10, 60_000);
         if (!service.isEmpty()) {
             faults.attempt("--service", () -> new ServiceName(service));
         }
+        if (!note.isEmpty()) {
+            faults.attempt("--note", () -> new NoteId(note));
+        }
+        if (!key.isEmpty()) {
+            faults.attempt("--key", () -> new Key(key));
+        }
     }
 
     public HostAddress storeHostAddress() {
@@ -71,6 +86,10 @@
     }
 
     public long storeTimeoutMs() {
+        return storeTimeoutMs;
+    }
+
+    long timeoutMs() {
         return timeoutMs;
     }
 
--- a/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/internal/Fleet.java
+++ b/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/internal/Fleet.java
@@ -111,8 +111,12 @@
             if (failure != null || reply.status() != STATUS_OK) {
                 return Optional.<DaemonStatus>empty();
             }
-            return Optional.of(JsonCodec.decode(reply.body(), DaemonStatus.class))
-                    .filter(status -> status.member().equals(member.id()));
+            try {
+                return Optional.of(JsonCodec.decode(reply.body(), DaemonStatus.class))
+                        .filter(status -> status.member().equals(member.id()));
+            } catch (CrankException e) {
+                return Optional.<DaemonStatus>empty();
+            }
         });
     }
 
--- a/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/internal/NoteCommands.java
+++ b/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/internal/NoteCommands.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.coriandercrank.ctl.internal.Fleet.CurrentConfiguration;
+import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.config.AcceptedNote;
 import org.coriandercrank.kernel.config.Configuration;
@@ -14,6 +15,8 @@
 import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.store.JsonCodec;
 import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.note.AcceptanceHistory;
+import org.coriandercrank.note.AcceptanceHistory.Acceptance;
 import org.coriandercrank.note.NoteApplication;
 import org.coriandercrank.note.NoteFault;
 import org.coriandercrank.note.NoteParser;
@@ -67,7 +70,7 @@
     /** Submits a note and waits until it is in force on all live daemons or the time is over. */
     public CtlResult submit() {
         SubmitResult result =
-                new SubmitNote(fleet.store(), fleet.noteEnvironment(), settings.storeTimeoutMs()).call(noteText.get());
+                new SubmitNote(fleet.store(), fleet.noteEnvironment(), settings.timeoutMs()).call(noteText.get());
         if (result.code() == ResultCode.NOTE_CONFLICT) {
             return conflict(result.revision(), result.newerNotes());
         }
@@ -91,36 +94,56 @@
         Revision revision = current.revision();
         if (!settings.note().isEmpty()) {
             NoteId id = new NoteId(settings.note());
-            if (!current.configuration().wasAccepted(id)) {
+            Optional<Revision> accepted = acceptedAt(history(current), id, record(id));
+            if (accepted.isEmpty()) {
                 return new CtlResult(
                         ResultCode.NOTE_INVALID,
                         Map.of("accepted", false),
                         List.of("note " + id + " was not accepted"));
             }
-            revision = record(id).map(NoteRecord::accepted).orElse(revision);
+            revision = accepted.get();
         }
         InForce inForce = InForce.of(revision, fleet.liveMembers());
         ResultCode code = inForce.everywhere() ? ResultCode.OK : ResultCode.NOTE_NOT_IN_FORCE;
         return new CtlResult(code, inForce, List.of(inForce.line()));
     }
 
+    /** Recorded notes by the revision at which they were accepted; those that were not come first. */
     public CtlResult list() {
-        Configuration configuration = fleet.configuration().configuration();
-        List<String> lines = new ArrayList<>();
+        AcceptanceHistory history = history(fleet.configuration());
         List<NoteRecord> records = fleet.notes().stream()
                 .map(NoteCommands::decode)
+                .map(note -> acceptedAt(history, note.id(), Optional.of(note))
+                        .map(note::acceptedAt)
+                        .orElse(note))
                 .sorted(Comparator.comparing(NoteRecord::accepted))
                 .toList();
-        for (NoteRecord note : records) {
-            boolean accepted = configuration.wasAccepted(note.id()) || note.fate() == NoteRecord.Fate.ACCEPTED;
-            lines.add(note.id() + " "
-                    + (accepted ? "ACCEPTED at " + note.accepted() : note.fate().name()) + " based on "
-                    + note.basedOn());
-        }
-        return CtlResult.ok(records, lines);
+        return CtlResult.ok(
+                records, records.stream().map(NoteCommands::listLine).toList());
+    }
+
+    private static String listLine(NoteRecord note) {
+        boolean accepted = note.fate() == NoteRecord.Fate.ACCEPTED;
+        return note.id() + " " + note.fate() + (accepted ? " at " + note.accepted() : "") + " based on "
+                + note.basedOn();
+    }
+
+    private static AcceptanceHistory history(CurrentConfiguration current) {
+        return new AcceptanceHistory(current.revision(), current.configuration());
+    }
+
+    /** The configuration decides; the record only where its list of notes no longer reaches back. */
+    private static Optional<Revision> acceptedAt(AcceptanceHistory history, NoteId id, Optional<NoteRecord> record) {
+        return history.find(id)
+                .map(Acceptance::accepted)
+                .or(() -> record.filter(note -> note.fate() == NoteRecord.Fate.ACCEPTED)
+                        .map(NoteRecord::accepted));
     }
 
     public CtlResult show() {
+        if (settings.note().isEmpty()) {
+            return new CtlResult(ResultCode.SETTING_INVALID, Map.of(), List.of("note show needs --note ID"));
+        }
         return record(new NoteId(settings.note()))
                 .map(note -> CtlResult.ok(note, List.of(note.id() + " " + note.fate(), note.text())))
                 .orElseGet(() -> new CtlResult(
@@ -149,20 +172,28 @@
         after.stream().filter(entry -> !before.contains(entry)).forEach(entry -> lines.add("+ " + text(entry)));
     }
 
+    /** The note is accepted whatever happens here, so a fault of the store only ends in "not in force". */
     private CtlResult waitInForce(Revision revision) {
         long deadlineNanos = System.nanoTime() + settings.waitMs() * 1_000_000;
+        InForce last = new InForce(revision, 0, 0, List.of(), List.of());
         String lastLine = "";
         while (true) {
-            InForce inForce = InForce.of(revision, fleet.liveMembers());
-            if (inForce.everywhere()) {
-                return CtlResult.ok(inForce, List.of(inForce.line()));
+            String line;
+            try {
+                last = InForce.of(revision, fleet.liveMembers());
+                line = last.line();
+                if (last.everywhere()) {
+                    return CtlResult.ok(last, List.of(line));
+                }
+            } catch (CrankException e) {
+                line = "accepted at revision " + revision + "; members not known: " + e.code();
             }
             if (System.nanoTime() - deadlineNanos > 0) {
-                return new CtlResult(ResultCode.NOTE_NOT_IN_FORCE, inForce, List.of(inForce.line()));
+                return new CtlResult(ResultCode.NOTE_NOT_IN_FORCE, last, List.of(line));
             }
-            if (!inForce.line().equals(lastLine)) {
-                lastLine = inForce.line();
-                progress.report(lastLine);
+            if (!line.equals(lastLine)) {
+                lastLine = line;
+                progress.report(line);
             }
             sleep();
         }
--- a/org.coriandercrank.note/src/main/java/org/coriandercrank/note/NoteRecord.java
+++ b/org.coriandercrank.note/src/main/java/org/coriandercrank/note/NoteRecord.java
@@ -22,6 +22,11 @@
         REFUSED
     }
 
+    /** This record as that of a note accepted at a revision. */
+    public NoteRecord acceptedAt(Revision revision) {
+        return withFate(Fate.ACCEPTED, revision);
+    }
+
     NoteRecord withFate(Fate newFate, Revision newAccepted) {
         return new NoteRecord(id, newFate, basedOn, newAccepted, text);
     }
--- a/org.coriandercrank.note/src/main/java/org/coriandercrank/note/SubmitNote.java
+++ b/org.coriandercrank.note/src/main/java/org/coriandercrank/note/SubmitNote.java
@@ -6,7 +6,6 @@
 import java.util.function.Supplier;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
-import org.coriandercrank.kernel.config.AcceptedNote;
 import org.coriandercrank.kernel.config.Configuration;
 import org.coriandercrank.kernel.id.NoteId;
 import org.coriandercrank.kernel.id.Revision;
@@ -14,6 +13,7 @@
 import org.coriandercrank.kernel.store.ObjectNames;
 import org.coriandercrank.kernel.store.ObjectStore;
 import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.note.AcceptanceHistory.Acceptance;
 import org.coriandercrank.note.NoteApplication.Environment;
 import org.coriandercrank.note.NoteRecord.Fate;
 
@@ -23,24 +23,30 @@
  * <p>The note takes effect by one write of the configuration, conditional on the revision that the note is based on.
  * While the configuration still has that revision, an unanswered write may take effect later, so the same write is
  * repeated until the revision has moved on; then the ids of recent notes tell whether this note was accepted.
+ *
+ * <p>Invariant: {@link ResultCode#STORE_UNAVAILABLE} is the result only if this submission left no write of the
+ * configuration that may still take effect; otherwise it is {@link ResultCode#WRITE_UNANSWERED}.
  */
 public final class SubmitNote {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long RETRY_PAUSE_MS = 50;
 
-    private record Current(Revision revision, Configuration configuration) {
-        boolean accepted(NoteId id) {
-            return configuration.wasAccepted(id);
-        }
+    private enum Claim {
+        NEW,
+        /** Another submission of the same text may have left a write of the configuration. */
+        RESUMED,
+        DENIED
     }
 
     private final ObjectStore store;
     private final Environment environment;
     private final long deadlineNanos;
+    private boolean writeMayTakeEffect;
 
     /**
      * Prepares a submission.
      *
+     * @param store its time-out of a call should be well below {@code timeoutMs}, so that calls can be repeated
      * @param timeoutMs time after which {@link #call} gives up with {@link ResultCode#WRITE_UNANSWERED} or
      *     {@link ResultCode#STORE_UNAVAILABLE}
      */
@@ -60,105 +66,139 @@
         try {
             return submit(parsed.get(), text);
         } catch (CrankException e) {
-            return SubmitResult.refused(e.code(), Revision.NONE, List.of());
+            ResultCode code = writeMayTakeEffect ? ResultCode.WRITE_UNANSWERED : e.code();
+            return SubmitResult.refused(code, Revision.NONE, List.of());
         }
     }
 
     private SubmitResult submit(ReleaseNote note, String text) {
-        Current current = readConfiguration();
-        if (current.accepted(note.id())) {
-            return acceptedBefore(note, text, current);
+        AcceptanceHistory history = readHistory();
+        Optional<Acceptance> accepted = history.find(note.id());
+        if (accepted.isPresent()) {
+            return acceptedBefore(note, text, accepted.get());
         }
-        if (!current.revision.equals(note.basedOn())) {
-            return conflict(note, current);
+        if (!history.revision().equals(note.basedOn())) {
+            return superseded(note, text, history);
         }
-        NoteApplication application = new NoteApplication(current.configuration, environment);
+        NoteApplication application = new NoteApplication(history.configuration(), environment);
         Optional<Configuration> next = application.apply(note);
         if (next.isEmpty()) {
             return SubmitResult.invalid(ResultCode.NOTE_INVALID, application.faults());
         }
-        if (!claimId(note, text)) {
-            return SubmitResult.refused(ResultCode.NOTE_ID_REUSED, current.revision, List.of());
+        Claim claim = claimId(note, text, history);
+        if (claim == Claim.DENIED) {
+            return SubmitResult.refused(ResultCode.NOTE_ID_REUSED, Revision.NONE, List.of());
         }
-        return writeConfiguration(note, JsonCodec.encode(next.get()));
+        writeMayTakeEffect = claim == Claim.RESUMED;
+        return writeConfiguration(note, text, JsonCodec.encode(next.get()));
     }
 
     /** Writes until the outcome is certain. */
-    private SubmitResult writeConfiguration(ReleaseNote note, byte[] configuration) {
+    private SubmitResult writeConfiguration(ReleaseNote note, String text, byte[] configuration) {
         while (true) {
+            boolean mayTakeEffectBefore = writeMayTakeEffect;
+            writeMayTakeEffect = true;
             try {
                 Revision accepted = store.put(ObjectNames.CONFIGURATION, configuration, note.basedOn())
                         .join();
-                recordFate(note.id(), Fate.ACCEPTED, accepted);
+                recordFate(note.id(), text, Fate.ACCEPTED, accepted);
                 return SubmitResult.accepted(accepted);
             } catch (RuntimeException e) {
-                requireRetryable(CrankException.of(e), ResultCode.REVISION_CONFLICT);
+                CrankException failure = CrankException.of(e);
+                requireRetryable(failure, ResultCode.REVISION_CONFLICT);
+                writeMayTakeEffect = mayTakeEffectBefore || failure.code() == ResultCode.WRITE_UNANSWERED;
             }
-            Current current = readConfiguration();
-            if (current.accepted(note.id())) {
-                recordFate(note.id(), Fate.ACCEPTED, current.revision);
-                return SubmitResult.accepted(current.revision);
+            AcceptanceHistory history = readHistory();
+            Optional<Acceptance> accepted = history.find(note.id());
+            // Another text can have the id only on top of a later revision.
+            if (accepted.isPresent() && accepted.get().note().basedOn().equals(note.basedOn())) {
+                recordFate(note.id(), text, Fate.ACCEPTED, accepted.get().accepted());
+                return SubmitResult.accepted(accepted.get().accepted());
             }
-            if (!current.revision.equals(note.basedOn())) {
-                recordFate(note.id(), Fate.REFUSED, Revision.NONE);
-                return conflict(note, current);
+            if (!history.revision().equals(note.basedOn())) {
+                return superseded(note, text, history);
             }
-            pause(ResultCode.WRITE_UNANSWERED);
+            pause();
         }
     }
 
-    private SubmitResult acceptedBefore(ReleaseNote note, String text, Current current) {
-        Optional<NoteRecord> known = readRecord(note.id()).map(SubmitNote::decodeRecord);
-        boolean sameText = known.map(r -> r.text().equals(text)).orElse(false);
-        if (!sameText) {
-            return SubmitResult.refused(ResultCode.NOTE_ID_REUSED, current.revision, List.of());
+    private SubmitResult acceptedBefore(ReleaseNote note, String text, Acceptance accepted) {
+        boolean sameText = readRecord(note.id())
+                .map(object -> decodeRecord(object).text().equals(text))
+                .orElse(false);
+        if (!sameText || !accepted.note().basedOn().equals(note.basedOn())) {
+            return SubmitResult.refused(ResultCode.NOTE_ID_REUSED, Revision.NONE, List.of());
         }
-        Revision accepted = known.get().accepted();
-        return SubmitResult.accepted(accepted.equals(Revision.NONE) ? current.revision : accepted);
+        recordFate(note.id(), text, Fate.ACCEPTED, accepted.accepted());
+        return SubmitResult.accepted(accepted.accepted());
     }
 
-    private static SubmitResult conflict(ReleaseNote note, Current current) {
-        List<AcceptedNote> newerNotes = current.configuration.recentNotes().stream()
-                .filter(accepted -> accepted.basedOn().compareTo(note.basedOn()) >= 0)
-                .toList();
-        return SubmitResult.refused(ResultCode.NOTE_CONFLICT, current.revision, newerNotes);
+    /**
+     * Result of a note that is based on another revision than the present one and is not listed as accepted. Its record
+     * decides if the list does not reach back far enough.
+     */
+    private SubmitResult superseded(ReleaseNote note, String text, AcceptanceHistory history) {
+        Optional<NoteRecord> own = readRecord(note.id())
+                .map(SubmitNote::decodeRecord)
+                .filter(known -> known.text().equals(text));
+        if (own.isPresent() && own.get().fate() == Fate.ACCEPTED) {
+            return SubmitResult.accepted(own.get().accepted());
+        }
+        boolean certain = history.reachesBackTo(note.basedOn());
+        if (own.isPresent() && own.get().fate() == Fate.SUBMITTED && !certain) {
+            return SubmitResult.refused(ResultCode.WRITE_UNANSWERED, history.revision(), List.of());
+        }
+        if (history.revision().isNewerThan(note.basedOn())) {
+            recordFate(note.id(), text, Fate.REFUSED, Revision.NONE);
+        }
+        return SubmitResult.refused(ResultCode.NOTE_CONFLICT, history.revision(), history.since(note.basedOn()));
     }
 
-    /** Records the note under its id; false if the id belongs to another note that may be accepted. */
-    private boolean claimId(ReleaseNote note, String text) {
+    /** Records the note under its id; denied if the id belongs to another note that may be accepted. */
+    private Claim claimId(ReleaseNote note, String text, AcceptanceHistory history) {
         NoteRecord claim = new NoteRecord(note.id(), Fate.SUBMITTED, note.basedOn(), Revision.NONE, text);
         while (true) {
             Optional<StoredObject> existing = readRecord(note.id());
             if (existing.isPresent()) {
                 NoteRecord known = decodeRecord(existing.get());
                 if (known.text().equals(text)) {
-                    return true;
+                    return Claim.RESUMED;
                 }
-                if (known.fate() != Fate.REFUSED) {
-                    return false;
+                if (!isCertainlyRefused(known, history)) {
+                    return Claim.DENIED;
                 }
             }
             Revision expected = existing.map(StoredObject::revision).orElse(Revision.NONE);
             try {
                 store.put(ObjectNames.note(note.id()), JsonCodec.encode(claim), expected)
                         .join();
-                return true;
+                return Claim.NEW;
             } catch (RuntimeException e) {
                 requireRetryable(CrankException.of(e), ResultCode.REVISION_CONFLICT);
             }
-            pause(ResultCode.STORE_UNAVAILABLE);
+            pause();
         }
     }
 
-    /** Best effort: the configuration stays the source of truth. */
-    private void recordFate(NoteId id, Fate fate, Revision accepted) {
+    /** Whether a recorded note, which the history does not list, can neither be accepted nor have been. */
+    private static boolean isCertainlyRefused(NoteRecord known, AcceptanceHistory history) {
+        return switch (known.fate()) {
+            case REFUSED -> true;
+            case ACCEPTED -> false;
+            case SUBMITTED -> history.revision().isNewerThan(known.basedOn()) && history.reachesBackTo(known.basedOn());
+        };
+    }
+
+    /** Best effort without repetition, and only in the record of this text: the configuration stays the source of truth. */
+    private void recordFate(NoteId id, String text, Fate fate, Revision accepted) {
         try {
-            Optional<StoredObject> existing = readRecord(id);
-            if (existing.isPresent()) {
-                NoteRecord updated = decodeRecord(existing.get()).withFate(fate, accepted);
+            Optional<StoredObject> existing = store.get(ObjectNames.note(id)).join();
+            Optional<NoteRecord> own = existing.map(SubmitNote::decodeRecord)
+                    .filter(known -> known.text().equals(text) && known.fate() == Fate.SUBMITTED);
+            if (own.isPresent()) {
                 store.put(
                                 ObjectNames.note(id),
-                                JsonCodec.encode(updated),
+                                JsonCodec.encode(own.get().withFate(fate, accepted)),
                                 existing.get().revision())
                         .join();
             }
@@ -167,12 +207,10 @@
         }
     }
 
-    private Current readConfiguration() {
-        Optional<StoredObject> stored =
-                retry(() -> store.get(ObjectNames.CONFIGURATION).join());
-        return stored.map(
-                        object -> new Current(object.revision(), JsonCodec.decode(object.value(), Configuration.class)))
-                .orElse(new Current(Revision.NONE, Configuration.EMPTY));
+    private AcceptanceHistory readHistory() {
+        return retry(() -> store.get(ObjectNames.CONFIGURATION).join())
+                .map(AcceptanceHistory::of)
+                .orElse(AcceptanceHistory.EMPTY);
     }
 
     private Optional<StoredObject> readRecord(NoteId id) {
@@ -190,7 +228,7 @@
             } catch (RuntimeException e) {
                 requireRetryable(CrankException.of(e), ResultCode.STORE_UNAVAILABLE);
             }
-            pause(ResultCode.STORE_UNAVAILABLE);
+            pause();
         }
     }
 
@@ -201,15 +239,15 @@
         }
     }
 
-    private void pause(ResultCode codeAfterTimeout) {
+    private void pause() {
         if (System.nanoTime() - deadlineNanos > 0) {
-            throw new CrankException(codeAfterTimeout, "no certain answer of the store in the time given");
+            throw new CrankException(ResultCode.STORE_UNAVAILABLE, "no certain answer of the store in the time given");
         }
         try {
             Thread.sleep(RETRY_PAUSE_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            throw new CrankException(codeAfterTimeout, "interrupted", e);
+            throw new CrankException(ResultCode.STORE_UNAVAILABLE, "interrupted", e);
         }
     }
 
