--- a/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/CrankCtl.java
+++ b/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/CrankCtl.java
@@ -34,6 +34,9 @@
 public final class CrankCtl {
     private static final int EXIT_USAGE = 2;
 
+    /** What {@code --json true} prints. Immutable; the order of the fields is that of the text. */
+    private record Answer(int code, String name, Object result) {}
+
     private CrankCtl() {}
 
     public static void main(String[] arguments) {
@@ -48,13 +51,13 @@
         while (!flags.isEmpty() && !flags.get(0).startsWith("--")) {
             words.add(flags.remove(0));
         }
+        CtlSettings settings = new CtlSettings();
         try {
-            CtlSettings settings = SettingsLoader.load(new CtlSettings(), flags, environment);
-            return run(String.join(" ", words), settings, out, err);
+            SettingsLoader.load(settings, flags, environment);
         } catch (CrankException e) {
-            err.println(e.code() + " (" + e.code().number() + "): " + e.getMessage());
-            return new CtlResult(e.code(), Map.of(), List.of()).exitCode();
+            return fail(e, err).exitCode();
         }
+        return run(String.join(" ", words), settings, out, err);
     }
 
     private static int run(String name, CtlSettings settings, PrintStream out, PrintStream err) {
@@ -62,8 +65,7 @@
         PluginRegistry plugins = PluginRegistry.load();
         try (ObjectStore store = plugins.get(Kind.STORE, settings.storeAdapterName())
                 .open(settings.storeHostAddress(), settings.storeTimeoutMs())) {
-            Fleet fleet = new Fleet(store, group, plugins);
-            Map<String, CtlCommand> commands = commands(settings, fleet, err);
+            Map<String, CtlCommand> commands = commands(settings, new Fleet(store, group, plugins), err);
             CtlCommand command = commands.get(name);
             if (command == null) {
                 err.println("commands: " + commands.keySet());
@@ -71,11 +73,19 @@
                 return EXIT_USAGE;
             }
             return print(command.call(), settings, out);
+        } catch (CrankException e) {
+            return print(fail(e, err), settings, out);
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         }
     }
 
+    /** Prints a failure for people; the result has it for programs. */
+    private static CtlResult fail(CrankException failure, PrintStream err) {
+        err.println(failure.code() + " (" + failure.code().number() + "): " + failure.getMessage());
+        return new CtlResult(failure.code(), Map.of("message", String.valueOf(failure.getMessage())), List.of());
+    }
+
     private static Map<String, CtlCommand> commands(CtlSettings settings, Fleet fleet, PrintStream err) {
         NoteCommands notes = new NoteCommands(settings, fleet, () -> readNote(settings.noteFile()), err::println);
         StatusCommands status = new StatusCommands(settings, fleet);
@@ -96,13 +106,8 @@
     private static int print(CtlResult result, CtlSettings settings, PrintStream out) {
         if (settings.printJson()) {
             out.println(new String(
-                    JsonCodec.encode(Map.of(
-                            "code",
-                            result.code().number(),
-                            "name",
-                            result.code().name(),
-                            "result",
-                            result.value())),
+                    JsonCodec.encode(
+                            new Answer(result.code().number(), result.code().name(), result.value())),
                     StandardCharsets.UTF_8));
         } else {
             result.lines().forEach(out::println);
--- a/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/internal/NoteCommands.java
+++ b/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/internal/NoteCommands.java
@@ -70,7 +70,7 @@
     /** Submits a note and waits until it is in force on all live daemons or the time is over. */
     public CtlResult submit() {
         SubmitResult result =
-                new SubmitNote(fleet.store(), fleet.noteEnvironment(), settings.timeoutMs()).call(noteText.get());
+                new SubmitNote(fleet.store(), fleet::noteEnvironment, settings.timeoutMs()).call(noteText.get());
         if (result.code() == ResultCode.NOTE_CONFLICT) {
             return conflict(result.revision(), result.newerNotes());
         }
--- a/org.coriandercrank.note.test/src/test/java/org/coriandercrank/note/SubmitNoteTest.java
+++ b/org.coriandercrank.note.test/src/test/java/org/coriandercrank/note/SubmitNoteTest.java
@@ -33,7 +33,7 @@
     }
 
     private SubmitResult submit(String text) {
-        return new SubmitNote(store, ENVIRONMENT, TIMEOUT_MS).call(text);
+        return new SubmitNote(store, () -> ENVIRONMENT, TIMEOUT_MS).call(text);
     }
 
     private static String note(String id, Revision basedOn, String backend) {
@@ -54,10 +54,6 @@
                 .toList();
     }
 
-    private static void settle() throws InterruptedException {
-        Thread.sleep(SETTLE_MS);
-    }
-
     @ParameterizedTest
     @CsvSource(delimiter = '|', textBlock = """
             # at    | faults                                                              | result
@@ -91,7 +87,9 @@
 
         assertThat(submit(text).code()).isEqualTo(expected);
         store.fault("{\"kind\":\"up\"}");
-        settle();
+        if (faults.contains("delayMs")) {
+            Thread.sleep(SETTLE_MS);
+        }
         if (expected != ResultCode.WRITE_UNANSWERED) {
             assertThat(acceptedIds()).isEqualTo(expected == ResultCode.OK ? List.of("n") : List.of());
         }
--- a/org.coriandercrank.note/src/main/java/org/coriandercrank/note/SubmitNote.java
+++ b/org.coriandercrank.note/src/main/java/org/coriandercrank/note/SubmitNote.java
@@ -39,7 +39,7 @@
     }
 
     private final ObjectStore store;
-    private final Environment environment;
+    private final Supplier<Environment> environment;
     private final long deadlineNanos;
     private boolean writeMayTakeEffect;
 
@@ -47,10 +47,11 @@
      * Prepares a submission.
      *
      * @param store its time-out of a call should be well below {@code timeoutMs}, so that calls can be repeated
+     * @param environment may read the store and fail with {@link CrankException}; it is then repeated
      * @param timeoutMs time after which {@link #call} gives up with {@link ResultCode#WRITE_UNANSWERED} or
      *     {@link ResultCode#STORE_UNAVAILABLE}
      */
-    public SubmitNote(ObjectStore store, Environment environment, long timeoutMs) {
+    public SubmitNote(ObjectStore store, Supplier<Environment> environment, long timeoutMs) {
         this.store = store;
         this.environment = environment;
         this.deadlineNanos = System.nanoTime() + timeoutMs * 1_000_000;
@@ -80,7 +81,7 @@
         if (!history.revision().equals(note.basedOn())) {
             return superseded(note, text, history);
         }
-        NoteApplication application = new NoteApplication(history.configuration(), environment);
+        NoteApplication application = new NoteApplication(history.configuration(), retry(environment));
         Optional<Configuration> next = application.apply(note);
         if (next.isEmpty()) {
             return SubmitResult.invalid(ResultCode.NOTE_INVALID, application.faults());
@@ -203,7 +204,9 @@
                         .join();
             }
         } catch (RuntimeException e) {
-            logger.atInfo().withCause(e).log("event=note-fate-not-recorded note=%s fate=%s", id, fate);
+            logger.atInfo().log(
+                    "event=note-fate-not-recorded note=%s fate=%s reason=\"%s\"",
+                    id, fate, CrankException.of(e).getMessage());
         }
     }
 
--- a/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/TestSite.java
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/TestSite.java
@@ -24,7 +24,7 @@
 import org.coriandercrank.testkit.Site;
 import org.coriandercrank.testkit.SiteHost;
 
-/** A site of real processes with the calls that tests make. Not thread safe. */
+/** A site of real processes with the calls that tests make. Only the calls may be made by several threads. */
 final class TestSite implements AutoCloseable {
     static final String SERVICE = "counter-desk";
 
