Add the locality rule of a service

ServiceConfig has a field locality (any, region-first, domain-first; default domain-first), which release notes can set; a stored configuration without it has the default. Ingress does not read it yet.

--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/ServiceConfig.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/ServiceConfig.java
@@ -15,6 +15,7 @@
  * @param maxKeySharePercent share of slots and queue that one key may use
  * @param placementPolicy name of the placement policy
  * @param balancingPolicy name of the balancing policy
+ * @param locality which servers are preferred; a stored configuration without it has the default
  */
 public record ServiceConfig(
         ServiceName name,
@@ -26,7 +27,8 @@
         int maxQueueLength,
         int maxKeySharePercent,
         String placementPolicy,
-        String balancingPolicy) {
+        String balancingPolicy,
+        Locality locality) {
     public static final Set<String> DEFAULT_REPEATABLE_METHODS = Set.of("GET", "HEAD");
     public static final int DEFAULT_DEADLINE_MS = 2_000;
     public static final int DEFAULT_MAX_DEADLINE_MS = 30_000;
@@ -35,6 +37,7 @@
     public static final int DEFAULT_MAX_KEY_SHARE_PERCENT = 50;
     public static final String DEFAULT_PLACEMENT_POLICY = "availability";
     public static final String DEFAULT_BALANCING_POLICY = "two-choices";
+    public static final Locality DEFAULT_LOCALITY = Locality.DOMAIN_FIRST;
 
     private static final int LIMIT_DEADLINE_MS = 600_000;
     private static final int LIMIT_BODY_BYTES = 8_388_608;
@@ -42,6 +45,7 @@
 
     public ServiceConfig {
         repeatableMethods = Set.copyOf(repeatableMethods);
+        locality = locality == null ? DEFAULT_LOCALITY : locality;
         checkRange("defaultDeadlineMs", defaultDeadlineMs, 1, maxDeadlineMs);
         checkRange("maxDeadlineMs", maxDeadlineMs, 1, LIMIT_DEADLINE_MS);
         checkRange("maxBodyBytes", maxBodyBytes, 0, LIMIT_BODY_BYTES);
@@ -61,7 +65,8 @@
                 DEFAULT_MAX_QUEUE_LENGTH,
                 DEFAULT_MAX_KEY_SHARE_PERCENT,
                 DEFAULT_PLACEMENT_POLICY,
-                DEFAULT_BALANCING_POLICY);
+                DEFAULT_BALANCING_POLICY,
+                DEFAULT_LOCALITY);
     }
 
     public boolean isRepeatable(String method) {
--- a/org.coriandercrank.note.test/src/test/java/org/coriandercrank/note/NoteFaultsTest.java
+++ b/org.coriandercrank.note.test/src/test/java/org/coriandercrank/note/NoteFaultsTest.java
@@ -2,14 +2,17 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.coriandercrank.kernel.config.BackendRule;
 import org.coriandercrank.kernel.config.Configuration;
+import org.coriandercrank.kernel.config.Locality;
 import org.coriandercrank.kernel.config.ServiceConfig;
 import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.store.JsonCodec;
 import org.coriandercrank.note.NoteApplication.Environment;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -60,6 +63,9 @@
             {"id":"n","basedOn":1,"change":{"services":[{"name":"counter-desk","repeatableMethods":["get"]}]}} | change.services[0].repeatableMethods | OUT_OF_RANGE
             {"id":"n","basedOn":1,"change":{"services":[{"name":"counter-desk","defaultDeadlineMs":40000}]}} | change.services[0] | OUT_OF_RANGE
             {"id":"n","basedOn":1,"change":{"services":[{"name":"counter-desk","placementPolicy":"x"}]}} | change.services[0].placementPolicy | NOT_FOUND
+            {"id":"n","basedOn":1,"change":{"services":[{"name":"counter-desk","locality":"near"}]}} | change.services[0].locality | OUT_OF_RANGE
+            {"id":"n","basedOn":1,"change":{"services":[{"name":"counter-desk","locality":1}]}} | change.services[0].locality | WRONG_TYPE
+            {"id":"n","basedOn":1,"change":{"services":[{"name":"counter-desk","locality":null}]}} | change.services[0].locality | WRONG_TYPE
             {"id":"n","basedOn":1,"withdraw":{"services":["counter-desk"]}}      | withdraw.services[0]        | IN_USE
             {"id":"n","basedOn":1,"withdraw":{"backends":["x"]}}                 | withdraw.backends[0]        | NOT_FOUND
             {"id":"n","basedOn":1,"change":{"backends":[{"backendName":"desk-1","drain":1}]}} | change.backends[0].drain | WRONG_TYPE
@@ -98,4 +104,31 @@
         assertThat(result.isDraining("desk-1")).isTrue();
         assertThat(result.recentNotes()).hasSize(1);
     }
+
+    @ParameterizedTest
+    @CsvSource(
+            nullValues = "-",
+            value = {"-,DOMAIN_FIRST", "any,ANY", "region-first,REGION_FIRST", "domain-first,DOMAIN_FIRST"})
+    void localityIsTakenFromTheNoteAndKeptInTheStoredForm(String text, Locality expected) {
+        String field = text == null ? "" : ",\"locality\":\"" + text + "\"";
+        Configuration result = apply("{\"id\":\"n\",\"basedOn\":1,\"add\":{\"services\":[{\"name\":\"cashbook\","
+                        + "\"keyed\":false" + field + "}]}}")
+                .orElseThrow();
+        Configuration stored = JsonCodec.decode(JsonCodec.encode(result), Configuration.class);
+
+        assertThat(stored).isEqualTo(result);
+        assertThat(stored.service(new ServiceName("cashbook")))
+                .hasValueSatisfying(s -> assertThat(s.locality()).isEqualTo(expected));
+    }
+
+    /** Guards against daemons that cannot read a configuration written before the field existed. */
+    @Test
+    void configurationWithoutLocalityIsRead() {
+        String before = new String(JsonCodec.encode(BASE), StandardCharsets.UTF_8);
+        String old = before.replace(",\"locality\":\"domain-first\"", "");
+
+        assertThat(old).isNotEqualTo(before);
+        assertThat(JsonCodec.decode(old.getBytes(StandardCharsets.UTF_8), Configuration.class))
+                .isEqualTo(BASE);
+    }
 }
--- a/org.coriandercrank.note/src/main/java/org/coriandercrank/note/internal/FieldSpec.java
+++ b/org.coriandercrank.note/src/main/java/org/coriandercrank/note/internal/FieldSpec.java
@@ -1,9 +1,11 @@
 package org.coriandercrank.note.internal;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import org.coriandercrank.kernel.config.Locality;
 import org.coriandercrank.note.NoteFault;
 import org.coriandercrank.note.NoteFault.Kind;
 import org.coriandercrank.note.ReleaseNote.Subject;
@@ -33,7 +35,8 @@
             integer("maxQueueLength", 0, 10_000),
             integer("maxKeySharePercent", 1, 100),
             name("placementPolicy"),
-            name("balancingPolicy"));
+            name("balancingPolicy"),
+            locality("locality"));
 
     private static final List<FieldSpec> BACKEND_FIELDS =
             List.of(name("backendName"), integer("weightPercent", 0, 1_000), flag("drain"));
@@ -70,6 +73,19 @@
         });
     }
 
+    private static FieldSpec locality(String field) {
+        List<String> known =
+                Arrays.stream(Locality.values()).map(Locality::text).toList();
+        return new FieldSpec(field, value -> {
+            if (!value.isTextual()) {
+                return problem(Kind.WRONG_TYPE, "must be a text");
+            }
+            return known.contains(value.asText())
+                    ? Optional.empty()
+                    : problem(Kind.OUT_OF_RANGE, "must be one of " + known);
+        });
+    }
+
     private static FieldSpec methods(String field) {
         return new FieldSpec(field, value -> {
             if (!value.isArray()) {
