--- a/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/internal/NoteCommands.java
+++ b/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/internal/NoteCommands.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.ctl.internal;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -29,6 +30,12 @@
 public final class NoteCommands {
     private static final long POLL_PERIOD_MS = 100;
 
+    /** Result of {@link #check} without faults. Immutable. */
+    private record Valid(boolean valid, Revision revision) {}
+
+    /** The present revision and the notes accepted since the one that a note is based on. Immutable. */
+    private record Conflict(Revision revision, List<AcceptedNote> newerNotes) {}
+
     private final CtlSettings settings;
     private final Fleet fleet;
     private final Supplier<String> noteText;
@@ -53,7 +60,7 @@
         NoteParser parser = new NoteParser();
         Optional<ReleaseNote> note = parser.parse(noteText.get());
         if (note.isEmpty()) {
-            return faults(ResultCode.NOTE_INVALID, parser.faults());
+            return faults(parser.code(), parser.faults());
         }
         NoteApplication application = new NoteApplication(current.configuration(), fleet.noteEnvironment());
         if (application.apply(note.get()).isEmpty()) {
@@ -63,8 +70,7 @@
             return conflict(current.revision(), List.of());
         }
         return CtlResult.ok(
-                Map.of("valid", true, "revision", current.revision()),
-                List.of("valid against revision " + current.revision()));
+                new Valid(true, current.revision()), List.of("valid against revision " + current.revision()));
     }
 
     /** Submits a note and waits until it is in force on all live daemons or the time is over. */
@@ -159,7 +165,7 @@
         if (next.isEmpty()) {
             List<NoteFault> all = new ArrayList<>(parser.faults());
             all.addAll(application.faults());
-            return faults(ResultCode.NOTE_INVALID, all);
+            return faults(parser.code(), all);
         }
         List<String> lines = new ArrayList<>();
         addDifference(current.services(), next.get().services(), lines);
@@ -220,7 +226,7 @@
     }
 
     private static String text(Object value) {
-        return new String(JsonCodec.encode(value), java.nio.charset.StandardCharsets.UTF_8);
+        return new String(JsonCodec.encode(value), StandardCharsets.UTF_8);
     }
 
     private static CtlResult faults(ResultCode code, List<NoteFault> faults) {
@@ -232,6 +238,6 @@
         List<String> lines = new ArrayList<>();
         lines.add("conflict: the configuration is at revision " + current);
         newerNotes.forEach(note -> lines.add("accepted since: " + note.id() + " touched " + note.touched()));
-        return new CtlResult(ResultCode.NOTE_CONFLICT, Map.of("revision", current, "newerNotes", newerNotes), lines);
+        return new CtlResult(ResultCode.NOTE_CONFLICT, new Conflict(current, newerNotes), lines);
     }
 }
--- a/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/internal/StatusCommands.java
+++ b/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/internal/StatusCommands.java
@@ -28,6 +28,9 @@
         this.fleet = fleet;
     }
 
+    /** Answer of {@link #status}. Immutable. */
+    private record Report(InForce configuration, List<LiveMember> members) {}
+
     public CtlResult status() {
         CurrentConfiguration current = fleet.configuration();
         List<LiveMember> live = fleet.liveMembers();
@@ -39,7 +42,7 @@
                 .forEach(service -> lines.add("service " + service.name() + " keyed=" + service.keyed() + " placement="
                         + service.placementPolicy()));
         live.forEach(member -> lines.add(memberLine(member)));
-        return CtlResult.ok(Map.of("configuration", inForce, "members", live), lines);
+        return CtlResult.ok(new Report(inForce, live), lines);
     }
 
     public CtlResult members() {
@@ -77,7 +80,7 @@
         Key key = new Key(settings.key());
         Optional<RangeAssignment> assignment = fleet.table(service).flatMap(table -> table.find(key.hash()));
         if (assignment.isEmpty()) {
-            Explanation none = new Explanation(service, key, null, null, null, List.of(), false, "no owner");
+            Explanation none = new Explanation(service, key.value(), null, null, null, List.of(), false, "no owner");
             return CtlResult.ok(none, List.of("key " + key + " of " + service + " has no owner"));
         }
         Explanation explanation = explain(service, key, assignment.get());
@@ -96,7 +99,7 @@
     /** Answer of {@link #explain}. Immutable. */
     public record Explanation(
             ServiceName service,
-            Key key,
+            String key,
             KeyRange range,
             MemberId owner,
             Generation fence,
@@ -112,7 +115,7 @@
         String reason = whyNotServed(status, key, assignment);
         return new Explanation(
                 service,
-                key,
+                key.value(),
                 assignment.range(),
                 assignment.owner(),
                 assignment.fence(),
--- a/org.coriandercrank.note/src/main/java/org/coriandercrank/note/NoteParser.java
+++ b/org.coriandercrank.note/src/main/java/org/coriandercrank/note/NoteParser.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.id.NoteId;
 import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.store.JsonCodec;
@@ -45,6 +46,12 @@
         return List.copyOf(faults);
     }
 
+    /** Result code of a note with the faults found. */
+    public ResultCode code() {
+        boolean unreadable = faults.stream().anyMatch(fault -> fault.kind() == Kind.UNREADABLE);
+        return unreadable ? ResultCode.NOTE_UNREADABLE : ResultCode.NOTE_INVALID;
+    }
+
     private Optional<ObjectNode> readObject(String json) {
         try {
             JsonNode node = JsonCodec.mapper().readTree(json);
--- a/org.coriandercrank.note/src/main/java/org/coriandercrank/note/SubmitNote.java
+++ b/org.coriandercrank.note/src/main/java/org/coriandercrank/note/SubmitNote.java
@@ -62,7 +62,7 @@
         NoteParser parser = new NoteParser();
         Optional<ReleaseNote> parsed = parser.parse(text);
         if (parsed.isEmpty()) {
-            return SubmitResult.invalid(codeOf(parser.faults()), parser.faults());
+            return SubmitResult.invalid(parser.code(), parser.faults());
         }
         try {
             return submit(parsed.get(), text);
@@ -253,9 +253,4 @@
             throw new CrankException(ResultCode.STORE_UNAVAILABLE, "interrupted", e);
         }
     }
-
-    private static ResultCode codeOf(List<NoteFault> faults) {
-        boolean unreadable = faults.stream().anyMatch(f -> f.kind() == NoteFault.Kind.UNREADABLE);
-        return unreadable ? ResultCode.NOTE_UNREADABLE : ResultCode.NOTE_INVALID;
-    }
 }
