--- /dev/null
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/StopLogTest.java
@@ -0,0 +1,24 @@
+package org.coriandercrank.system;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against a planned stop whose log lines are lost, so that an operator cannot see that it is complete. */
+class StopLogTest {
+    @TempDir
+    Path directory;
+
+    @Test
+    void plannedStopIsLoggedToItsEnd() {
+        try (TestSite site = TestSite.start(directory, "r1/a", "r1/a")) {
+            site.host(0).daemon().stop();
+
+            assertThat(site.host(0).daemon().output().lines())
+                    .anySatisfy(line -> assertThat(line).contains("event=leaving"))
+                    .anySatisfy(line -> assertThat(line).contains("event=left"));
+        }
+    }
+}
