Document release notes and reject ambiguous ones

The parser took the last of a repeated field, ignored text after the object, truncated a fractional basedOn and took numbers as ids, so that a mistaken note could apply in part.

docs/RELEASE_NOTES.md and docs/release-note.schema.json describe the form; DocumentedNotesTest compares them with the parser and applies the examples.

--- a/org.coriandercrank.note.test/src/test/java/org/coriandercrank/note/NoteFaultsTest.java
+++ b/org.coriandercrank.note.test/src/test/java/org/coriandercrank/note/NoteFaultsTest.java
@@ -43,6 +43,10 @@
             [1]                                                                  |                             | UNREADABLE
             {"id":"n"                                                            |                             | UNREADABLE
             {"basedOn":1,"withdraw":{"backends":["desk-1"]}}                     | id                          | MISSING
+            {"id":7,"basedOn":1,"withdraw":{"backends":["desk-1"]}}              | id                          | WRONG_TYPE
+            {"id":"n","basedOn":1.5,"withdraw":{"backends":["desk-1"]}}          | basedOn                     | WRONG_TYPE
+            {"id":"n","basedOn":1,"withdraw":{"backends":["desk-1"]},"withdraw":{}} |                          | UNREADABLE
+            {"id":"n","basedOn":1,"withdraw":{"backends":["desk-1"]}}{}          |                             | UNREADABLE
             {"id":"a b","basedOn":1,"withdraw":{"backends":["desk-1"]}}          | id                          | OUT_OF_RANGE
             {"id":"n","withdraw":{"backends":["desk-1"]}}                        | basedOn                     | MISSING
             {"id":"n","basedOn":"x","withdraw":{"backends":["desk-1"]}}          | basedOn                     | WRONG_TYPE
--- /dev/null
+++ b/org.coriandercrank.note.test/src/test/java/org/coriandercrank/note/internal/DocumentedNotesTest.java
@@ -0,0 +1,116 @@
+package org.coriandercrank.note.internal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.IntNode;
+import com.fasterxml.jackson.databind.node.TextNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.coriandercrank.kernel.config.Configuration;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.note.NoteApplication;
+import org.coriandercrank.note.NoteFault;
+import org.coriandercrank.note.NoteParser;
+import org.coriandercrank.note.ReleaseNote;
+import org.coriandercrank.note.ReleaseNote.Subject;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against a schema and a page of release notes that differ from what is accepted. */
+class DocumentedNotesTest {
+    private static final Path DOCS = Path.of("../docs");
+    private static final Pattern EXAMPLE = Pattern.compile("```json\n(.*?)```", Pattern.DOTALL);
+
+    @ParameterizedTest
+    @CsvSource({"SERVICE,service", "BACKEND,backend"})
+    void schemaAndPageHaveTheFieldsAndLimitsOfEntries(Subject subject, String definition) throws IOException {
+        JsonNode properties = schema().path("$defs").path(definition).path("properties");
+        String page = Files.readString(DOCS.resolve("RELEASE_NOTES.md"));
+        assertThat(names(properties))
+                .containsExactlyElementsOf(
+                        FieldSpec.of(subject).stream().map(FieldSpec::name).toList());
+        for (FieldSpec spec : FieldSpec.of(subject)) {
+            JsonNode property = properties.path(spec.name());
+            assertThat(page).contains("| `" + spec.name() + "` |");
+            if (property.has("maximum")) {
+                int min = property.path("minimum").asInt();
+                int max = property.path("maximum").asInt();
+                assertThat(List.of(min, max))
+                        .allSatisfy(n -> assertThat(accepts(spec, IntNode.valueOf(n)))
+                                .as(spec.name())
+                                .isTrue());
+                assertThat(List.of(min - 1, max + 1))
+                        .allSatisfy(n -> assertThat(accepts(spec, IntNode.valueOf(n)))
+                                .as(spec.name())
+                                .isFalse());
+            }
+            property.path("enum").forEach(value -> {
+                assertThat(accepts(spec, value)).as(value.asText()).isTrue();
+                assertThat(page).contains("`" + value.asText() + "`");
+            });
+            if (property.path("$ref").asText().equals("#/$defs/name")) {
+                assertThat(accepts(spec, TextNode.valueOf("x".repeat(64)))).isTrue();
+                assertThat(accepts(spec, TextNode.valueOf("x".repeat(65)))).isFalse();
+            }
+        }
+    }
+
+    private static boolean accepts(FieldSpec spec, JsonNode value) {
+        return spec.check().apply(value).isEmpty();
+    }
+
+    @Test
+    void schemaHasTheFieldsOfANote() throws IOException {
+        List<String> fields = names(schema().path("properties"));
+        NoteParser parser = new NoteParser();
+        parser.parse("{\"absent\":1}");
+
+        assertThat(parser.faults())
+                .filteredOn(fault -> fault.kind() == NoteFault.Kind.UNKNOWN_FIELD)
+                .extracting(NoteFault::message)
+                .containsExactly("known fields: " + fields.stream().sorted().toList());
+    }
+
+    @Test
+    void pageListsTheKindsOfFaults() throws IOException {
+        String page = Files.readString(DOCS.resolve("RELEASE_NOTES.md"));
+
+        assertThat(NoteFault.Kind.values())
+                .allSatisfy(kind -> assertThat(page).contains("| " + kind.number() + " | `" + kind.name() + "`"));
+    }
+
+    @Test
+    void examplesAreAcceptedOneAfterTheOther() throws IOException {
+        Set<String> placement = Set.of("availability");
+        Set<String> balancing = Set.of("two-choices");
+        Matcher examples = EXAMPLE.matcher(Files.readString(DOCS.resolve("RELEASE_NOTES.md")));
+        Configuration configuration = Configuration.EMPTY;
+        while (examples.find()) {
+            NoteParser parser = new NoteParser();
+            ReleaseNote note = parser.parse(examples.group(1)).orElseThrow();
+            NoteApplication application =
+                    new NoteApplication(configuration, new NoteApplication.Environment(Set.of(), placement, balancing));
+            configuration = application.apply(note).orElse(configuration);
+            assertThat(application.faults()).isEmpty();
+        }
+        assertThat(configuration.recentNotes()).hasSize(3);
+    }
+
+    private static JsonNode schema() throws IOException {
+        return JsonCodec.mapper().readTree(Files.readString(DOCS.resolve("release-note.schema.json")));
+    }
+
+    private static List<String> names(JsonNode object) {
+        List<String> names = new ArrayList<>();
+        object.fieldNames().forEachRemaining(names::add);
+        return names;
+    }
+}
--- a/org.coriandercrank.note/src/main/java/org/coriandercrank/note/NoteParser.java
+++ b/org.coriandercrank.note/src/main/java/org/coriandercrank/note/NoteParser.java
@@ -1,7 +1,10 @@
 package org.coriandercrank.note;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -21,6 +24,12 @@
 public final class NoteParser {
     private static final Set<String> TOP_FIELDS = Set.of("id", "basedOn", "add", "change", "withdraw");
 
+    /** A repeated field or a second value would otherwise be dropped without a fault. */
+    private static final ObjectReader READER = JsonCodec.mapper()
+            .reader()
+            .with(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+            .with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
     private final List<NoteFault> faults = new ArrayList<>();
 
     /** The note, or empty if there are faults. */
@@ -54,7 +63,7 @@
 
     private Optional<ObjectNode> readObject(String json) {
         try {
-            JsonNode node = JsonCodec.mapper().readTree(json);
+            JsonNode node = READER.readTree(json);
             if (node instanceof ObjectNode object) {
                 return Optional.of(object);
             }
@@ -70,6 +79,10 @@
             faults.add(new NoteFault("id", Kind.MISSING, "every note needs an id"));
             return null;
         }
+        if (!node.isTextual()) {
+            faults.add(new NoteFault("id", Kind.WRONG_TYPE, "must be a text"));
+            return null;
+        }
         try {
             return new NoteId(node.asText());
         } catch (IllegalArgumentException e) {
@@ -83,7 +96,7 @@
             faults.add(new NoteFault("basedOn", Kind.MISSING, "every note names the revision that it is based on"));
             return null;
         }
-        if (!node.canConvertToLong() || node.asLong() < 0) {
+        if (!node.isIntegralNumber() || !node.canConvertToLong() || node.asLong() < 0) {
             faults.add(new NoteFault("basedOn", Kind.WRONG_TYPE, "must be a revision number of at least 0"));
             return null;
         }
