--- a/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/NoteRaceTest.java
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/NoteRaceTest.java
@@ -95,6 +95,38 @@
         }
     }
 
+    /** Guards against a restarted daemon that takes an older configuration from a peer or from the store. */
+    @Test
+    void daemonRestartedInAnOutageShowsNoOlderRevision() {
+        try (TestSite site = TestSite.start(directory, "r1/a", "r1/a", "r1/b");
+                RevisionWatch watch = new RevisionWatch(site)) {
+            submitInForce(site);
+            long shown = submissions.get("last").revision();
+            SiteHost host = site.host(2);
+            site.storeFault("{\"kind\":\"down\"}");
+            host.daemon().kill();
+            host.startDaemon(List.of());
+            site.waitUntil("restarted daemon answers", () -> revision(site, host) >= 0);
+            long revisionInOutage = revision(site, host);
+            site.storeFault(UP);
+            site.waitUntil("restarted daemon has a configuration", () -> revision(site, host) > 0);
+
+            assertThat(revisionInOutage).isIn(0L, shown);
+            assertThat(revision(site, host)).isEqualTo(shown);
+            assertThat(watch.violations()).isEmpty();
+            assertThat(watch.incarnations()).isEqualTo(site.hosts().size() + 1);
+        }
+    }
+
+    /** Revision that a daemon shows, or -1 if it does not answer. */
+    private static long revision(TestSite site, SiteHost host) {
+        try {
+            return site.status(host).configurationRevision().value();
+        } catch (UncheckedIOException e) {
+            return -1;
+        }
+    }
+
     private void runFaults(TestSite site) {
         for (int i = 0; !raceOver; i++) {
             site.storeFault(FAULTS.get(i % FAULTS.size()));
