Use the locality rule in balancing and keep one log manager

Change: any takes all servers, region-first skips the failure domain; the log manager of the kernel stays, that of the daemon goes.

--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/Crankd.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/Crankd.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import org.coriandercrank.daemon.internal.Daemon;
 import org.coriandercrank.daemon.internal.DaemonSettings;
-import org.coriandercrank.daemon.internal.StopLogManager;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.log.LogSetup;
 import org.coriandercrank.kernel.settings.SettingsLoader;
@@ -11,13 +10,10 @@
 /** The program {@code crankd}. A TERM signal starts a planned stop. */
 public final class Crankd {
     private static final int EXIT_SETTINGS = 2;
-    private static final String LOG_MANAGER_PROPERTY = "java.util.logging.manager";
 
     private Crankd() {}
 
     public static void main(String[] arguments) throws InterruptedException {
-        // Has an effect only before LogManager is initialized, which a call of StopLogManager would do.
-        System.setProperty(LOG_MANAGER_PROPERTY, StopLogManager.class.getName());
         DaemonSettings settings = new DaemonSettings();
         try {
             SettingsLoader.load(settings, List.of(arguments), System.getenv());
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateModel.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateModel.java
@@ -86,7 +86,8 @@
                 rules.maxQueueLength(),
                 rules.maxKeySharePercent(),
                 rules.placementPolicy(),
-                rules.balancingPolicy());
+                rules.balancingPolicy(),
+                rules.locality());
     }
 
     void act(int kind, int pick) {
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/HotKeyTrialTest.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/HotKeyTrialTest.java
@@ -50,7 +50,8 @@
                     rules.maxQueueLength(),
                     maxKeySharePercent,
                     rules.placementPolicy(),
-                    rules.balancingPolicy());
+                    rules.balancingPolicy(),
+                    rules.locality());
             gate.serving(SLOTS);
             gate.backend.onCall = this::serve;
         }
--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/internal/balancing/BalancingTest.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/internal/balancing/BalancingTest.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.coriandercrank.ingress.HealthRules;
+import org.coriandercrank.kernel.config.Locality;
 import org.coriandercrank.kernel.id.FailureDomain;
 import org.coriandercrank.kernel.id.HostAddress;
 import org.coriandercrank.kernel.id.MemberId;
@@ -74,25 +75,30 @@
         }
     }
 
-    record Spill(int own, int region, int remote, Set<String> expected) {}
+    record Spill(Locality locality, int own, int region, int remote, Set<String> expected) {}
 
     static Stream<Spill> spills() {
         return Stream.of(
-                new Spill(0, 0, 0, Set.of("own")),
-                new Spill(4, 0, 0, Set.of("own")),
-                new Spill(5, 0, 0, Set.of("own", "region")),
-                new Spill(13, 5, 0, Set.of("own")),
-                new Spill(15, 5, 5, Set.of("own", "region")),
-                new Spill(40, 13, 0, Set.of("own", "region", "remote")));
+                new Spill(Locality.DOMAIN_FIRST, 0, 0, 0, Set.of("own")),
+                new Spill(Locality.DOMAIN_FIRST, 4, 0, 0, Set.of("own")),
+                new Spill(Locality.DOMAIN_FIRST, 5, 0, 0, Set.of("own", "region")),
+                new Spill(Locality.DOMAIN_FIRST, 13, 5, 0, Set.of("own")),
+                new Spill(Locality.DOMAIN_FIRST, 15, 5, 5, Set.of("own", "region")),
+                new Spill(Locality.DOMAIN_FIRST, 40, 13, 0, Set.of("own", "region", "remote")),
+                new Spill(Locality.REGION_FIRST, 0, 5, 0, Set.of("own", "region")),
+                new Spill(Locality.REGION_FIRST, 40, 13, 0, Set.of("own", "region", "remote")),
+                new Spill(Locality.ANY, 0, 5, 5, Set.of("own", "region", "remote")));
     }
 
     @ParameterizedTest
     @MethodSource("spills")
     void prefersNearServersUntilTheyAreClearlyBusier(Spill spill) {
-        List<BalancingCandidate> chosen = LocalityFilter.apply(List.of(
-                candidate("own", spill.own, true, true, 100),
-                candidate("region", spill.region, false, true, 100),
-                candidate("remote", spill.remote, false, false, 100)));
+        List<BalancingCandidate> chosen = LocalityFilter.apply(
+                List.of(
+                        candidate("own", spill.own, true, true, 100),
+                        candidate("region", spill.region, false, true, 100),
+                        candidate("remote", spill.remote, false, false, 100)),
+                spill.locality);
 
         assertThat(chosen.stream().map(c -> c.member().id().value()).collect(Collectors.toSet()))
                 .isEqualTo(spill.expected);
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
@@ -86,7 +86,8 @@
                 excluded.add(candidate(eligible));
             }
         }
-        List<BalancingCandidate> candidates = LocalityFilter.apply(healthy.isEmpty() ? excluded : healthy);
+        List<BalancingCandidate> candidates =
+                LocalityFilter.apply(healthy.isEmpty() ? excluded : healthy, service.locality());
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/LocalityFilter.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/LocalityFilter.java
@@ -3,12 +3,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
+import org.coriandercrank.kernel.config.Locality;
 import org.coriandercrank.kernel.placement.BalancingCandidate;
 
 /**
  * Keeps the nearest servers that are not clearly busier than farther ones. Stateless.
  *
- * <p>Servers of the own failure domain come first, then those of the own region, then the rest. A wider group is used
+ * <p>Servers of the own failure domain come first, then those of the own region, then the rest, as far as the locality
+ * of the service says so. A wider group is used
  * if the least loaded near server has more than twice the load of the least loaded server of that group plus a margin.
  * The margin is larger for the other region, because each byte between regions is paid for and a hop costs 20 ms.
  */
@@ -19,12 +21,18 @@
 
     private LocalityFilter() {}
 
-    static List<BalancingCandidate> apply(List<BalancingCandidate> candidates) {
+    static List<BalancingCandidate> apply(List<BalancingCandidate> candidates, Locality locality) {
+        if (locality == Locality.ANY) {
+            return candidates;
+        }
         List<BalancingCandidate> sameDomain = select(candidates, BalancingCandidate::sameFailureDomain);
         List<BalancingCandidate> sameRegion = select(candidates, c -> c.sameRegion() || c.sameFailureDomain());
         if (isClearlyBusier(sameRegion, candidates, REMOTE_MARGIN_REQUESTS)) {
             return candidates;
         }
+        if (locality == Locality.REGION_FIRST) {
+            return sameRegion;
+        }
         return isClearlyBusier(sameDomain, sameRegion, REGION_MARGIN_REQUESTS) ? sameRegion : sameDomain;
     }
 
