--- a/org.coriandercrank.load/src/main/java/org/coriandercrank/load/CallRecord.java
+++ b/org.coriandercrank.load/src/main/java/org/coriandercrank/load/CallRecord.java
@@ -26,6 +26,22 @@
         boolean foreignAnswer) {
     public static final int NO_ANSWER = -1;
 
+    /** The same call under another operation number. */
+    public CallRecord withOperation(long newOperation) {
+        return new CallRecord(
+                newOperation,
+                requestId,
+                service,
+                key,
+                method,
+                repeatable,
+                intendedNanos,
+                endedNanos,
+                resultCode,
+                outcome,
+                foreignAnswer);
+    }
+
     public boolean succeeded() {
         return resultCode == 0;
     }
--- a/org.coriandercrank.load/src/main/java/org/coriandercrank/load/CrankLoad.java
+++ b/org.coriandercrank.load/src/main/java/org/coriandercrank/load/CrankLoad.java
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import org.coriandercrank.kernel.code.CrankException;
@@ -13,6 +14,7 @@
 import org.coriandercrank.load.internal.LoadDriver;
 import org.coriandercrank.load.internal.LoadPlan;
 import org.coriandercrank.load.internal.LoadSettings;
+import org.coriandercrank.load.internal.PlanRun;
 import org.coriandercrank.load.internal.ReportFiles;
 
 /** The program {@code crank-load}. Exit code 0: no violation; 1: violations; 2: faulty settings. */
@@ -33,29 +35,46 @@
             System.err.println(SettingsLoader.usage(settings));
             System.exit(EXIT_SETTINGS);
         }
-        LoadReport report = run(settings);
-        report.lines().forEach(System.out::println);
-        if (!settings.report().isEmpty()) {
-            ReportFiles.write(settings.report(), report);
-        }
-        System.exit(report.violations().isEmpty() ? 0 : EXIT_VIOLATIONS);
+        System.exit(run(settings) ? 0 : EXIT_VIOLATIONS);
     }
 
-    private static LoadReport run(LoadSettings settings) {
+    /** Runs the load and reports it; whether no violation was found. */
+    private static boolean run(LoadSettings settings) throws IOException {
+        LoadDriver.CallForm form = settings.direct() ? LoadDriver::direct : LoadDriver::routed;
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
         try {
-            settings.warmupPlan().ifPresent(plan -> runPlan(group, settings, plan));
-            return runPlan(group, settings, settings.plan());
+            List<LoadPlan> warmup = settings.warmupPlans();
+            if (!warmup.isEmpty()) {
+                PlanRun.runAll(group, settings.targets(), warmup, form);
+            }
+            settings.heading().ifPresent(System.out::println);
+            return report(settings, PlanRun.runAll(group, settings.targets(), settings.plans(), form));
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         }
     }
 
-    private static LoadReport runPlan(EventLoopGroup group, LoadSettings settings, LoadPlan plan) {
-        LoadDriver.CallForm form = settings.direct() ? LoadDriver::direct : LoadDriver::routed;
-        try (LoadDriver driver = new LoadDriver(group, settings.targets(), plan, form)) {
-            List<CallRecord> calls = driver.run();
-            return LoadReport.of(driver.startedNanos(), calls, LedgerReader.read(settings.ledgers()));
+    /**
+     * One report for each service, if there are several, and one in total. The total covers all executions of the
+     * ledgers, so that ownership is checked across all callers.
+     */
+    private static boolean report(LoadSettings settings, List<PlanRun> runs) throws IOException {
+        Optional<List<Execution>> executions =
+                settings.ledgers().isEmpty() ? Optional.empty() : Optional.of(LedgerReader.read(settings.ledgers()));
+        if (runs.size() > 1) {
+            for (PlanRun run : runs) {
+                print(settings, run.service(), run.report(executions.map(run::ownExecutions)));
+            }
+        }
+        LoadReport total = PlanRun.total(runs).report(executions);
+        print(settings, runs.size() > 1 ? "total" : "", total);
+        return total.violations().isEmpty();
+    }
+
+    private static void print(LoadSettings settings, String name, LoadReport report) throws IOException {
+        report.lines().forEach(line -> System.out.println(name.isEmpty() ? line : name + ": " + line));
+        if (!settings.report().isEmpty()) {
+            ReportFiles.write(settings.report() + (name.isEmpty() ? "" : "-" + name), report);
         }
     }
 }
--- a/org.coriandercrank.load/src/main/java/org/coriandercrank/load/HistoryChecker.java
+++ b/org.coriandercrank.load/src/main/java/org/coriandercrank/load/HistoryChecker.java
@@ -31,6 +31,19 @@
         return violations;
     }
 
+    /** Checks what answers show on their own; for runs whose ledgers are not available. */
+    public static List<Violation> checkWithoutLedgers(List<CallRecord> calls) {
+        List<Violation> violations = new ArrayList<>();
+        calls.forEach(call -> checkForeignAnswer(call, violations));
+        return violations;
+    }
+
+    private static void checkForeignAnswer(CallRecord call, List<Violation> violations) {
+        if (call.foreignAnswer()) {
+            violations.add(new Violation(Kind.FOREIGN_ANSWER, call.toString()));
+        }
+    }
+
     private static void checkAnswers(List<CallRecord> calls, List<Execution> executions, List<Violation> violations) {
         Set<String> executed =
                 executions.stream().map(Execution::callerRequestId).collect(Collectors.toSet());
@@ -40,9 +53,7 @@
         }
         for (CallRecord call : calls) {
             Outcome outcome = call.outcome().orElse(Outcome.UNKNOWN);
-            if (call.foreignAnswer()) {
-                violations.add(new Violation(Kind.FOREIGN_ANSWER, call.toString()));
-            }
+            checkForeignAnswer(call, violations);
             if (outcome == Outcome.NOT_RUN && executed.contains(call.requestId())) {
                 violations.add(new Violation(Kind.NOT_RUN_BUT_EXECUTED, call.toString()));
             }
--- a/org.coriandercrank.load/src/main/java/org/coriandercrank/load/LoadReport.java
+++ b/org.coriandercrank.load/src/main/java/org/coriandercrank/load/LoadReport.java
@@ -48,6 +48,16 @@
 
     /** Figures of a run that started at a monotonic time. */
     public static LoadReport of(long startedNanos, List<CallRecord> calls, List<Execution> executions) {
+        return of(startedNanos, calls, executions, HistoryChecker.check(calls, executions));
+    }
+
+    /** Figures of a run whose ledgers are not available. */
+    public static LoadReport withoutLedgers(long startedNanos, List<CallRecord> calls) {
+        return of(startedNanos, calls, List.of(), HistoryChecker.checkWithoutLedgers(calls));
+    }
+
+    private static LoadReport of(
+            long startedNanos, List<CallRecord> calls, List<Execution> executions, List<Violation> violations) {
         Histogram latencyUs = new Histogram(MAX_LATENCY_US, 3);
         Map<String, Long> outcomes = new TreeMap<>();
         Map<String, Long> codes = new TreeMap<>();
@@ -80,7 +90,7 @@
                         .average()
                         .orElse(0),
                 seconds,
-                HistoryChecker.check(calls, executions));
+                violations);
     }
 
     private static String codeName(int number) {
--- a/org.coriandercrank.load/src/main/java/org/coriandercrank/load/internal/LoadSettings.java
+++ b/org.coriandercrank.load/src/main/java/org/coriandercrank/load/internal/LoadSettings.java
@@ -3,20 +3,29 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import org.coriandercrank.kernel.id.HostAddress;
 import org.coriandercrank.kernel.settings.Faults;
 import org.coriandercrank.kernel.settings.Settings;
+import org.coriandercrank.load.internal.Scenario.Part;
 import org.kohsuke.args4j.Option;
 import org.kohsuke.args4j.spi.ExplicitBooleanOptionHandler;
 
 /** Settings of {@code crank-load}. Not thread safe; read-only after loading. */
 public final class LoadSettings implements Settings {
     private static final long MAX_DURATION_MS = 3_600_000;
+    private static final long WARMUP_SEED_OFFSET = 1_000_003;
 
     @Option(name = "--targets", metaVar = "IP:PORT,...", usage = "callers' addresses of daemons")
     private String targets;
 
+    @Option(
+            name = "--scenario",
+            metaVar = "NAME",
+            usage = "authority or tincturia: its services in place of --service, --keyed and --write-percent")
+    private String scenario = "";
+
     @Option(name = "--service", metaVar = "NAME", usage = "name of the service")
     private String service = "counter-desk";
 
@@ -72,6 +81,7 @@
     private String report = "";
 
     private final List<HostAddress> parsedTargets = new ArrayList<>();
+    private Optional<Scenario> parsedScenario = Optional.empty();
 
     @Override
     public void check(Faults faults) {
@@ -82,6 +92,9 @@
                 parsedTargets.add(faults.parse("--targets", target, HostAddress::parse));
             }
         }
+        if (!scenario.isEmpty()) {
+            parsedScenario = Optional.ofNullable(faults.parse("--scenario", scenario, LoadSettings::parseScenario));
+        }
         faults.requireRange("--rate", ratePerSecond, 1, 1_000_000);
         faults.requireRange("--duration-ms", durationMs, 1, MAX_DURATION_MS);
         faults.requireRange("--warmup-ms", warmupMs, 0, MAX_DURATION_MS);
@@ -105,32 +118,59 @@
         return direct;
     }
 
-    public LoadPlan plan() {
-        return plan(durationMs, seed);
+    /** A line above the reports of a scenario. */
+    public Optional<String> heading() {
+        return parsedScenario.map(
+                known -> "scenario " + scenario + ", for servers with " + known.slotsPerServer() + " slots");
     }
 
-    /** The run before the measured one, if there is one. */
-    public Optional<LoadPlan> warmupPlan() {
-        return warmupMs == 0 ? Optional.empty() : Optional.of(plan(warmupMs, seed + 1_000_003));
+    /** The plans of the run, which start together: one, or one for each service of the scenario. */
+    public List<LoadPlan> plans() {
+        return plans(durationMs, seed);
     }
 
-    private LoadPlan plan(long planDurationMs, long planSeed) {
+    /** The plans of the run before the measured one; empty if there is none. */
+    public List<LoadPlan> warmupPlans() {
+        return warmupMs == 0 ? List.of() : plans(warmupMs, seed + WARMUP_SEED_OFFSET);
+    }
+
+    private List<LoadPlan> plans(long planDurationMs, long firstSeed) {
+        if (parsedScenario.isEmpty()) {
+            return List.of(plan(new Part(service, keyed, 100, writePercent), planDurationMs, firstSeed));
+        }
+        List<LoadPlan> plans = new ArrayList<>();
+        for (Part part : parsedScenario.get().parts()) {
+            plans.add(plan(part, planDurationMs, firstSeed + plans.size()));
+        }
+        return plans;
+    }
+
+    private LoadPlan plan(Part part, long planDurationMs, long planSeed) {
         return new LoadPlan(
-                service,
-                keyed,
-                ratePerSecond,
+                part.service(),
+                part.keyed(),
+                Math.max(1, ratePerSecond * part.ratePercent() / 100),
                 planDurationMs,
                 keys,
                 zipfExponent,
                 hotKeys,
                 hotChangeMs,
-                writePercent,
+                part.writePercent(),
                 bodyBytes,
                 deadlineMs,
                 maxRepeats,
                 planSeed);
     }
 
+    private static Scenario parseScenario(String name) {
+        for (Scenario known : Scenario.values()) {
+            if (known.name().toLowerCase(Locale.ROOT).equals(name)) {
+                return known;
+            }
+        }
+        throw new IllegalArgumentException("must be authority or tincturia, got " + name);
+    }
+
     public List<Path> ledgers() {
         return ledgers.isEmpty()
                 ? List.of()
--- /dev/null
+++ b/org.coriandercrank.load/src/main/java/org/coriandercrank/load/internal/PlanRun.java
@@ -0,0 +1,81 @@
+package org.coriandercrank.load.internal;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.load.CallRecord;
+import org.coriandercrank.load.Execution;
+import org.coriandercrank.load.LoadReport;
+
+/**
+ * Calls of a finished plan. Immutable.
+ *
+ * @param service name of the service, or of the sum of several services
+ */
+public record PlanRun(String service, long startedNanos, List<CallRecord> calls) {
+    public PlanRun {
+        calls = List.copyOf(calls);
+    }
+
+    /** Runs plans at the same time and waits for all. Blocks. */
+    public static List<PlanRun> runAll(
+            EventLoopGroup group, List<HostAddress> targets, List<LoadPlan> plans, LoadDriver.CallForm form) {
+        ExecutorService executor = Executors.newFixedThreadPool(plans.size());
+        try {
+            List<CompletableFuture<PlanRun>> runs = plans.stream()
+                    .map(plan -> CompletableFuture.supplyAsync(() -> run(group, targets, plan, form), executor))
+                    .toList();
+            return runs.stream().map(CompletableFuture::join).toList();
+        } finally {
+            executor.shutdown();
+        }
+    }
+
+    private static PlanRun run(
+            EventLoopGroup group, List<HostAddress> targets, LoadPlan plan, LoadDriver.CallForm form) {
+        try (LoadDriver driver = new LoadDriver(group, targets, plan, form)) {
+            List<CallRecord> calls = driver.run();
+            return new PlanRun(plan.service(), driver.startedNanos(), calls);
+        }
+    }
+
+    /** All calls of several runs with operation numbers that are unique among them. */
+    public static PlanRun total(List<PlanRun> runs) {
+        List<CallRecord> all = new ArrayList<>();
+        long firstOperation = 0;
+        for (PlanRun run : runs) {
+            long highest = firstOperation;
+            for (CallRecord call : run.calls) {
+                CallRecord renumbered = call.withOperation(firstOperation + call.operation());
+                all.add(renumbered);
+                highest = Math.max(highest, renumbered.operation());
+            }
+            firstOperation = highest + 1;
+        }
+        long startedNanos = runs.stream().mapToLong(PlanRun::startedNanos).min().orElseThrow();
+        return new PlanRun("total", startedNanos, all);
+    }
+
+    /** The executions of these calls. */
+    public List<Execution> ownExecutions(List<Execution> executions) {
+        Set<String> requestIds = new HashSet<>();
+        calls.forEach(call -> requestIds.add(call.requestId()));
+        return executions.stream()
+                .filter(execution -> requestIds.contains(execution.callerRequestId()))
+                .toList();
+    }
+
+    /** Figures of these calls. Without ledgers only what answers show on their own is checked. */
+    public LoadReport report(Optional<List<Execution>> executions) {
+        return executions
+                .map(known -> LoadReport.of(startedNanos, calls, known))
+                .orElseGet(() -> LoadReport.withoutLedgers(startedNanos, calls));
+    }
+}
