--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/store/JsonCodec.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/store/JsonCodec.java
@@ -36,7 +36,11 @@
     /** Fails with {@link ResultCode#STORE_MALFORMED} if the bytes are not of the type. */
     public static <T> T decode(byte[] bytes, Class<T> type) {
         try {
-            return MAPPER.readValue(bytes, type);
+            T value = MAPPER.readValue(bytes, type);
+            if (value == null) {
+                throw new CrankException(ResultCode.STORE_MALFORMED, type.getSimpleName() + " is null");
+            }
+            return value;
         } catch (IOException e) {
             throw new CrankException(
                     ResultCode.STORE_MALFORMED, "cannot read " + type.getSimpleName() + ": " + e.getMessage(), e);
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/table/BackendInfo.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/table/BackendInfo.java
@@ -29,6 +29,9 @@
     }
 
     public BackendInfo {
+        if (service == null || address == null || capabilities == null) {
+            throw new IllegalArgumentException("service, address and capabilities are required");
+        }
         capabilities = Set.copyOf(capabilities);
         if (name == null || name.isEmpty()) {
             throw new IllegalArgumentException("backend server name must not be empty");
--- a/org.coriandercrank.testkit.test/src/main/java/org/coriandercrank/testkit/SiteHost.java
+++ b/org.coriandercrank.testkit.test/src/main/java/org/coriandercrank/testkit/SiteHost.java
@@ -43,6 +43,11 @@
         return ip;
     }
 
+    /** Where the daemon listens for other daemons, past the proxy. */
+    public HostAddress peerAddress() {
+        return new HostAddress(ip, PEER_PORT);
+    }
+
     public HostAddress callerAddress() {
         return new HostAddress(ip, CALLER_PORT);
     }
