--- a/org.coriandercrank.load/src/main/java/org/coriandercrank/load/internal/LoadDriver.java
+++ b/org.coriandercrank.load/src/main/java/org/coriandercrank/load/internal/LoadDriver.java
@@ -16,6 +16,7 @@
 import org.coriandercrank.http.HttpClientOptions;
 import org.coriandercrank.http.HttpReply;
 import org.coriandercrank.kernel.code.Outcome;
+import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.id.HostAddress;
 import org.coriandercrank.kernel.request.Header;
 import org.coriandercrank.load.CallRecord;
@@ -31,6 +32,8 @@
     private static final long DEFAULT_RETRY_AFTER_MS = 100;
     private static final int STATUS_OK = 200;
     private static final int STATUS_SERVER_ERROR = 500;
+    private static final int FIRST_REQUEST_FAULT = 100;
+    private static final int LAST_REQUEST_FAULT = 199;
     private static final long SPIN_BELOW_NANOS = 100_000;
 
     /** Builds the call of an attempt. */
@@ -107,7 +110,7 @@
                 .whenComplete((reply, failure) -> {
                     CallRecord answered = record(attempt, dueNanos, Optional.ofNullable(reply));
                     records.add(answered);
-                    if (answered.succeeded() || attempt.number() > plan.maxRepeats()) {
+                    if (isFinal(answered) || attempt.number() > plan.maxRepeats()) {
                         outstanding.arriveAndDeregister();
                     } else {
                         repeatLater(attempt, operationDueNanos, target, retryAfterMs(reply));
@@ -115,6 +118,17 @@
                 });
     }
 
+    /**
+     * Whether a repeat cannot change the answer: success, a fault of the request, or a lost record, since the age of an
+     * idempotency key only grows.
+     */
+    private static boolean isFinal(CallRecord answered) {
+        int code = answered.resultCode();
+        return answered.succeeded()
+                || (code >= FIRST_REQUEST_FAULT && code <= LAST_REQUEST_FAULT)
+                || code == ResultCode.RECORD_LOST.number();
+    }
+
     private void repeatLater(Attempt attempt, long operationDueNanos, int target, long pauseMs) {
         int nextNumber = attempt.number() + 1;
         group.next()
