--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ring/DutyThread.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ring/DutyThread.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
 import org.coriandercrank.kernel.code.CrankException;
@@ -14,7 +15,8 @@
  * A thread with one duty, fed by a bounded ring of tasks.
  *
  * <p>Thread safe: any thread may offer tasks. Tasks run one at a time, in the order of the ring; state of the duty is
- * touched only by them. A task that throws is logged and does not end the thread.
+ * touched only by them. A task that throws, also an {@link Error}, is logged and does not end the thread. A task whose
+ * offer returned true runs, also if the duty is closed meanwhile.
  */
 public final class DutyThread implements Executor, AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -24,6 +26,9 @@
 
     private final MpscArrayQueue<Runnable> ring;
     private final Thread thread;
+    /** Offers in progress; the thread ends only when there are none, so that no accepted task stays in the ring. */
+    private final AtomicInteger offering = new AtomicInteger();
+
     private volatile boolean closed;
     private volatile boolean parked;
 
@@ -36,8 +41,13 @@
 
     /** Queues a task; false if the ring is full or the duty is closed. */
     public boolean offer(Runnable task) {
-        if (closed || !ring.offer(task)) {
-            return false;
+        offering.incrementAndGet();
+        try {
+            if (closed || !ring.offer(task)) {
+                return false;
+            }
+        } finally {
+            offering.decrementAndGet();
         }
         if (parked) {
             LockSupport.unpark(thread);
@@ -71,7 +81,7 @@
     private static <T> void complete(CompletableFuture<T> result, Supplier<T> task) {
         try {
             result.complete(task.get());
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             result.completeExceptionally(e);
         }
     }
@@ -84,7 +94,10 @@
                 idleSpins = 0;
                 runSafely(task);
             } else if (closed) {
-                return;
+                if (offering.get() == 0 && ring.isEmpty()) {
+                    return;
+                }
+                Thread.onSpinWait();
             } else if (idleSpins < SPINS_BEFORE_PARK) {
                 idleSpins++;
                 Thread.onSpinWait();
@@ -105,7 +118,7 @@
     private void runSafely(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             logger.atSevere().withCause(e).log("event=task-failed duty=%s", thread.getName());
         }
     }
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/time/SystemTimerService.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/time/SystemTimerService.java
@@ -64,6 +64,9 @@
             });
         } catch (RejectedExecutionException e) {
             queued.set(false);
+        } catch (RuntimeException e) {
+            // Only an executor that runs the task at once gets here; a thrown failure would end the subscription.
+            logger.atSevere().withCause(e).log("event=timer-task-failed");
         }
     }
 
