--- a/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/FleetExperiment.java
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/FleetExperiment.java
@@ -145,7 +145,7 @@
     private static Revision submit(ObjectStore store, String note) {
         NoteApplication.Environment environment =
                 new NoteApplication.Environment(Set.<ServiceName>of(), Set.of("availability"), Set.of("two-choices"));
-        SubmitResult result = new SubmitNote(store, environment, 10_000).call(note);
+        SubmitResult result = new SubmitNote(store, () -> environment, 10_000).call(note);
         if (!result.faults().isEmpty() || result.revision().equals(Revision.NONE)) {
             throw new IllegalStateException("note refused: " + result);
         }
