--- /dev/null
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/DoubleFaultTest.java
@@ -0,0 +1,138 @@
+package org.coriandercrank.system;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import org.coriandercrank.load.LoadReport;
+import org.coriandercrank.testkit.SiteHost;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Guards against two faults at once that break a promise although each alone does not. */
+class DoubleFaultTest {
+    private static final long SERVED_AGAIN_LIMIT_MS = 5_000;
+    private static final long OUTAGE_MS = 3_000;
+    private static final long FREEZE_MS = 5_000;
+    private static final long DURATION_MS = 8_000;
+
+    /** Detection of a silent connection takes at most 1 s; the rest is for the outcome query and a second attempt. */
+    private static final long DEADLINE_MS = 3_000;
+
+    private static final int REPEATS = 60;
+
+    /** Faults that strike the first hosts; the last two hosts take the callers' requests. */
+    enum Pair {
+        STORE_DOWN_AND_DAEMON_KILLED(OUTAGE_MS) {
+            @Override
+            void strike(TestSite site) {
+                site.storeFault("{\"kind\":\"down\"}");
+                site.host(0).daemon().kill();
+                TestSite.sleep(OUTAGE_MS);
+                site.storeFault("{\"kind\":\"up\"}");
+            }
+        },
+        WRITES_UNANSWERED_AND_HOST_KILLED(0) {
+            @Override
+            void strike(TestSite site) {
+                site.storeFault("{\"kind\":\"unanswered\"}");
+                site.host(0).kill();
+            }
+        },
+        PLANNER_AND_OWNER_KILLED(0) {
+            @Override
+            void strike(TestSite site) {
+                SiteHost planner = site.hosts().stream()
+                        .filter(host -> site.status(host).planner())
+                        .findFirst()
+                        .orElseThrow();
+                SiteHost owner = site.hosts().stream()
+                        .filter(host -> host != planner)
+                        .findFirst()
+                        .orElseThrow();
+                planner.daemon().kill();
+                owner.daemon().kill();
+            }
+        },
+        STORE_SLOW_AND_HOST_KILLED(0) {
+            @Override
+            void strike(TestSite site) {
+                site.storeFault("{\"kind\":\"slow\",\"delayMs\":300}");
+                site.host(0).kill();
+            }
+        },
+        TWO_DAEMONS_KILLED_ONE_SECOND_APART(0) {
+            @Override
+            void strike(TestSite site) {
+                site.host(0).daemon().kill();
+                TestSite.sleep(1_000);
+                site.host(1).daemon().kill();
+            }
+        },
+        STORE_DOWN_AND_DAEMON_FROZEN(FREEZE_MS + 1_000) {
+            @Override
+            void strike(TestSite site) {
+                site.storeFault("{\"kind\":\"down\"}");
+                site.host(0).daemon().freeze();
+                TestSite.sleep(FREEZE_MS);
+                site.host(0).daemon().resume();
+                TestSite.sleep(1_000);
+                site.storeFault("{\"kind\":\"up\"}");
+            }
+        },
+        WRITES_DELAYED_AND_OWNER_PARTITIONED(0) {
+            @Override
+            void strike(TestSite site) {
+                site.storeFault("{\"kind\":\"delayed-write\",\"delayMs\":300}");
+                site.hosts().subList(1, 5).forEach(other -> site.site().partition(site.host(0), other));
+                site.host(0).storeProxy().blockBoth();
+                TestSite.sleep(FREEZE_MS + 1_000);
+                site.storeFault("{\"kind\":\"up\"}");
+                site.site().heal();
+            }
+        },
+        SILENT_CONNECTIONS_AND_PLANNED_STOP(0) {
+            @Override
+            void strike(TestSite site) {
+                site.hosts().forEach(host -> host.peerProxy().silenceOpenConnections());
+                site.host(0).daemon().requestStop();
+            }
+        };
+
+        private final long outageMs;
+
+        /** @param outageMs time in which a fault that stops takeovers lasts */
+        Pair(long outageMs) {
+            this.outageMs = outageMs;
+        }
+
+        abstract void strike(TestSite site);
+    }
+
+    @TempDir
+    Path directory;
+
+    @ParameterizedTest
+    @EnumSource
+    void keysAreServedAgainAndNoPromiseBreaks(Pair pair) {
+        try (TestSite site = TestSite.start(directory, "r1/a", "r1/a", "r1/b", "r1/b", "r1/b")) {
+            boolean planned = pair == Pair.SILENT_CONNECTIONS_AND_PLANNED_STOP;
+            Traffic traffic = Traffic.start(
+                    site,
+                    site.callerAddresses().subList(3, 5),
+                    DURATION_MS + pair.outageMs,
+                    planned ? 0 : REPEATS,
+                    planned ? DEADLINE_MS : 1_000);
+            TestSite.sleep(1_000);
+            pair.strike(site);
+            LoadReport report = traffic.finish();
+
+            report.lines().forEach(line -> System.out.println(pair + ": " + line));
+            assertThat(report.violations()).isEmpty();
+            assertThat(report.longestGapMs()).isLessThanOrEqualTo((double) (pair.outageMs + SERVED_AGAIN_LIMIT_MS));
+            if (planned) {
+                assertThat(report.succeeded()).isEqualTo(report.calls());
+            }
+        }
+    }
+}
--- a/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/TestSite.java
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/TestSite.java
@@ -28,6 +28,8 @@
 final class TestSite implements AutoCloseable {
     static final String SERVICE = "counter-desk";
 
+    static final List<String> DEFAULT_BACKEND_FLAGS = List.of("--service-ms", "2");
+
     private static final long START_LIMIT_MS = 30_000;
     private static final long POLL_MS = 50;
 
@@ -47,23 +49,42 @@
      * @param places region and failure domain of each host, as {@code region/domain}
      */
     static TestSite start(Path directory, String... places) {
+        return start(directory, places.length, List.of(DEFAULT_BACKEND_FLAGS), places);
+    }
+
+    /**
+     * Starts the first hosts of a site.
+     *
+     * @param startedHosts number of hosts that start now; {@link #startHost} starts the others
+     * @param backendFlags flags of the backend servers, repeated in turn over the hosts
+     */
+    static TestSite start(Path directory, int startedHosts, List<List<String>> backendFlags, String... places) {
         List<HostSpec> specs = new ArrayList<>();
         for (String place : places) {
             String[] parts = place.split("/", 2);
             specs.add(new HostSpec("desk-" + (specs.size() + 1), parts[0], parts[1], SERVICE));
         }
         TestSite started = new TestSite(directory, specs);
-        started.site.startAll(List.of(), List.of("--service-ms", "2"));
-        started.waitUntil("all daemons answer", () -> started.hosts().stream().allMatch(started::answers));
+        List<SiteHost> first = started.hosts().subList(0, startedHosts);
+        for (int i = 0; i < startedHosts; i++) {
+            started.host(i).startDaemon(List.of());
+            started.host(i).startBackend(backendFlags.get(i % backendFlags.size()));
+        }
+        started.waitUntil("all daemons answer", () -> first.stream().allMatch(started::answers));
         started.submit("{\"id\":\"first\",\"basedOn\":0,\"add\":{\"services\":[{\"name\":\"" + SERVICE
                 + "\",\"keyed\":true,\"placementPolicy\":\"static\"}]}}");
         started.waitUntil(
                 "all hosts serve ranges",
-                () -> started.hosts().stream()
-                        .noneMatch(h -> started.status(h).serving().isEmpty()));
+                () -> first.stream().noneMatch(h -> started.status(h).serving().isEmpty()));
         return started;
     }
 
+    /** Starts a host that is not running, with the default flags. */
+    void startHost(int index) {
+        host(index).startDaemon(List.of());
+        host(index).startBackend(DEFAULT_BACKEND_FLAGS);
+    }
+
     Site site() {
         return site;
     }
@@ -121,6 +142,23 @@
         call("POST", site.storeAddress(), "/admin/faults", json);
     }
 
+    /** Adds a fault to the backend server of a host, as its protocol page describes. */
+    void backendFault(SiteHost host, String json) {
+        call("POST", host.backendAddress(), "/admin/faults", json);
+    }
+
+    /** Adds or withdraws the rule that drains the backend server of a host. */
+    void drain(SiteHost host, boolean drained) {
+        String name = host.spec().name();
+        String change = drained
+                ? "\"add\":{\"backends\":[{\"backendName\":\"" + name + "\",\"drain\":true}]}"
+                : "\"withdraw\":{\"backends\":[\"" + name + "\"]}";
+        submit("{\"id\":\"drain-" + System.nanoTime() + "\",\"basedOn\":"
+                + status(hosts().get(hosts().size() - 1))
+                        .configurationRevision()
+                        .value() + "," + change + "}");
+    }
+
     /** Submits a release note and requires that it is accepted and in force. */
     void submit(String note) {
         CtlRun run = ctlWithFile(note, "note", "submit");
--- a/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/Traffic.java
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/Traffic.java
@@ -40,12 +40,23 @@
     }
 
     static Traffic start(TestSite site, List<HostAddress> targets, long durationMs, int maxRepeats, long deadlineMs) {
+        return start(site, targets, durationMs, maxRepeats, deadlineMs, RATE_PER_SECOND, KEYS);
+    }
+
+    static Traffic start(
+            TestSite site,
+            List<HostAddress> targets,
+            long durationMs,
+            int maxRepeats,
+            long deadlineMs,
+            int ratePerSecond,
+            int keys) {
         LoadPlan plan = new LoadPlan(
                 TestSite.SERVICE,
                 true,
-                RATE_PER_SECOND,
+                ratePerSecond,
                 durationMs,
-                KEYS,
+                keys,
                 0,
                 0,
                 durationMs,
@@ -57,6 +68,11 @@
         return new Traffic(site, targets, plan);
     }
 
+    /** All calls; empty before {@link #finish}. */
+    List<CallRecord> calls() {
+        return calls.getNow(List.of());
+    }
+
     /** Waits for the end of the schedule and of all repeats. */
     LoadReport finish() {
         try {
--- a/org.coriandercrank.testkit.test/src/main/java/org/coriandercrank/testkit/FaultProxy.java
+++ b/org.coriandercrank.testkit.test/src/main/java/org/coriandercrank/testkit/FaultProxy.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.EnumSet;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -30,10 +31,13 @@
         FROM_TARGET
     }
 
+    /** A direction of the connections from an IP that is held back. Immutable. */
+    private record BlockedSource(String ip, Direction direction) {}
+
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Set<ProxyConnection> connections = ConcurrentHashMap.newKeySet();
     private final Set<Direction> blocked = ConcurrentHashMap.newKeySet();
-    private final Set<String> blockedSources = ConcurrentHashMap.newKeySet();
+    private final Set<BlockedSource> blockedSources = ConcurrentHashMap.newKeySet();
     private final AtomicLong bytes = new AtomicLong();
     private final Channel listener;
     private volatile HostAddress target;
@@ -82,7 +86,13 @@
 
     /** Holds back all bytes of connections that come from an IP. */
     public void blockSource(String ip) {
-        blockedSources.add(ip);
+        blockSource(ip, Direction.TO_TARGET);
+        blockSource(ip, Direction.FROM_TARGET);
+    }
+
+    /** Holds back the bytes of one direction of connections that come from an IP. */
+    public void blockSource(String ip, Direction direction) {
+        blockedSources.add(new BlockedSource(ip, direction));
         updateAll();
     }
 
@@ -120,7 +130,12 @@
     }
 
     private Set<Direction> blocks(ProxyConnection connection) {
-        return blockedSources.contains(connection.sourceIp()) ? Set.of(Direction.values()) : Set.copyOf(blocked);
+        Set<Direction> all = EnumSet.noneOf(Direction.class);
+        all.addAll(blocked);
+        blockedSources.stream()
+                .filter(source -> source.ip().equals(connection.sourceIp()))
+                .forEach(source -> all.add(source.direction()));
+        return all;
     }
 
     private void accept(SocketChannel front) {
--- a/org.coriandercrank.testkit.test/src/main/java/org/coriandercrank/testkit/Site.java
+++ b/org.coriandercrank.testkit.test/src/main/java/org/coriandercrank/testkit/Site.java
@@ -61,6 +61,12 @@
         other.peerProxy().blockSource(one.ip());
     }
 
+    /** Holds back all bytes from one host to another, on the connections of both. */
+    public void cutOneWay(SiteHost from, SiteHost to) {
+        to.peerProxy().blockSource(from.ip(), FaultProxy.Direction.TO_TARGET);
+        from.peerProxy().blockSource(to.ip(), FaultProxy.Direction.FROM_TARGET);
+    }
+
     /** Ends all faults of proxies. */
     public void heal() {
         for (SiteHost host : hosts) {
