--- a/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/BackendFaultTest.java
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/BackendFaultTest.java
@@ -8,8 +8,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import org.coriandercrank.kernel.ownership.GateStatus.ServingRange;
 import org.coriandercrank.kernel.id.Key;
+import org.coriandercrank.kernel.ownership.GateStatus.ServingRange;
 import org.coriandercrank.load.CallRecord;
 import org.coriandercrank.load.LoadReport;
 import org.coriandercrank.testkit.SiteHost;
@@ -141,7 +141,7 @@
         List<ServingRange> serving = site.status(host).serving();
         return IntStream.range(0, Traffic.KEYS)
                 .mapToObj(number -> "key-" + number)
-                .filter(key -> serving.stream().anyMatch(s -> s.range().contains(Key.of(key).hash())))
+                .filter(key -> serving.stream().anyMatch(s -> s.range().contains(new Key(key).hash())))
                 .collect(Collectors.toSet());
     }
 
--- /dev/null
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/LinkCutTest.java
@@ -0,0 +1,92 @@
+package org.coriandercrank.system;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.coriandercrank.load.LoadReport;
+import org.coriandercrank.testkit.FaultProxy.Direction;
+import org.coriandercrank.testkit.SiteHost;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Guards against links that pass bytes in one direction only: an owner that still hears or still reaches others must
+ * neither execute beside its successor nor keep its keys from being served.
+ */
+class LinkCutTest {
+    private static final double SERVED_AGAIN_LIMIT_MS = 5_000;
+    private static final long CUT_MS = 7_000;
+    private static final long DURATION_MS = CUT_MS + 2_000;
+
+    /** A cut around the first host; the last two hosts take the callers' requests. */
+    enum Cut {
+        ALL_BYTES_TO_THE_OWNER {
+            @Override
+            void strike(TestSite site, SiteHost owner, List<SiteHost> others) {
+                others.forEach(other -> site.site().cutOneWay(other, owner));
+            }
+        },
+        ALL_BYTES_FROM_THE_OWNER {
+            @Override
+            void strike(TestSite site, SiteHost owner, List<SiteHost> others) {
+                others.forEach(other -> site.site().cutOneWay(owner, other));
+            }
+        },
+        CALLS_TO_THE_OWNER {
+            @Override
+            void strike(TestSite site, SiteHost owner, List<SiteHost> others) {
+                owner.peerProxy().block(Direction.TO_TARGET);
+            }
+        },
+        ANSWERS_OF_THE_OWNER {
+            @Override
+            void strike(TestSite site, SiteHost owner, List<SiteHost> others) {
+                owner.peerProxy().block(Direction.FROM_TARGET);
+            }
+        },
+        CALLS_OF_ALL_TO_THE_STORE {
+            @Override
+            void strike(TestSite site, SiteHost owner, List<SiteHost> others) {
+                site.hosts().forEach(host -> host.storeProxy().block(Direction.TO_TARGET));
+            }
+        },
+        ANSWERS_OF_THE_STORE_TO_ALL {
+            @Override
+            void strike(TestSite site, SiteHost owner, List<SiteHost> others) {
+                site.hosts().forEach(host -> host.storeProxy().block(Direction.FROM_TARGET));
+            }
+        };
+
+        abstract void strike(TestSite site, SiteHost owner, List<SiteHost> others);
+
+        boolean ofStore() {
+            return name().contains("STORE");
+        }
+    }
+
+    @TempDir
+    Path directory;
+
+    @ParameterizedTest
+    @EnumSource
+    void keysStayServedOrAreServedAgainAndNeverByTwo(Cut cut) {
+        try (TestSite site = TestSite.start(directory, "r1/a", "r1/a", "r1/b", "r1/b")) {
+            Traffic traffic =
+                    Traffic.start(site, site.callerAddresses().subList(2, 4), DURATION_MS, cut.ofStore() ? 0 : 40);
+            TestSite.sleep(1_000);
+            cut.strike(site, site.host(0), site.hosts().subList(1, 4));
+            TestSite.sleep(CUT_MS);
+            site.site().heal();
+            LoadReport report = traffic.finish();
+
+            report.lines().forEach(line -> System.out.println(cut + ": " + line));
+            assertThat(report.violations()).isEmpty();
+            assertThat(report.longestGapMs()).isLessThanOrEqualTo(SERVED_AGAIN_LIMIT_MS);
+            if (cut.ofStore()) {
+                assertThat(report.succeeded()).isEqualTo(report.calls());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/MoveTest.java
@@ -0,0 +1,137 @@
+package org.coriandercrank.system;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.coriandercrank.load.CallRecord;
+import org.coriandercrank.load.Execution;
+import org.coriandercrank.load.HistoryChecker;
+import org.coriandercrank.load.LedgerReader;
+import org.coriandercrank.load.LoadReport;
+import org.coriandercrank.testkit.SiteHost;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against planned moves that run an operation twice, lose kept answers, fail calls or hold keys for long. */
+class MoveTest {
+    private static final double UNAVAILABLE_P99_LIMIT_MS = 100;
+    private static final long DEADLINE_MS = 2_000;
+
+    /** A key is called about 30 times a second, so that a hold of 100 ms is met by three calls on average. */
+    private static final int RATE_PER_SECOND = 1_200;
+
+    private static final int KEYS = 40;
+    private static final int ROUNDS = 3;
+    private static final long BETWEEN_MOVES_MS = 1_500;
+
+    @TempDir
+    Path directory;
+
+    @Test
+    void repeatedOperationsRunOnceAndKeysAreHeldShortlyAcrossMoves() {
+        try (TestSite site = TestSite.start(directory, "r1/a", "r1/a", "r1/b", "r1/b")) {
+            Traffic traffic = Traffic.start(
+                    site,
+                    site.callerAddresses(),
+                    (2 * ROUNDS + 1) * BETWEEN_MOVES_MS,
+                    0,
+                    DEADLINE_MS,
+                    RATE_PER_SECOND,
+                    KEYS);
+            RepeatingCaller caller = new RepeatingCaller(site, site.callerAddresses());
+            SiteHost moved = site.host(1);
+            for (int i = 0; i < ROUNDS; i++) {
+                TestSite.sleep(BETWEEN_MOVES_MS);
+                site.drain(moved, true);
+                TestSite.sleep(BETWEEN_MOVES_MS);
+                site.drain(moved, false);
+            }
+            site.waitUntil("the server gets its ranges back", () -> !site.status(moved)
+                    .serving()
+                    .isEmpty());
+            LoadReport report = traffic.finish();
+            RepeatingCaller.Result repeated = caller.finish();
+
+            List<Execution> executions = LedgerReader.read(site.ledgers());
+            List<Double> unavailableMs = unavailableMsOfMoves(traffic.calls(), executions);
+            double p99Ms = percentile(unavailableMs, 0.99);
+            report.lines().forEach(line -> System.out.println("moves: " + line));
+            System.out.printf(
+                    "moves: %d moves of keys, unavailable p50 %.1f ms, p99 %.1f ms; %d calls of the repeating caller%n",
+                    unavailableMs.size(),
+                    percentile(unavailableMs, 0.5),
+                    p99Ms,
+                    repeated.calls().size());
+            assertThat(report.violations()).isEmpty();
+            assertThat(HistoryChecker.check(repeated.calls(), executions)).isEmpty();
+            assertThat(repeated.otherAnswers()).isEmpty();
+            assertThat(repeated.calls()).allMatch(CallRecord::succeeded);
+            assertThat(report.succeeded()).isEqualTo(report.calls());
+            assertThat(unavailableMs).hasSizeGreaterThan(ROUNDS);
+            assertThat(report.longestGapMs()).isLessThan(UNAVAILABLE_P99_LIMIT_MS);
+            assertThat(p99Ms).isLessThan(UNAVAILABLE_P99_LIMIT_MS);
+        }
+    }
+
+    @Test
+    void serverThatJoinsAndLeavesFailsNoCall() {
+        try (TestSite site = TestSite.start(
+                directory, 3, List.of(TestSite.DEFAULT_BACKEND_FLAGS), "r1/a", "r1/a", "r1/b", "r1/b")) {
+            Traffic traffic = Traffic.start(site, site.callerAddresses().subList(0, 3), 10_000, 0);
+            TestSite.sleep(1_000);
+            SiteHost guest = site.host(3);
+            site.startHost(3);
+            site.waitUntil("the new server serves ranges", () -> site.answers(guest)
+                    && !site.status(guest).serving().isEmpty());
+            TestSite.sleep(1_500);
+            guest.daemon().stop();
+            LoadReport report = traffic.finish();
+
+            report.lines().forEach(line -> System.out.println("join and leave: " + line));
+            assertThat(report.violations()).isEmpty();
+            assertThat(report.succeeded()).isEqualTo(report.calls());
+            assertThat(LedgerReader.read(List.of(guest.ledgerFile()))).isNotEmpty();
+        }
+    }
+
+    /**
+     * For each change of a key's server, the longest time of a call that was due before the new server's first
+     * execution and ended after the old server's last one. Holds of calls count, which are no failures.
+     */
+    private static List<Double> unavailableMsOfMoves(List<CallRecord> calls, List<Execution> executions) {
+        Map<String, List<CallRecord>> callsOfKey = calls.stream().collect(Collectors.groupingBy(CallRecord::key));
+        List<Double> unavailableMs = new ArrayList<>();
+        executions.stream()
+                .filter(execution -> callsOfKey.containsKey(execution.key()))
+                .sorted(Comparator.comparingLong(Execution::endNanos))
+                .collect(Collectors.groupingBy(Execution::key))
+                .forEach((key, ofKey) -> {
+                    for (int i = 1; i < ofKey.size(); i++) {
+                        Execution last = ofKey.get(i - 1);
+                        Execution next = ofKey.get(i);
+                        if (!last.server().equals(next.server())) {
+                            unavailableMs.add(longestMs(callsOfKey.get(key), last.endNanos(), next.startNanos()));
+                        }
+                    }
+                });
+        return unavailableMs;
+    }
+
+    private static double longestMs(List<CallRecord> calls, long fromNanos, long untilNanos) {
+        return calls.stream()
+                .filter(call -> call.intendedNanos() <= untilNanos && call.endedNanos() >= fromNanos)
+                .mapToDouble(call -> (call.endedNanos() - call.intendedNanos()) / 1e6)
+                .max()
+                .orElse(0);
+    }
+
+    private static double percentile(List<Double> values, double share) {
+        List<Double> sorted = values.stream().sorted().toList();
+        return sorted.isEmpty() ? 0 : sorted.get((int) Math.ceil(share * sorted.size()) - 1);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/RepeatingCaller.java
@@ -0,0 +1,124 @@
+package org.coriandercrank.system;
+
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.coriandercrank.kernel.code.Outcome;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.load.CallRecord;
+
+/**
+ * A caller that repeats non-repeatable operations with their idempotency keys although they succeeded, at any daemon.
+ * Not thread safe; {@link #finish} ends its thread.
+ */
+final class RepeatingCaller {
+    private static final long SEED = 11;
+    private static final long LIMIT_SECONDS = 60;
+    private static final int REPEATS_PER_OPERATION = 4;
+    private static final int NO_CODE = -1;
+
+    /** One operation and its first answer. Immutable. */
+    private record Operation(long number, String key, String idempotencyKey, long firstNanos, String answer) {}
+
+    /** What the caller saw. Immutable. */
+    record Result(List<CallRecord> calls, List<String> otherAnswers) {
+        Result {
+            calls = List.copyOf(calls);
+            otherAnswers = List.copyOf(otherAnswers);
+        }
+    }
+
+    private final TestSite site;
+    private final List<HostAddress> targets;
+    private final Random random = new Random(SEED);
+    private final String runId = "repeat" + Long.toString(System.nanoTime(), Character.MAX_RADIX);
+    private final List<Operation> operations = new ArrayList<>();
+    private final List<CallRecord> calls = new ArrayList<>();
+    private final List<String> otherAnswers = new ArrayList<>();
+    private final CompletableFuture<Result> result;
+    private volatile boolean stopped;
+
+    RepeatingCaller(TestSite site, List<HostAddress> targets) {
+        this.site = site;
+        this.targets = targets;
+        this.result = CompletableFuture.supplyAsync(this::run);
+    }
+
+    /** Ends the calls, after a last repeat of every operation. */
+    Result finish() {
+        stopped = true;
+        try {
+            return result.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new AssertionError("repeating caller did not finish", e);
+        }
+    }
+
+    private Result run() {
+        while (!stopped) {
+            first();
+            for (int i = 0; i < REPEATS_PER_OPERATION; i++) {
+                repeat(operations.get(random.nextInt(operations.size())));
+            }
+        }
+        operations.forEach(this::repeat);
+        return new Result(calls, otherAnswers);
+    }
+
+    private void first() {
+        long number = operations.size();
+        String key = "key-" + random.nextInt(Traffic.KEYS);
+        long nowNanos = System.nanoTime();
+        Operation asked = new Operation(number, key, runId + "-k" + number, nowNanos, "");
+        operations.add(new Operation(number, key, asked.idempotencyKey(), nowNanos, call(asked, nowNanos)));
+    }
+
+    private void repeat(Operation operation) {
+        String answer = call(operation, System.nanoTime());
+        if (!answer.equals(operation.answer())) {
+            otherAnswers.add(operation + " was repeated with answer " + answer);
+        }
+    }
+
+    private String call(Operation operation, long nowNanos) {
+        String requestId = runId + "-" + calls.size();
+        HttpResponse<byte[]> reply = site.call(
+                "POST",
+                targets.get(random.nextInt(targets.size())),
+                "/v1/" + TestSite.SERVICE + "/" + operation.key(),
+                operation.key() + "=" + operation.idempotencyKey(),
+                "Crank-Request-Id: " + requestId,
+                "Crank-Deadline-Ms: 3000",
+                "Idempotency-Key: " + operation.idempotencyKey(),
+                "Crank-Key-Age-Ms: " + TimeUnit.NANOSECONDS.toMillis(nowNanos - operation.firstNanos()));
+        int code = reply.headers().firstValue("crank-result").map(Integer::parseInt).orElse(NO_CODE);
+        Optional<Outcome> outcome = reply.headers()
+                .firstValue("crank-outcome")
+                .flatMap(text -> List.of(Outcome.values()).stream()
+                        .filter(o -> o.headerValue().equals(text))
+                        .findFirst());
+        calls.add(new CallRecord(
+                operation.number(),
+                requestId,
+                TestSite.SERVICE,
+                operation.key(),
+                "POST",
+                false,
+                nowNanos,
+                System.nanoTime(),
+                code,
+                outcome,
+                false));
+        return reply.statusCode() + " " + new String(reply.body(), StandardCharsets.UTF_8);
+    }
+}
