Tell a backend server only of a final drain

Cause: the gate told its server to drain for a drain rule as well. A server cannot be told that a drain has ended, so after the rule was withdrawn it refused all requests for the ranges that it got back. Found by MoveTest. Change: the server is told of the drain of a planned stop only; a rule is enforced by the gate. Conclusion: keys of a server whose drain rule is withdrawn are served.

--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/DrainState.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/DrainState.java
@@ -7,7 +7,9 @@
 
 /**
  * Whether the gate takes new work. A drain by call is final; one by a rule ends with the rule. The backend server is
- * told when the queue is empty, because it may refuse what it gets afterwards. Not thread safe.
+ * told of a final drain when the queue is empty, because it may refuse what it gets afterwards. It is not told of a
+ * rule, because it cannot be told of the end of a drain; the gate, its only source of work, refuses new work. Not
+ * thread safe.
  */
 final class DrainState {
     private final GateRuntime runtime;
@@ -38,7 +40,7 @@
         if (queued > 0 || !isDraining(backend)) {
             return;
         }
-        if (backend != null && !backend.equals(told)) {
+        if (requested && backend != null && !backend.equals(told)) {
             told = backend;
             runtime.logDecision(() -> "event=drain backend=" + backend.info().name());
             runtime.call(() -> backend.server().drain(), (done, failure) -> onTold(backend, failure));
