--- a/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/DoubleFaultTest.java
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/DoubleFaultTest.java
@@ -114,7 +114,9 @@
     Path directory;
 
     @ParameterizedTest
-    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = {"WRITES_DELAYED_AND_OWNER_PARTITIONED", "STORE_SLOW_AND_HOST_KILLED"})
+    @EnumSource(
+            mode = EnumSource.Mode.EXCLUDE,
+            names = {"WRITES_DELAYED_AND_OWNER_PARTITIONED", "STORE_SLOW_AND_HOST_KILLED"})
     void keysAreServedAgainAndNoPromiseBreaks(Pair pair) {
         check(pair);
     }
