--- a/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/TestSite.java
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/TestSite.java
@@ -28,6 +28,11 @@
 final class TestSite implements AutoCloseable {
     static final String SERVICE = "counter-desk";
 
+    static final List<String> DEFAULT_BACKEND_FLAGS = List.of("--service-ms", "2");
+
+    private static final String KEYED_SERVICE_NOTE =
+            "{\"id\":\"first\",\"basedOn\":0,\"add\":{\"services\":[{\"name\":\"" + SERVICE
+                    + "\",\"keyed\":true,\"placementPolicy\":\"static\",\"maxQueueLength\":2000}]}}";
     private static final long START_LIMIT_MS = 30_000;
     private static final long POLL_MS = 50;
 
@@ -47,30 +52,52 @@
      * @param places region and failure domain of each host, as {@code region/domain}
      */
     static TestSite start(Path directory, String... places) {
+        return start(directory, places.length, List.of(DEFAULT_BACKEND_FLAGS), places);
+    }
+
+    /**
+     * Starts the first hosts of a site.
+     *
+     * @param startedHosts number of hosts that start now; {@link #startHost} starts the others
+     * @param backendFlags flags of the backend servers, repeated in turn over the hosts
+     */
+    static TestSite start(Path directory, int startedHosts, List<List<String>> backendFlags, String... places) {
         List<HostSpec> specs = new ArrayList<>();
         for (String place : places) {
             String[] parts = place.split("/", 2);
             specs.add(new HostSpec("desk-" + (specs.size() + 1), parts[0], parts[1], SERVICE));
         }
-        return start(
-                directory,
-                specs,
-                "{\"id\":\"first\",\"basedOn\":0,\"add\":{\"services\":[{\"name\":\"" + SERVICE
-                        + "\",\"keyed\":true,\"placementPolicy\":\"static\",\"maxQueueLength\":2000}]}}");
+        TestSite site = new TestSite(directory, specs);
+        site.startFirst(startedHosts, backendFlags, KEYED_SERVICE_NOTE);
+        return site;
     }
 
-    /** Starts hosts, submits a note and waits until every host of the keyed service serves ranges. */
+    /** Starts all hosts, submits a note and waits until every host of the keyed service serves ranges. */
     static TestSite start(Path directory, List<HostSpec> specs, String note) {
-        TestSite started = new TestSite(directory, specs);
-        started.site.startAll(List.of(), List.of("--service-ms", "2"));
-        started.waitUntil("all daemons answer", () -> started.hosts().stream().allMatch(started::answers));
-        started.submit(note);
-        started.waitUntil(
+        TestSite site = new TestSite(directory, specs);
+        site.startFirst(specs.size(), List.of(DEFAULT_BACKEND_FLAGS), note);
+        return site;
+    }
+
+    private void startFirst(int startedHosts, List<List<String>> backendFlags, String note) {
+        List<SiteHost> first = hosts().subList(0, startedHosts);
+        for (int i = 0; i < startedHosts; i++) {
+            host(i).startDaemon(List.of());
+            host(i).startBackend(backendFlags.get(i % backendFlags.size()));
+        }
+        waitUntil("all daemons answer", () -> first.stream().allMatch(this::answers));
+        submit(note);
+        waitUntil(
                 "all hosts of the keyed service serve ranges",
-                () -> started.hosts().stream()
+                () -> first.stream()
                         .filter(h -> h.spec().service().equals(SERVICE))
-                        .noneMatch(h -> started.status(h).serving().isEmpty()));
-        return started;
+                        .noneMatch(h -> status(h).serving().isEmpty()));
+    }
+
+    /** Starts a host that is not running, with the default flags. */
+    void startHost(int index) {
+        host(index).startDaemon(List.of());
+        host(index).startBackend(DEFAULT_BACKEND_FLAGS);
     }
 
     Site site() {
@@ -130,6 +157,23 @@
         call("POST", site.storeAddress(), "/admin/faults", json);
     }
 
+    /** Adds a fault to the backend server of a host, as its protocol page describes. */
+    void backendFault(SiteHost host, String json) {
+        call("POST", host.backendAddress(), "/admin/faults", json);
+    }
+
+    /** Adds or withdraws the rule that drains the backend server of a host. */
+    void drain(SiteHost host, boolean drained) {
+        String name = host.spec().name();
+        String change = drained
+                ? "\"add\":{\"backends\":[{\"backendName\":\"" + name + "\",\"drain\":true}]}"
+                : "\"withdraw\":{\"backends\":[\"" + name + "\"]}";
+        submit("{\"id\":\"drain-" + System.nanoTime() + "\",\"basedOn\":"
+                + status(hosts().get(hosts().size() - 1))
+                        .configurationRevision()
+                        .value() + "," + change + "}");
+    }
+
     /** Submits a release note and requires that it is accepted and in force. */
     void submit(String note) {
         CtlRun run = ctlWithFile(note, "note", "submit");
