--- a/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/CrankExperiment.java
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/CrankExperiment.java
@@ -4,11 +4,13 @@
 import java.util.logging.Level;
 import org.coriandercrank.experiment.internal.ExperimentSettings;
 import org.coriandercrank.experiment.internal.FleetExperiment;
+import org.coriandercrank.experiment.internal.OverloadExperiment;
+import org.coriandercrank.experiment.internal.PlacementExperiment;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.log.LogSetup;
 import org.coriandercrank.kernel.settings.SettingsLoader;
 
-/** The program {@code crank-experiment}. */
+/** The program {@code crank-experiment}: runs the experiment that a setting selects. */
 public final class CrankExperiment {
     private static final int EXIT_SETTINGS = 2;
 
@@ -24,8 +26,18 @@
             System.err.println(SettingsLoader.usage(settings));
             System.exit(EXIT_SETTINGS);
         }
-        FleetExperiment experiment = new FleetExperiment(settings, System.out::println);
-        settings.sizes().forEach(experiment::call);
+        run(settings);
         System.exit(0);
     }
+
+    private static void run(ExperimentSettings settings) {
+        switch (settings.experiment()) {
+            case "placement" -> new PlacementExperiment(settings, System.out::println).call();
+            case "overload" -> new OverloadExperiment(settings, System.out::println).call();
+            default -> {
+                FleetExperiment experiment = new FleetExperiment(settings, System.out::println);
+                settings.sizes().forEach(experiment::call);
+            }
+        }
+    }
 }
--- a/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/ExperimentSettings.java
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/ExperimentSettings.java
@@ -9,6 +9,10 @@
 /** Settings of {@code crank-experiment}. Not thread safe; read-only after loading. */
 public final class ExperimentSettings implements Settings {
     private static final int MAX_DAEMONS = 240;
+    private static final List<String> EXPERIMENTS = List.of("fleet", "placement", "overload");
+
+    @Option(name = "--experiment", metaVar = "NAME", usage = "fleet, placement or overload")
+    private String experiment = "fleet";
 
     @Option(name = "--sizes", metaVar = "N,...", usage = "numbers of daemons, measured one after the other")
     private String sizes = "3,12";
@@ -22,7 +26,38 @@
     @Option(name = "--changes", metaVar = "N", usage = "configuration changes whose spreading is measured")
     private int changes = 5;
 
+    @Option(name = "--policies", metaVar = "NAME,...", usage = "placement policies, measured one after the other")
+    private String policies = "availability,low-churn,static,greedy";
+
+    @Option(name = "--seeds", metaVar = "N,...", usage = "seeds of keys and arrivals")
+    private String seeds = "1,2";
+
+    @Option(name = "--rate", metaVar = "N", usage = "operations per second of the placement experiment")
+    private int ratePerSecond = 1_600;
+
+    @Option(name = "--duration-ms", metaVar = "MS", usage = "length of each load")
+    private long durationMs = 45_000;
+
+    @Option(name = "--keys", metaVar = "N", usage = "number of keys")
+    private int keys = 20_000;
+
+    @Option(name = "--zipf", metaVar = "X", usage = "exponent of the Zipf distribution of keys")
+    private double zipfExponent = 1.0;
+
+    @Option(name = "--hot-keys", metaVar = "N", usage = "size of the hot set that changes")
+    private int hotKeys = 26;
+
+    @Option(name = "--hot-change-ms", metaVar = "MS", usage = "time after which the hot set changes")
+    private long hotChangeMs = 20_000;
+
+    @Option(name = "--service-ms", metaVar = "MS", usage = "service time of the backend servers")
+    private long serviceMs = 5;
+
+    @Option(name = "--report", metaVar = "PATH", usage = "file for the figures as JSON; empty: none")
+    private String report = "";
+
     private final List<Integer> parsedSizes = new ArrayList<>();
+    private final List<Long> parsedSeeds = new ArrayList<>();
 
     @Override
     public void check(Faults faults) {
@@ -33,11 +68,33 @@
                 parsedSizes.add(parsed);
             }
         }
+        for (String seed : seeds.split(",")) {
+            Long parsed = faults.parse("--seeds", seed, Long::valueOf);
+            if (parsed != null) {
+                parsedSeeds.add(parsed);
+            }
+        }
+        if (!EXPERIMENTS.contains(experiment)) {
+            faults.add("--experiment", "must be one of " + EXPERIMENTS);
+        }
+        if (!(zipfExponent >= 0 && zipfExponent <= 3)) {
+            faults.add("--zipf", "must be between 0 and 3");
+        }
+        faults.requireRange("--rate", ratePerSecond, 1, 1_000_000);
+        faults.requireRange("--duration-ms", durationMs, 1_000, 3_600_000);
+        faults.requireRange("--keys", keys, 1, 10_000_000);
+        faults.requireRange("--hot-keys", hotKeys, 0, keys);
+        faults.requireRange("--hot-change-ms", hotChangeMs, 1, 3_600_000);
+        faults.requireRange("--service-ms", serviceMs, 1, 60_000);
         faults.requireRange("--settle-ms", settleMs, 0, 600_000);
         faults.requireRange("--sample-ms", sampleMs, 100, 600_000);
         faults.requireRange("--changes", changes, 0, 1_000);
     }
 
+    public String experiment() {
+        return experiment;
+    }
+
     public List<Integer> sizes() {
         return parsedSizes;
     }
@@ -53,4 +110,44 @@
     int changes() {
         return changes;
     }
+
+    List<String> policies() {
+        return List.of(policies.split(","));
+    }
+
+    List<Long> seeds() {
+        return parsedSeeds;
+    }
+
+    int ratePerSecond() {
+        return ratePerSecond;
+    }
+
+    long durationMs() {
+        return durationMs;
+    }
+
+    int keys() {
+        return keys;
+    }
+
+    double zipfExponent() {
+        return zipfExponent;
+    }
+
+    int hotKeys() {
+        return hotKeys;
+    }
+
+    long hotChangeMs() {
+        return hotChangeMs;
+    }
+
+    long serviceMs() {
+        return serviceMs;
+    }
+
+    String report() {
+        return report;
+    }
 }
--- /dev/null
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/OverloadFigures.java
@@ -0,0 +1,79 @@
+package org.coriandercrank.experiment.internal;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.coriandercrank.kernel.code.Outcome;
+import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.load.CallRecord;
+
+/**
+ * Goodput and latency of one group of calls of an overload run. Immutable. Latency counts from the due time.
+ *
+ * @param goodputPerSecond successes per second of the schedule
+ * @param outcomes calls by result code; {@code NO_ANSWER} for none
+ * @param refusedP99Ms 99th percentile of the latency of calls that were answered as not run; 0 without any
+ */
+record OverloadFigures(
+        String name,
+        long calls,
+        double goodputPerSecond,
+        double p50Ms,
+        double p99Ms,
+        double refusedP99Ms,
+        Map<String, Long> outcomes) {
+    private static final long MAX_LATENCY_US = TimeUnit.MINUTES.toMicros(2);
+    private static final double MS_PER_SECOND = 1e3;
+    private static final double US_PER_MS = 1e3;
+
+    static final String HEADING = """
+            | run | calls | goodput/s | success, ms: p50, p99 | refused, ms: p99 | outcomes |
+            |---|---|---|---|---|---|""";
+
+    OverloadFigures {
+        outcomes = Map.copyOf(outcomes);
+    }
+
+    static OverloadFigures of(String name, long durationMs, List<CallRecord> calls) {
+        Histogram success = new Histogram(MAX_LATENCY_US, 3);
+        Histogram refused = new Histogram(MAX_LATENCY_US, 3);
+        Map<String, Long> outcomes = new TreeMap<>();
+        for (CallRecord call : calls) {
+            long us = TimeUnit.NANOSECONDS.toMicros(call.endedNanos() - call.intendedNanos());
+            long bounded = Math.min(Math.max(us, 0), MAX_LATENCY_US);
+            if (call.succeeded()) {
+                success.recordValue(bounded);
+            } else if (call.outcome().equals(Optional.of(Outcome.NOT_RUN))) {
+                refused.recordValue(bounded);
+            }
+            outcomes.merge(
+                    ResultCode.ofNumber(call.resultCode()).map(ResultCode::name).orElse("NO_ANSWER"), 1L, Long::sum);
+        }
+        return new OverloadFigures(
+                name,
+                calls.size(),
+                success.getTotalCount() / (durationMs / MS_PER_SECOND),
+                success.getValueAtPercentile(50) / US_PER_MS,
+                success.getValueAtPercentile(99) / US_PER_MS,
+                refused.getTotalCount() == 0 ? 0 : refused.getValueAtPercentile(99) / US_PER_MS,
+                outcomes);
+    }
+
+    /** A line of the table. */
+    String row() {
+        return String.format(
+                Locale.ROOT,
+                "| %s | %d | %.0f | %.1f, %.1f | %.1f | %s |",
+                name,
+                calls,
+                goodputPerSecond,
+                p50Ms,
+                p99Ms,
+                refusedP99Ms,
+                new TreeMap<>(outcomes));
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/OwnerChange.java
@@ -0,0 +1,48 @@
+package org.coriandercrank.experiment.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.KeyHash;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.table.AssignmentTable;
+import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.RangeAssignment;
+
+/**
+ * An interval of hashes that went from one owner to another. Immutable.
+ *
+ * @param generation generation of the table that made the change; the executions of the new owner have this fence or a
+ *     newer one
+ * @param seenNanos when the table was seen in the store
+ */
+public record OwnerChange(KeyRange range, MemberId from, Generation generation, long seenNanos) {
+    /** A table and when it was seen in the store. Immutable. */
+    public record SeenTable(long seenNanos, AssignmentTable table) {}
+
+    /** Compares each table with the one before it; hashes without an owner do not count. */
+    public static List<OwnerChange> of(List<SeenTable> tables) {
+        List<OwnerChange> changes = new ArrayList<>();
+        for (int i = 1; i < tables.size(); i++) {
+            SeenTable seen = tables.get(i);
+            for (RangeAssignment now : seen.table().assignments()) {
+                for (RangeAssignment before : tables.get(i - 1).table().assignments()) {
+                    if (before.range().overlaps(now.range()) && !before.owner().equals(now.owner())) {
+                        changes.add(new OwnerChange(
+                                common(before.range(), now.range()),
+                                before.owner(),
+                                seen.table().generation(),
+                                seen.seenNanos()));
+                    }
+                }
+            }
+        }
+        return changes;
+    }
+
+    private static KeyRange common(KeyRange one, KeyRange other) {
+        KeyHash first = one.first().compareTo(other.first()) > 0 ? one.first() : other.first();
+        KeyHash last = one.last().compareTo(other.last()) < 0 ? one.last() : other.last();
+        return new KeyRange(first, last);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/PlacementFigures.java
@@ -0,0 +1,75 @@
+package org.coriandercrank.experiment.internal;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * Result of one run of the placement experiment. Immutable. Times are milliseconds.
+ *
+ * @param failedByCode failed calls by result code
+ * @param loadAverage load average of the machine at the end of the run, which other programs share
+ */
+record PlacementFigures(
+        String policy,
+        long seed,
+        int ratePerSecond,
+        long durationMs,
+        long calls,
+        long failedCalls,
+        Map<String, Long> failedByCode,
+        double latencyP50Ms,
+        double latencyP99Ms,
+        ServerLoads loads,
+        Churn churn,
+        double unavailableKeySeconds,
+        Gaps planned,
+        Gaps takeover,
+        List<String> violations,
+        double loadAverage) {
+    /** Gaps of keys. Immutable. */
+    record Gaps(int keys, double p50Ms, double p99Ms, double maxMs) {
+        static Gaps of(List<Double> sortedMs) {
+            return new Gaps(
+                    sortedMs.size(),
+                    MoveGaps.percentile(sortedMs, 50),
+                    MoveGaps.percentile(sortedMs, 99),
+                    MoveGaps.percentile(sortedMs, 100));
+        }
+
+        @Override
+        public String toString() {
+            return String.format(Locale.ROOT, "%.0f, %.0f, %.0f (%d)", p50Ms, p99Ms, maxMs, keys);
+        }
+    }
+
+    static final String HEADING = """
+            | policy | seed | imbalance, mean | imbalance, p95 | hash space moved | moves | failed calls | key-seconds unavailable \
+            | gap of a planned move, ms: p50, p99, max (keys) | gap after the kill, ms | violations | load average |
+            |---|---|---|---|---|---|---|---|---|---|---|---|""";
+
+    PlacementFigures {
+        failedByCode = Map.copyOf(failedByCode);
+        violations = List.copyOf(violations);
+    }
+
+    /** A line of the table. */
+    String row() {
+        return String.format(
+                Locale.ROOT,
+                "| %s | %d | %.3f | %.3f | %.2f | %d | %d of %d | %.1f | %s | %s | %d | %.0f |",
+                policy,
+                seed,
+                loads.meanImbalance(),
+                loads.p95Imbalance(),
+                churn.movedShare(),
+                churn.moves(),
+                failedCalls,
+                calls,
+                unavailableKeySeconds,
+                planned,
+                takeover,
+                violations.size(),
+                loadAverage);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/ServerLoads.java
@@ -0,0 +1,73 @@
+package org.coriandercrank.experiment.internal;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.coriandercrank.load.Execution;
+
+/**
+ * Load imbalance of servers of equal capacity over the seconds of a run. Immutable.
+ *
+ * @param meanImbalance mean over seconds of the busiest server's executions over the mean of the servers in force
+ * @param p95Imbalance 95th percentile over seconds
+ * @param perSecond the value of each second
+ */
+public record ServerLoads(double meanImbalance, double p95Imbalance, List<Double> perSecond) {
+    private static final long NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final double PERCENTILE = 0.95;
+
+    /**
+     * The time in which a server should get work, relative to the start of the run. Immutable.
+     *
+     * @param untilMs {@link Long#MAX_VALUE} if it stays
+     */
+    public record InForce(long fromMs, long untilMs) {
+        boolean contains(long ms) {
+            return fromMs <= ms && ms < untilMs;
+        }
+    }
+
+    public ServerLoads {
+        perSecond = List.copyOf(perSecond);
+    }
+
+    /**
+     * Imbalance of every whole second of a run. A server counts from the moment at which it is started or until the
+     * moment at which it is withdrawn or lost; executions of others count as load of the site and as candidates for the
+     * busiest server. A second without executions counts as 0.
+     */
+    public static ServerLoads of(
+            long startedNanos, long durationMs, List<Execution> executions, Map<String, InForce> servers) {
+        int seconds = (int) TimeUnit.MILLISECONDS.toSeconds(durationMs);
+        List<Map<String, Long>> counts = new ArrayList<>();
+        for (int second = 0; second < seconds; second++) {
+            counts.add(new HashMap<>());
+        }
+        for (Execution execution : executions) {
+            long second = Math.floorDiv(execution.endNanos() - startedNanos, NANOS_PER_SECOND);
+            if (second >= 0 && second < seconds) {
+                counts.get((int) second).merge(execution.server(), 1L, Long::sum);
+            }
+        }
+        List<Double> values = new ArrayList<>();
+        for (int second = 0; second < seconds; second++) {
+            long ms = TimeUnit.SECONDS.toMillis(second);
+            long inForce = servers.values().stream().filter(s -> s.contains(ms)).count();
+            values.add(imbalance(counts.get(second), inForce));
+        }
+        List<Double> sorted = new ArrayList<>(values);
+        Collections.sort(sorted);
+        double mean = values.stream().mapToDouble(v -> v).average().orElse(0);
+        double p95 = sorted.isEmpty() ? 0 : sorted.get((int) Math.ceil(PERCENTILE * sorted.size()) - 1);
+        return new ServerLoads(mean, p95, values);
+    }
+
+    private static double imbalance(Map<String, Long> counts, long servers) {
+        long total = counts.values().stream().mapToLong(v -> v).sum();
+        long busiest = counts.values().stream().mapToLong(v -> v).max().orElse(0);
+        return total == 0 || servers == 0 ? 0 : busiest * (double) servers / total;
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/ServiceSite.java
@@ -0,0 +1,153 @@
+package org.coriandercrank.experiment.internal;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.plugin.PluginRegistry;
+import org.coriandercrank.kernel.plugin.PluginRegistry.Kind;
+import org.coriandercrank.kernel.settings.SettingsLoader;
+import org.coriandercrank.kernel.status.DaemonStatus;
+import org.coriandercrank.kernel.store.ObjectNames;
+import org.coriandercrank.kernel.store.ObjectStore;
+import org.coriandercrank.load.Execution;
+import org.coriandercrank.load.LedgerReader;
+import org.coriandercrank.note.NoteApplication;
+import org.coriandercrank.note.SubmitNote;
+import org.coriandercrank.note.SubmitResult;
+import org.coriandercrank.standin.BackendSettings;
+import org.coriandercrank.standin.CrankBackend;
+import org.coriandercrank.testkit.HostSpec;
+import org.coriandercrank.testkit.Site;
+import org.coriandercrank.testkit.SiteHost;
+
+/**
+ * A site with one service under load. Not thread safe.
+ *
+ * <p>Daemons and the store are processes; the backend servers share this process. Executions are read from ledger files
+ * of a temporary directory, which is kept for inspection.
+ */
+final class ServiceSite implements AutoCloseable {
+    static final String SERVICE = "counter-desk";
+
+    private static final int IO_THREADS = 3;
+    private static final long STORE_TIMEOUT_MS = 5_000;
+    private static final long NOTE_TIMEOUT_MS = 10_000;
+    private static final NoteApplication.Environment ENVIRONMENT = new NoteApplication.Environment(
+            Set.<ServiceName>of(),
+            Set.of("availability", "low-churn", "static", "greedy"),
+            Set.of("two-choices", "round-robin", "least-in-flight"));
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
+    private final Map<String, CrankBackend> backends = new HashMap<>();
+    private final Site site;
+    private final FleetProbe probe;
+    private final ObjectStore store;
+
+    /** Starts the store; hosts are started by {@link #startHost} and {@link #startDaemon}. */
+    ServiceSite(List<HostSpec> specs) {
+        site = new Site(createDirectory(), specs);
+        probe = new FleetProbe(site, group);
+        store = PluginRegistry.load().get(Kind.STORE, "http").open(site.storeAddress(), STORE_TIMEOUT_MS);
+    }
+
+    EventLoopGroup group() {
+        return group;
+    }
+
+    ObjectStore store() {
+        return store;
+    }
+
+    SiteHost host(int index) {
+        return site.host(index);
+    }
+
+    List<HostAddress> callerAddresses(int hosts) {
+        return site.hosts().subList(0, hosts).stream()
+                .map(SiteHost::callerAddress)
+                .toList();
+    }
+
+    void startDaemon(SiteHost host) {
+        host.startDaemon(List.of("--routing-log-lines-per-second", "0"));
+    }
+
+    /** Starts the daemon and the backend server of a host without waiting for them. */
+    void startHost(SiteHost host, List<String> backendFlags) {
+        startDaemon(host);
+        List<String> flags = new ArrayList<>(List.of(
+                "--name=" + host.spec().name(),
+                "--service=" + SERVICE,
+                "--listen=" + host.backendAddress(),
+                "--daemon=" + host.adminAddress(),
+                "--ledger-file=" + host.ledgerFile()));
+        flags.addAll(backendFlags);
+        BackendSettings settings = SettingsLoader.load(new BackendSettings(), flags, Map.of());
+        backends.put(host.spec().name(), CrankBackend.start(settings));
+    }
+
+    void awaitBackend(SiteHost host) {
+        Waits.until(
+                "backend server of " + host.spec().name(),
+                () -> probe.status(host).flatMap(DaemonStatus::backendName).isPresent());
+    }
+
+    void awaitServing(SiteHost host) {
+        Waits.until(
+                "ranges of " + host.spec().name(),
+                () -> probe.status(host).map(s -> !s.serving().isEmpty()).orElse(false));
+    }
+
+    /** Ends daemon and backend server of a host at once. */
+    void killHost(SiteHost host) {
+        host.daemon().kill();
+        backends.get(host.spec().name()).close();
+    }
+
+    /** Submits a note whose content follows the id and the base revision, as {@code "add":{...}}. */
+    void submit(String id, String content) {
+        Revision base = store.get(ObjectNames.CONFIGURATION)
+                .join()
+                .map(o -> o.revision())
+                .orElse(Revision.NONE);
+        SubmitResult result = new SubmitNote(store, ENVIRONMENT, NOTE_TIMEOUT_MS)
+                .call("{\"id\":\"" + id + "\",\"basedOn\":" + base + "," + content + "}");
+        if (!result.faults().isEmpty() || result.revision().equals(Revision.NONE)) {
+            throw new IllegalStateException("note refused: " + result);
+        }
+    }
+
+    List<Execution> executions() {
+        return LedgerReader.read(site.hosts().stream().map(SiteHost::ledgerFile).toList());
+    }
+
+    private static Path createDirectory() {
+        try {
+            return Files.createTempDirectory("crank-experiment");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        store.close();
+        probe.close();
+        site.close();
+        backends.values().forEach(CrankBackend::close);
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/TableRecorder.java
@@ -0,0 +1,66 @@
+package org.coriandercrank.experiment.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import org.coriandercrank.experiment.internal.OwnerChange.SeenTable;
+import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.store.ObjectNames;
+import org.coriandercrank.kernel.store.ObjectStore;
+import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.kernel.store.TableCodec;
+import org.coriandercrank.kernel.store.WatchBatch;
+
+/**
+ * Records the tables of a site's one service from a watch of the store.
+ *
+ * <p>Thread safe. Two tables that are written between two watches appear as one.
+ */
+final class TableRecorder implements AutoCloseable {
+    private static final long WAIT_MS = 1_000;
+    private static final long RETRY_MS = 50;
+
+    private final ObjectStore store;
+    private final List<SeenTable> tables = new ArrayList<>();
+    private final Thread thread = new Thread(this::watch, "table-recorder");
+    private volatile boolean closed;
+
+    TableRecorder(ObjectStore store) {
+        this.store = store;
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void watch() {
+        Revision after = Revision.NONE;
+        while (!closed) {
+            try {
+                WatchBatch batch = store.watch(ObjectNames.ASSIGNMENTS_PREFIX, after, WAIT_MS)
+                        .join();
+                batch.changes().forEach(this::add);
+                after = batch.upTo();
+            } catch (CompletionException e) {
+                Waits.sleep(RETRY_MS);
+            }
+        }
+    }
+
+    private synchronized void add(StoredObject object) {
+        tables.add(new SeenTable(System.nanoTime(), TableCodec.decode(object.value())));
+    }
+
+    /** All tables seen so far, by ascending generation. */
+    synchronized List<SeenTable> tables() {
+        return List.copyOf(tables);
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        try {
+            thread.join(2 * WAIT_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/Waits.java
@@ -0,0 +1,32 @@
+package org.coriandercrank.experiment.internal;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** Blocking waits of experiments. Stateless. */
+final class Waits {
+    private static final long START_LIMIT_MS = 120_000;
+    private static final long POLL_MS = 20;
+
+    private Waits() {}
+
+    /** Polls a condition; fails after two minutes. */
+    static void until(String what, BooleanSupplier condition) {
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_LIMIT_MS);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - deadlineNanos > 0) {
+                throw new IllegalStateException("not within " + START_LIMIT_MS + " ms: " + what);
+            }
+            sleep(POLL_MS);
+        }
+    }
+
+    static void sleep(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+}
