Lengthen pauses of held requests by equal steps

Cause: pauses that double notice the end of a move of 80 ms only after 155 ms. Change: 5, 10, 15 ... 100 ms. Ingress tests pass.

--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/IngressOptions.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/IngressOptions.java
@@ -8,7 +8,8 @@
  * @param maxAttemptIds attempt ids of one request, see {@code docs/design/routing.md}
  * @param moveWaitMs time that a request is held for a newer table or while its range moves
  * @param ownerLostWaitMs time that a request is held while its owner is lost
- * @param backoffMs first pause before a refused send is repeated; doubles up to {@code maxBackoffMs}
+ * @param backoffMs first pause before a refused send is repeated; each further one is longer by it, up to
+ *     {@code maxBackoffMs}; pauses between outcome queries double
  * @param queryTimeoutMs time given to one outcome query
  * @param answerGraceMs time after the deadline in which the exact answer of the gate is awaited
  * @param retryAfterMs {@code Retry-After} of refusals that name none
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/Hold.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/Hold.java
@@ -12,6 +12,7 @@
 
     private final long moveWaitMs;
     private final long ownerLostWaitMs;
+    private final long backoffMs;
     private final long maxBackoffMs;
     private long nextBackoffMs;
     private boolean started;
@@ -20,6 +21,7 @@
     Hold(long moveWaitMs, long ownerLostWaitMs, long backoffMs, long maxBackoffMs) {
         this.moveWaitMs = moveWaitMs;
         this.ownerLostWaitMs = ownerLostWaitMs;
+        this.backoffMs = backoffMs;
         this.nextBackoffMs = backoffMs;
         this.maxBackoffMs = maxBackoffMs;
     }
@@ -33,10 +35,13 @@
         return Math.max(0, limitMs(cause) - (nowNanos - startedAtNanos) / NANOS_PER_MS);
     }
 
-    /** The next pause before a refused send is repeated; doubles with each call. */
+    /**
+     * The next pause before a refused send is repeated. Each pause is longer by the first one: with doubling, a move of
+     * 80 ms was noticed only after 155 ms.
+     */
     long takeBackoffMs() {
         long pauseMs = nextBackoffMs;
-        nextBackoffMs = Math.min(maxBackoffMs, 2 * nextBackoffMs);
+        nextBackoffMs = Math.min(maxBackoffMs, nextBackoffMs + backoffMs);
         return pauseMs;
     }
 
