Merge ranges before returning fragments

Cause: with 4 servers 4 isolated hashes sufficed to move fragments back, and the moves came before free merges. Change: merge above 10 ranges per server, return fragments only above 13.

--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TableCompaction.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TableCompaction.java
@@ -10,6 +10,7 @@
 final class TableCompaction {
     static final int MAX_RANGES_PER_MEMBER = 16;
     private static final int MERGE_ABOVE_PER_MEMBER = 10;
+    private static final int RETURN_ABOVE_PER_MEMBER = 13;
     private static final int MAX_RETURNS = 16;
     private static final int RANGES_ADDED_BY_SPLIT = 2;
     private static final double HOT_RATIO = 0.05;
@@ -23,17 +24,20 @@
     }
 
     /**
-     * Merges adjacent ranges of one owner while the table is above its soft bound, the smallest first, and gives small
-     * ranges without much load, such as hashes that are no longer hot, to the owner of a neighbour.
+     * Merges adjacent ranges of one owner while the table is above its first bound, the smallest first. If it stays
+     * above the second bound, small ranges without much load, such as hashes that are no longer hot, go to the owner of
+     * a neighbour. A merge costs nothing, but a return is a move during which its keys are not served.
      */
     static void compact(WorkingTable table) {
-        int softBound = MERGE_ABOVE_PER_MEMBER * table.weights().size();
-        int excess = table.slots().size() - softBound;
-        if (excess <= 0) {
-            return;
+        int servers = table.weights().size();
+        int toMerge = table.slots().size() - MERGE_ABOVE_PER_MEMBER * servers;
+        if (toMerge > 0) {
+            mergeNeighbours(table, toMerge);
+        }
+        int toReturn = table.slots().size() - RETURN_ABOVE_PER_MEMBER * servers;
+        if (toReturn > 0) {
+            returnFragments(table, Math.min(MAX_RETURNS, toReturn));
         }
-        returnFragments(table, Math.min(MAX_RETURNS, excess));
-        mergeNeighbours(table, excess);
     }
 
     private static void returnFragments(WorkingTable table, int limit) {
