Call a backend server once before its member joins

Change: the member announces its server after one health call. The check against an outdated announcement was built but not run on real processes; system tests were not run.

--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Incarnation.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Incarnation.java
@@ -20,6 +20,7 @@
 import org.coriandercrank.ingress.Ingress;
 import org.coriandercrank.ingress.IngressDependencies;
 import org.coriandercrank.ingress.IngressOptions;
+import org.coriandercrank.kernel.backend.BackendServer;
 import org.coriandercrank.kernel.backend.BackendServerFactory;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.MemberId;
@@ -114,7 +115,13 @@
         return control.self();
     }
 
-    /** Uses a backend server that announced itself; an unchanged announcement has no effect. */
+    /**
+     * Uses a backend server that announced itself; an unchanged announcement has no effect.
+     *
+     * <p>The member is announced as owner of the server only after the server answered, or failed to answer, one health
+     * call. This call opens connections and loads classes; without it the first grant could exceed its time-out of
+     * 300 ms while ranges were already moving here. The health itself is not used, because it may mislead.
+     */
     void announce(BackendInfo info) {
         BackendInfo before = attached.getAndSet(info);
         if (info.equals(before)) {
@@ -122,9 +129,15 @@
         }
         BackendServerFactory factory =
                 environment.plugins().get(Kind.BACKEND, environment.settings().backendAdapter());
-        gate.attach(info, factory.connect(info));
-        control.backendAnnounced(info);
-        logger.atInfo().log("event=backend-attached backend=%s service=%s", info.name(), info.service());
+        BackendServer server = factory.connect(info);
+        gate.attach(info, server);
+        server.health().whenComplete((health, failure) -> {
+            if (!info.equals(attached.get())) {
+                return;
+            }
+            control.backendAnnounced(info);
+            logger.atInfo().log("event=backend-attached backend=%s service=%s", info.name(), info.service());
+        });
     }
 
     Optional<BackendInfo> backend() {
