--- /dev/null
+++ b/org.coriandercrank.experiment.test/src/test/java/org/coriandercrank/experiment/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the figures of experiments. */
+package org.coriandercrank.experiment.internal;
--- a/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/ExperimentSettings.java
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/ExperimentSettings.java
@@ -53,6 +53,12 @@
     @Option(name = "--service-ms", metaVar = "MS", usage = "service time of the backend servers")
     private long serviceMs = 5;
 
+    @Option(
+            name = "--daemon-flags",
+            metaVar = "FLAG=VALUE,...",
+            usage = "flags of the daemons of placement and overload sites")
+    private String daemonFlags = "--routing-log-lines-per-second=0";
+
     @Option(name = "--report", metaVar = "PATH", usage = "file for the figures as JSON; empty: none")
     private String report = "";
 
@@ -147,6 +153,10 @@
         return serviceMs;
     }
 
+    List<String> daemonFlags() {
+        return daemonFlags.isEmpty() ? List.of() : List.of(daemonFlags.split(","));
+    }
+
     String report() {
         return report;
     }
--- a/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/MoveGaps.java
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/MoveGaps.java
@@ -25,7 +25,8 @@
     /** The watch of the store shows a table a little after daemons may have seen it. */
     private static final long SEEN_LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
-    private record KeyHistory(KeyHash hash, List<CallRecord> calls, List<Execution> executions) {}
+    /** Calls of a key in due order, and its executions by the caller's request id, each list by start. */
+    private record KeyHistory(KeyHash hash, List<CallRecord> calls, Map<String, List<Execution>> executions) {}
 
     private final List<KeyHistory> keys = new ArrayList<>();
 
@@ -38,7 +39,9 @@
             ordered.sort(Comparator.comparingLong(CallRecord::intendedNanos));
             List<Execution> executed = new ArrayList<>(executionsOfKey.getOrDefault(key, List.of()));
             executed.sort(Comparator.comparingLong(Execution::startNanos));
-            keys.add(new KeyHistory(new Key(key).hash(), ordered, executed));
+            Map<String, List<Execution>> byRequest =
+                    executed.stream().collect(Collectors.groupingBy(Execution::callerRequestId));
+            keys.add(new KeyHistory(new Key(key).hash(), ordered, byRequest));
         });
     }
 
@@ -66,7 +69,8 @@
         List<KeyHistory> moved =
                 keys.stream().filter(k -> change.range().contains(k.hash())).toList();
         OptionalLong servedNanos = moved.stream()
-                .flatMap(k -> k.executions().stream())
+                .flatMap(k -> k.executions().values().stream())
+                .flatMap(List::stream)
                 .filter(e -> isByNewOwner(change, e))
                 .mapToLong(Execution::startNanos)
                 .min();
@@ -84,9 +88,7 @@
             if (call.intendedNanos() > servedNanos) {
                 return;
             }
-            List<Execution> own = key.executions().stream()
-                    .filter(e -> e.callerRequestId().equals(call.requestId()))
-                    .toList();
+            List<Execution> own = key.executions().getOrDefault(call.requestId(), List.of());
             if (own.stream().allMatch(e -> isByNewOwner(change, e))) {
                 long endNanos = own.isEmpty() ? servedNanos : own.get(0).startNanos();
                 gaps.add((endNanos - call.intendedNanos()) / NANOS_PER_MS);
--- a/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/OverloadExperiment.java
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/OverloadExperiment.java
@@ -39,7 +39,7 @@
         int capacityPerSecond = (int) (SLOTS * MS_PER_SECOND / settings.serviceMs());
         out.accept("capacity " + capacityPerSecond + "/s\n" + OverloadFigures.HEADING);
         for (long seed : settings.seeds()) {
-            try (ServiceSite site = new ServiceSite(specs())) {
+            try (ServiceSite site = new ServiceSite(specs(), settings.daemonFlags())) {
                 startSite(site);
                 load(site, capacityPerSecond / 2, WARM_UP_MS, settings.keys(), seed + 100)
                         .join();
--- a/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/PlacementExperiment.java
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/PlacementExperiment.java
@@ -60,7 +60,7 @@
     }
 
     private PlacementFigures run(String policy, long seed) {
-        try (ServiceSite site = new ServiceSite(specs());
+        try (ServiceSite site = new ServiceSite(specs(), settings.daemonFlags());
                 TableRecorder tables = new TableRecorder(site.store())) {
             startSite(site, policy);
             LoadPlan plan = new LoadPlan(
@@ -182,6 +182,7 @@
                 PlacementFigures.Gaps.of(gaps.planned(byLoss.get(false))),
                 PlacementFigures.Gaps.of(gaps.takeover(byLoss.get(true), events.killNanos())),
                 report.violations().stream().map(Object::toString).toList(),
+                report.perSecond().stream().map(LoadReport.Second::failed).toList(),
                 ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage());
     }
 
--- a/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/PlacementFigures.java
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/PlacementFigures.java
@@ -8,6 +8,7 @@
  * Result of one run of the placement experiment. Immutable. Times are milliseconds.
  *
  * @param failedByCode failed calls by result code
+ * @param failedPerSecond failed calls by the second in which they were due
  * @param loadAverage load average of the machine at the end of the run, which other programs share
  */
 record PlacementFigures(
@@ -26,6 +27,7 @@
         Gaps planned,
         Gaps takeover,
         List<String> violations,
+        List<Long> failedPerSecond,
         double loadAverage) {
     /** Gaps of keys. Immutable. */
     record Gaps(int keys, double p50Ms, double p99Ms, double maxMs) {
@@ -51,6 +53,7 @@
     PlacementFigures {
         failedByCode = Map.copyOf(failedByCode);
         violations = List.copyOf(violations);
+        failedPerSecond = List.copyOf(failedPerSecond);
     }
 
     /** A line of the table. */
--- a/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/ServiceSite.java
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/ServiceSite.java
@@ -52,12 +52,14 @@
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
     private final Map<String, CrankBackend> backends = new HashMap<>();
+    private final List<String> daemonFlags;
     private final Site site;
     private final FleetProbe probe;
     private final ObjectStore store;
 
     /** Starts the store; hosts are started by {@link #startHost} and {@link #startDaemon}. */
-    ServiceSite(List<HostSpec> specs) {
+    ServiceSite(List<HostSpec> specs, List<String> daemonFlags) {
+        this.daemonFlags = List.copyOf(daemonFlags);
         site = new Site(createDirectory(), specs);
         probe = new FleetProbe(site, group);
         store = PluginRegistry.load().get(Kind.STORE, "http").open(site.storeAddress(), STORE_TIMEOUT_MS);
@@ -82,7 +84,7 @@
     }
 
     void startDaemon(SiteHost host) {
-        host.startDaemon(List.of("--routing-log-lines-per-second", "0"));
+        host.startDaemon(daemonFlags);
     }
 
     /** Starts the daemon and the backend server of a host without waiting for them. */
