--- a/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/ServiceSite.java
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/ServiceSite.java
@@ -125,7 +125,7 @@
                 .join()
                 .map(o -> o.revision())
                 .orElse(Revision.NONE);
-        SubmitResult result = new SubmitNote(store, ENVIRONMENT, NOTE_TIMEOUT_MS)
+        SubmitResult result = new SubmitNote(store, () -> ENVIRONMENT, NOTE_TIMEOUT_MS)
                 .call("{\"id\":\"" + id + "\",\"basedOn\":" + base + "," + content + "}");
         if (!result.faults().isEmpty() || result.revision().equals(Revision.NONE)) {
             throw new IllegalStateException("note refused: " + result);
