Share waits and the run directory in the experiments

Change: it calls Waits and ServiceSite; behaviour is unchanged but for the text of the error when a wait is over. The tests of real processes do not use this module and were not run again.

--- a/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/FleetExperiment.java
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/FleetExperiment.java
@@ -3,16 +3,12 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.id.ServiceName;
@@ -38,8 +34,6 @@
 public final class FleetExperiment {
     private static final String SERVICE = "counter-desk";
     private static final int FAILURE_DOMAINS = 6;
-    private static final long START_LIMIT_MS = 120_000;
-    private static final long POLL_MS = 20;
     private static final double NANOS_PER_SECOND = 1e9;
     private static final double BYTES_PER_MB = 1e6;
 
@@ -55,20 +49,22 @@
     public void call(int size) {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
         List<CrankBackend> backends = new ArrayList<>();
-        Path directory = createDirectory();
+        Path directory = ServiceSite.createDirectory();
         try (Site site = new Site(directory, specs(size));
                 FleetProbe probe = new FleetProbe(site, group);
                 ObjectStore store =
                         PluginRegistry.load().get(Kind.STORE, "http").open(site.storeAddress(), 5_000)) {
             site.hosts().forEach(host -> host.startDaemon(List.of("--log-level", "WARNING")));
             site.hosts().forEach(host -> backends.add(backend(host)));
-            waitUntil(() -> site.hosts().stream().allMatch(h -> hasBackend(probe, h)));
+            Waits.until(
+                    "all daemons have a backend server",
+                    () -> site.hosts().stream().allMatch(h -> hasBackend(probe, h)));
             submit(
                     store,
                     "{\"id\":\"first\",\"basedOn\":0,\"add\":{\"services\":[{\"name\":\"" + SERVICE
                             + "\",\"keyed\":true}]}}");
-            waitUntil(() -> site.hosts().stream().allMatch(h -> serves(probe, h)));
-            sleep(settings.settleMs());
+            Waits.until("all hosts serve ranges", () -> site.hosts().stream().allMatch(h -> serves(probe, h)));
+            Waits.sleep(settings.settleMs());
             measureRest(size, probe);
             measureChanges(size, site, probe, store);
         } finally {
@@ -100,7 +96,7 @@
 
     private void measureRest(int size, FleetProbe probe) {
         Sample before = probe.sample();
-        sleep(settings.sampleMs());
+        Waits.sleep(settings.sampleMs());
         Sample after = probe.sample();
         double seconds = (after.atNanos() - before.atNanos()) / NANOS_PER_SECOND;
         double perDaemon = seconds * size;
@@ -129,7 +125,9 @@
                             + (100 + change)
                             + "}]}}");
             long acceptedNanos = System.nanoTime();
-            waitUntil(() -> site.hosts().stream().allMatch(h -> follows(probe, h, accepted)));
+            Waits.until(
+                    "the change is in force everywhere",
+                    () -> site.hosts().stream().allMatch(h -> follows(probe, h, accepted)));
             double everywhereMs = (System.nanoTime() - acceptedNanos) / 1e6;
             Sample after = probe.sample();
             out.accept(String.format(
@@ -165,31 +163,4 @@
                 .map(s -> s.configurationRevision().compareTo(revision) >= 0)
                 .orElse(false);
     }
-
-    private static void waitUntil(BooleanSupplier condition) {
-        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_LIMIT_MS);
-        while (!condition.getAsBoolean()) {
-            if (System.nanoTime() - deadlineNanos > 0) {
-                throw new IllegalStateException("the fleet is not ready after " + START_LIMIT_MS + " ms");
-            }
-            sleep(POLL_MS);
-        }
-    }
-
-    private static void sleep(long ms) {
-        try {
-            Thread.sleep(ms);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IllegalStateException(e);
-        }
-    }
-
-    private static Path createDirectory() {
-        try {
-            return Files.createTempDirectory("crank-experiment");
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
--- a/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/ServiceSite.java
+++ b/org.coriandercrank.experiment/src/main/java/org/coriandercrank/experiment/internal/ServiceSite.java
@@ -136,7 +136,8 @@
         return LedgerReader.read(site.hosts().stream().map(SiteHost::ledgerFile).toList());
     }
 
-    private static Path createDirectory() {
+    /** A new directory for logs and ledgers; it is kept after the run. */
+    static Path createDirectory() {
         try {
             return Files.createTempDirectory("crank-experiment");
         } catch (IOException e) {
