--- a/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/BackendServerContract.java
+++ b/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/BackendServerContract.java
@@ -90,7 +90,8 @@
                         "value".getBytes(StandardCharsets.UTF_8),
                         remainingMs,
                         Optional.empty(),
-                        OptionalLong.empty()),
+                        OptionalLong.empty(),
+                        Optional.empty()),
                 new Generation(fence));
     }
 
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlOptions.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlOptions.java
@@ -16,6 +16,8 @@
  * @param storeTimeoutMs limit of a read or write of the store
  * @param listTimeoutMs limit of a listing of the store
  * @param watchWaitMs how long a watch waits for a change
+ * @param configurationWaitMs how long a daemon that is no relay waits for a change of the configuration at the store
+ *     itself; 0 if it learns of changes from peers only
  * @param pushSpacingMs least time between a heartbeat and an early one that carries news
  * @param maxWitnessedMembers members whose votes are remembered by this daemon as witness
  */
@@ -31,10 +33,11 @@
         long storeTimeoutMs,
         long listTimeoutMs,
         long watchWaitMs,
+        long configurationWaitMs,
         long pushSpacingMs,
         int maxWitnessedMembers) {
     public static final ControlOptions DEFAULT =
-            new ControlOptions(2_000, 500, 105, 50, 200, 1_500, 10_000, 60_000, 500, 3_000, 1_000, 200, 4_096);
+            new ControlOptions(2_000, 500, 105, 50, 200, 1_500, 10_000, 60_000, 500, 3_000, 1_000, 0, 200, 4_096);
 
     public ControlOptions {
         requirePositive("tickMs", tickMs);
@@ -67,6 +70,26 @@
                 storeTimeoutMs,
                 listTimeoutMs,
                 watchWaitMs,
+                configurationWaitMs,
+                pushSpacingMs,
+                maxWitnessedMembers);
+    }
+
+    /** These options with other waits of watches. */
+    public ControlOptions withWatches(long newWatchWaitMs, long newConfigurationWaitMs) {
+        return new ControlOptions(
+                ttlMs,
+                heartbeatMs,
+                marginPercent,
+                tickMs,
+                takeoverRankDelayMs,
+                witnessLostMs,
+                witnessRetryMs,
+                rebalanceMs,
+                storeTimeoutMs,
+                listTimeoutMs,
+                newWatchWaitMs,
+                newConfigurationWaitMs,
                 pushSpacingMs,
                 maxWitnessedMembers);
     }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlPlane.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlPlane.java
@@ -1,6 +1,7 @@
 package org.coriandercrank.control;
 
 import java.security.SecureRandom;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
@@ -22,20 +23,37 @@
 public final class ControlPlane implements AutoCloseable {
     private static final int RING_CAPACITY = 16_384;
 
+    private final ControlContext context;
     private final ControlLoop loop;
     private final Runnable closeThread;
 
-    private ControlPlane(ControlLoop loop, Runnable closeThread) {
-        this.loop = loop;
+    private ControlPlane(ControlContext context, boolean joins, Runnable closeThread) {
+        this.context = context;
+        Optional<MemberChoice> initial =
+                joins ? Optional.of(new MemberChoice(ControlLoop.newMemberId(context), false)) : Optional.empty();
+        this.loop = new ControlLoop(context, initial);
         this.closeThread = closeThread;
     }
 
     /** A control plane on a thread of its own, with handlers registered but not started. */
     public static ControlPlane create(ControlOptions options, HostIdentity identity, ControlServices services) {
+        return create(options, identity, services, true);
+    }
+
+    /**
+     * A control plane on a thread of its own that joins only after {@link #rejoin(MemberChoice)}. Until then it keeps its
+     * view of the other members up to date.
+     */
+    public static ControlPlane createWaiting(ControlOptions options, HostIdentity identity, ControlServices services) {
+        return create(options, identity, services, false);
+    }
+
+    private static ControlPlane create(
+            ControlOptions options, HostIdentity identity, ControlServices services, boolean joins) {
         DutyThread thread = new DutyThread("control", RING_CAPACITY);
         Random random = new Random(new SecureRandom().nextLong());
         ControlContext context = new ControlContext(options, identity, services, thread, random);
-        return new ControlPlane(new ControlLoop(context), thread::close);
+        return new ControlPlane(context, joins, thread::close);
     }
 
     /**
@@ -47,7 +65,7 @@
     public static ControlPlane create(
             ControlOptions options, HostIdentity identity, ControlServices services, Executor executor, Random random) {
         ControlContext context = new ControlContext(options, identity, services, executor, random);
-        return new ControlPlane(new ControlLoop(context), () -> {});
+        return new ControlPlane(context, true, () -> {});
     }
 
     /** Starts listing, joining and all periodic work. */
@@ -92,9 +110,19 @@
         return loop.sealSelf();
     }
 
+    /** Ends the incarnation at once and leaves its record, for the next incarnation of this host to seal. */
+    public CompletableFuture<Void> abandon() {
+        return loop.abandon();
+    }
+
     /** Joins under a new id after the former incarnation ended; fails with {@code INTERNAL} if it has not. */
     public CompletableFuture<MemberId> rejoin() {
-        return loop.rejoin();
+        return rejoin(new MemberChoice(ControlLoop.newMemberId(context), false));
+    }
+
+    /** Joins under a chosen id; the former incarnation must have ended, or never have started. */
+    public CompletableFuture<MemberId> rejoin(MemberChoice choice) {
+        return loop.rejoin(choice);
     }
 
     /** State for operators, at most one tick old. */
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlServices.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlServices.java
@@ -5,13 +5,31 @@
 import org.coriandercrank.kernel.peer.PeerClient;
 import org.coriandercrank.kernel.peer.PeerHandlers;
 import org.coriandercrank.kernel.store.ObjectStore;
+import org.coriandercrank.kernel.time.MonotonicClock;
 import org.coriandercrank.kernel.time.TimerService;
 
-/** What the control plane uses of its daemon; owned and closed by the daemon. Immutable. */
+/**
+ * What the control plane uses of its daemon; owned and closed by the daemon. Immutable.
+ *
+ * @param holderClock clock of the own lease; it should count the time in which the host was suspended, because the votes
+ *     of witnesses lapse in that time
+ */
 public record ControlServices(
         ObjectStore store,
         PeerClient peers,
         PeerHandlers handlers,
         TimerService timers,
         DecisionLog log,
-        MeterRegistry metrics) {}
+        MeterRegistry metrics,
+        MonotonicClock holderClock) {
+    /** Services whose own lease is measured by the clock of the timers. */
+    public ControlServices(
+            ObjectStore store,
+            PeerClient peers,
+            PeerHandlers handlers,
+            TimerService timers,
+            DecisionLog log,
+            MeterRegistry metrics) {
+        this(store, peers, handlers, timers, log, metrics, timers.clock());
+    }
+}
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlContext.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlContext.java
@@ -28,6 +28,11 @@
         return services.timers().clock().nowNanos();
     }
 
+    /** Time on the clock of the own lease. */
+    public long holderNowNanos() {
+        return services.holderClock().nowNanos();
+    }
+
     /** Runs a task on the control thread; one that finds the ring full is retried, because its result is awaited. */
     public void deliver(Runnable task) {
         try {
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
@@ -1,11 +1,13 @@
 package org.coriandercrank.control.internal;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.coriandercrank.control.ControlStatus;
+import org.coriandercrank.control.MemberChoice;
 import org.coriandercrank.control.SealListener;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
@@ -44,15 +46,24 @@
     private final Dissemination dissemination;
     private final ControlMetrics metrics;
     private final TakeoverDuty takeovers;
+    private final PredecessorDuty predecessors;
     private final List<SealListener> sealListeners = new CopyOnWriteArrayList<>();
     private volatile Membership membership;
     private volatile ControlStatus status;
     private volatile TimerService.Subscription timer = () -> {};
     private long lastTickNanos;
-
-    public ControlLoop(ControlContext context) {
+    private boolean mayJoin;
+
+    /**
+     * A loop.
+     *
+     * @param initial the id to join under; if empty, the daemon joins only after {@link #rejoin}
+     */
+    public ControlLoop(ControlContext context, Optional<MemberChoice> initial) {
         this.context = context;
-        MemberId self = newMemberId();
+        mayJoin = initial.isPresent();
+        MemberChoice choice = initial.orElseGet(() -> new MemberChoice(newMemberId(context), false));
+        MemberId self = choice.id();
         view = new ClusterView(context, self);
         metrics = new ControlMetrics(
                 context.services().metrics(),
@@ -60,9 +71,10 @@
                 () -> status.takeovers().size());
         dissemination = new Dissemination(context, view, metrics);
         takeovers = new TakeoverDuty(context, view, metrics, self);
-        membership = newMembership(self);
+        predecessors = new PredecessorDuty(context, view);
+        membership = newMembership(choice);
         lastTickNanos = context.nowNanos();
-        status = buildStatus(lastTickNanos);
+        status = buildStatus();
         registerHandlers(context.services().handlers());
         view.subscribe(this::viewChanged);
     }
@@ -81,7 +93,7 @@
     }
 
     public LeaseView lease() {
-        return () -> membership.validUntilNanos();
+        return () -> context.nowNanos() + membership.validUntilNanos() - context.holderNowNanos();
     }
 
     public void onSealed(SealListener listener) {
@@ -100,19 +112,30 @@
         return context.answer(() -> membership.sealSelf()).thenCompose(done -> done);
     }
 
-    /** Replaces an ended membership by a new one under a new id. */
-    public CompletableFuture<MemberId> rejoin() {
+    /**
+     * Ends the membership of this process at once and leaves its record; the next incarnation seals it after it has
+     * joined. Only for an incarnation that may be resumed, which nobody else does.
+     */
+    public CompletableFuture<Void> abandon() {
+        return context.answer(() -> {
+            membership.abandon();
+            return null;
+        });
+    }
+
+    /** Replaces a membership that has ended or was never started by one under another id. */
+    public CompletableFuture<MemberId> rejoin(MemberChoice choice) {
         return context.answer(() -> {
-            if (!membership.isEnded()) {
+            if (membership.isStarted() && !membership.isEnded()) {
                 throw new CrankException(ResultCode.INTERNAL, "incarnation " + membership.id() + " has not ended");
             }
             MemberId former = membership.id();
-            MemberId self = newMemberId();
-            membership = newMembership(self);
-            takeovers.restart(self);
-            view.setSelf(self);
-            context.log(() -> "event=rejoin former=" + former + " member=" + self);
-            return self;
+            mayJoin = true;
+            membership = newMembership(choice);
+            takeovers.restart(choice.id());
+            view.setSelf(choice.id());
+            context.log(() -> "event=rejoin former=" + former + " member=" + choice.id());
+            return choice.id();
         });
     }
 
@@ -125,13 +148,14 @@
         timer.cancel();
     }
 
-    private MemberId newMemberId() {
+    /** A member id that no other incarnation has. */
+    public static MemberId newMemberId(ControlContext context) {
         return new MemberId(context.identity().name() + "-"
                 + Long.toString(context.random().nextLong(MEMBER_ID_RANDOM_BOUND), Character.MAX_RADIX));
     }
 
-    private Membership newMembership(MemberId self) {
-        return new Membership(context, self, view, dissemination, metrics, this::sealed);
+    private Membership newMembership(MemberChoice choice) {
+        return new Membership(context, choice, view, dissemination, metrics, this::sealed);
     }
 
     private void registerHandlers(PeerHandlers handlers) {
@@ -161,7 +185,7 @@
 
     private void refused(RefusalNotice notice) {
         if (notice.member().equals(membership.id())) {
-            membership.refused(notice.recordRevision(), context.nowNanos());
+            membership.refused(notice.recordRevision(), context.holderNowNanos());
         }
     }
 
@@ -172,15 +196,20 @@
         if (gapNanos > PAUSE_NANOS) {
             context.log(() ->
                     "event=control-pause gapMs=" + gapNanos / NANOS_PER_MS + " leaseRemainingMs=" + leaseRemainingMs());
-            membership.resumed(now);
+            membership.resumed(context.holderNowNanos());
             takeovers.resumed(now);
         }
-        membership.tick(now);
+        if (mayJoin) {
+            membership.tick(context.holderNowNanos());
+        }
         if (dissemination.isListed()) {
             takeovers.tick(now);
+            if (membership.isJoined() && membership.mayResume()) {
+                predecessors.tick(membership.id());
+            }
         }
         dissemination.tick(membership.wanted(), membership.suspects(), now);
-        status = buildStatus(now);
+        status = buildStatus();
     }
 
     private void viewChanged(RoutingSnapshot snapshot) {
@@ -193,11 +222,12 @@
     }
 
     private long leaseRemainingMs() {
-        long remaining = membership.validUntilNanos() - context.nowNanos();
+        long remaining = membership.validUntilNanos() - context.holderNowNanos();
         return Math.max(0, remaining / NANOS_PER_MS);
     }
 
-    private ControlStatus buildStatus(long nowNanos) {
+    private ControlStatus buildStatus() {
+        long nowNanos = context.holderNowNanos();
         Member wanted = membership.wanted();
         List<ControlStatus.WitnessStatus> witnesses = wanted.witnesses().stream()
                 .map(witness -> new ControlStatus.WitnessStatus(witness, voteAgeMs(witness, nowNanos)))
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -19,7 +19,8 @@
 
 /**
  * Keeps the {@link ClusterView} up to date: lists the store at start, then watches it as relay of the region or as
- * fallback, and else fetches from peers whose digest is ahead.
+ * fallback, and else fetches from peers whose digest is ahead. Where the options say so, each daemon watches the
+ * configuration itself, so that a change is in force without waiting for a relay.
  *
  * <p>A digest names the revisions up to which a daemon knows every change. Watches that end without a change advance it
  * too, so a daemon that is connected to a working relay sees it advance about once per {@code watchWaitMs}, and a digest
@@ -117,7 +118,10 @@
             if (!feed.listed) {
                 list(feed);
             } else if (isWatching()) {
-                watch(feed);
+                watch(feed, context.options().watchWaitMs());
+            } else if (feed.kind == FetchObject.Kind.CONFIGURATION
+                    && context.options().configurationWaitMs() > 0) {
+                watch(feed, context.options().configurationWaitMs());
             }
         }
     }
@@ -195,9 +199,8 @@
                 });
     }
 
-    private void watch(Feed feed) {
+    private void watch(Feed feed, long waitMs) {
         feed.storeCallInFlight = true;
-        long waitMs = context.options().watchWaitMs();
         Revision after = view.completeUpTo(feed.kind);
         context.call(
                 () -> context.services().store().watch(ClusterView.prefix(feed.kind), after, waitMs),
@@ -217,7 +220,7 @@
         long now = context.nowNanos();
         feed.retryAtNanos = now;
         ObjectData data = new ObjectData(feed.kind, batch.upTo(), batch.reset(), batch.changes());
-        if (!apply(feed.kind, data, now)) {
+        if (!apply(feed.kind, data, now) && isWatching()) {
             storeIsIdle(now);
         }
     }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.coriandercrank.control.MemberChoice;
 import org.coriandercrank.control.SealListener;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
@@ -33,7 +34,7 @@
  * The membership and lease of one incarnation of this daemon: drives a {@link LeaseHolder} and chooses its witnesses.
  *
  * <p>Invariant: the published lease end is that of the holder after its latest event, and is published before the actions
- * of the event are carried out. {@link #validUntilNanos} is thread safe; all else runs on the control thread. A member
+ * of the event are carried out. Times are those of the holder clock. {@link #validUntilNanos} is thread safe; all else runs on the control thread. A member
  * that was sealed stays so; the daemon joins again with a new instance.
  */
 public final class Membership implements LeaseView {
@@ -47,8 +48,10 @@
     private final ControlMetrics metrics;
     private final SealListener sealListener;
     private final MemberId id;
+    private final boolean mayResume;
     private final Map<MemberId, Long> namedNanos = new HashMap<>();
     private final Map<MemberId, Long> suspectUntilNanos = new HashMap<>();
+    private final long startedNanos;
     private final CompletableFuture<Void> leaving = new CompletableFuture<>();
     private final CompletableFuture<Void> sealed = new CompletableFuture<>();
     private Optional<LeaseHolder> holder = Optional.empty();
@@ -59,22 +62,25 @@
     private long rebalanceNanos;
     private long lastHeartbeatNanos;
     private long aliveSinceNanos;
+    private boolean abandoned;
     private volatile long validUntilNanos;
 
     public Membership(
             ControlContext context,
-            MemberId id,
+            MemberChoice choice,
             ClusterView view,
             Dissemination dissemination,
             ControlMetrics metrics,
             SealListener sealListener) {
         this.context = context;
-        this.id = id;
+        this.id = choice.id();
+        this.mayResume = choice.mayResume();
         this.view = view;
         this.dissemination = dissemination;
         this.metrics = metrics;
         this.sealListener = sealListener;
-        long now = context.nowNanos();
+        long now = context.holderNowNanos();
+        this.startedNanos = now;
         this.validUntilNanos = now;
         this.aliveSinceNanos = now;
         this.reviewedNanos = now;
@@ -96,6 +102,10 @@
         return validUntilNanos;
     }
 
+    public boolean mayResume() {
+        return mayResume;
+    }
+
     public MemberId id() {
         return id;
     }
@@ -106,7 +116,12 @@
     }
 
     public boolean isEnded() {
-        return holder.map(LeaseHolder::isEnded).orElse(false);
+        return abandoned || holder.map(LeaseHolder::isEnded).orElse(false);
+    }
+
+    /** Whether the daemon has begun to write its record. */
+    public boolean isStarted() {
+        return holder.isPresent();
     }
 
     public boolean isJoined() {
@@ -179,6 +194,14 @@
         return sealed;
     }
 
+    /** Gives up the lease without writing; results of calls that are still on their way change nothing. */
+    public void abandon() {
+        abandoned = true;
+        validUntilNanos = startedNanos;
+        leaving.complete(null);
+        sealed.complete(null);
+    }
+
     /** A witness refused this member. */
     public void refused(Revision recordRevision, long nowNanos) {
         context.log(() -> "event=refusal-received member=" + id + " revision=" + recordRevision);
@@ -195,7 +218,7 @@
 
     private void join(long nowNanos) {
         wanted = wanted.withWitnesses(chooseWitnesses(false));
-        holder = Optional.of(new LeaseHolder(context.options().leaseTiming(), wanted, nowNanos));
+        holder = Optional.of(new LeaseHolder(context.options().leaseTiming(), wanted, nowNanos, mayResume));
         noteNamed(nowNanos);
         context.log(() -> "event=join member=" + id + " state=" + wanted.state() + " witnesses=" + wanted.witnesses());
         perform(holder.get().tick(nowNanos));
@@ -208,7 +231,7 @@
         wanted = record;
         holder.ifPresent(lease -> {
             lease.setDesired(record);
-            perform(lease.tick(context.nowNanos()));
+            perform(lease.tick(context.holderNowNanos()));
         });
     }
 
@@ -277,6 +300,9 @@
     }
 
     private void perform(List<HolderAction> actions) {
+        if (abandoned) {
+            return;
+        }
         validUntilNanos = holder.orElseThrow().validUntilNanos();
         for (HolderAction action : actions) {
             if (action instanceof HolderAction.SendHeartbeat heartbeat) {
@@ -292,7 +318,7 @@
     }
 
     private void sendHeartbeat(HolderAction.SendHeartbeat action) {
-        lastHeartbeatNanos = context.nowNanos();
+        lastHeartbeatNanos = context.holderNowNanos();
         view.member(action.witness()).ifPresent(record -> {
             metrics.heartbeatSent();
             PeerTarget target = PeerTarget.of(record.member());
@@ -312,7 +338,7 @@
     private void heartbeatAnswered(HeartbeatAck ack) {
         suspectUntilNanos.remove(ack.witness());
         perform(holder.orElseThrow()
-                .heartbeatAnswered(ack.witness(), ack.sequence(), ack.granted(), context.nowNanos()));
+                .heartbeatAnswered(ack.witness(), ack.sequence(), ack.granted(), context.holderNowNanos()));
         dissemination.peerDigest(ack.witness(), ack.digest());
     }
 
@@ -325,7 +351,7 @@
                         .put(ObjectNames.member(id), JsonCodec.encode(write.record()), write.expected()),
                 context.options().storeTimeoutMs(),
                 (revision, failure) -> {
-                    long now = context.nowNanos();
+                    long now = context.holderNowNanos();
                     if (failure == null) {
                         perform(lease.writeSucceeded(write.operation(), revision, now));
                         view.applyMember(new KnownMember(write.record(), revision));
@@ -358,7 +384,7 @@
                         .thenApply(object -> object.map(Membership::decode)),
                 context.options().storeTimeoutMs(),
                 (found, failure) -> {
-                    long now = context.nowNanos();
+                    long now = context.holderNowNanos();
                     if (failure != null) {
                         lease.readFailed(read.operation(), now);
                         return;
@@ -385,7 +411,6 @@
     }
 
     private void ended(String reason) {
-        validUntilNanos = holder.orElseThrow().validUntilNanos();
         metrics.incarnationEnded();
         logger.atInfo().log("event=incarnation-ended member=%s reason=%s", id, reason);
         leaving.complete(null);
--- /dev/null
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/test/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the parts of the daemon that decide without input and output. */
+package org.coriandercrank.daemon.test;
--- /dev/null
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/ServerWatch.java
@@ -0,0 +1,170 @@
+package org.coriandercrank.daemon;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Decides from the heartbeats of the backend server on this host which member the daemon is.
+ *
+ * <p>A pure state machine with time as argument; not thread safe. Invariants: a member belongs to one incarnation of the
+ * server; a server that was silent for longer than its grants can last, or that returns after it announced its leaving,
+ * gets another member; a heartbeat of an earlier incarnation than the present one changes nothing.
+ */
+public final class ServerWatch {
+    /** What the daemon has to do, in order. */
+    public sealed interface Action {
+        /**
+         * Use the server and join as a member of its own.
+         *
+         * @param joinAfterMs time in which the server may still hold what it got under the member before
+         */
+        record Attach(ServerIncarnation server, int life, long joinAfterMs) implements Action {}
+
+        /**
+         * Drop the server and end the member.
+         *
+         * @param replaced whether another member of this host follows at once
+         */
+        record Detach(String reason, boolean replaced) implements Action {}
+
+        /** Ask the planner to move all ranges away; the server still works. */
+        record Leave(ServerIncarnation server) implements Action {}
+
+        /** Send the server no further request. */
+        record Drain(ServerIncarnation server) implements Action {}
+
+        /** Join without a server, so that requests of this host are routed. */
+        record JoinAlone() implements Action {}
+    }
+
+    /**
+     * Times. Immutable.
+     *
+     * @param silenceMs time without a heartbeat after which no grant can be valid any more
+     * @param aloneMs time without a server after which the daemon joins without one
+     * @param drainAfterMs time after the announcement of its leaving in which the server still gets requests
+     */
+    public record Times(long silenceMs, long aloneMs, long drainAfterMs) {}
+
+    private final Times times;
+    private Optional<ServerIncarnation> current = Optional.empty();
+    private Optional<ServerIncarnation> former = Optional.empty();
+    private int life;
+    private boolean leaving;
+    private boolean drained;
+    private boolean alone;
+    private long heardNanos;
+    private long leavingSinceNanos;
+    private long withoutServerSinceNanos;
+
+    public ServerWatch(Times times, long nowNanos) {
+        this.times = times;
+        this.withoutServerSinceNanos = nowNanos;
+    }
+
+    /** The server that the daemon uses. */
+    public Optional<ServerIncarnation> current() {
+        return current;
+    }
+
+    /** A heartbeat. */
+    public List<Action> heard(ServerIncarnation server, boolean serverLeaves, long nowNanos) {
+        List<Action> actions = new ArrayList<>();
+        if (isOutdated(server)) {
+            return actions;
+        }
+        boolean returned = leaving && !serverLeaves && current.equals(Optional.of(server));
+        if (returned || (current.isPresent() && !current.get().equals(server))) {
+            detach(returned ? "server-returned" : "server-replaced", true, nowNanos, actions);
+        }
+        heardNanos = nowNanos;
+        if (current.isEmpty()) {
+            attach(server, returned ? times.silenceMs() : 0, actions);
+        }
+        if (serverLeaves) {
+            leave(nowNanos, actions);
+        }
+        return actions;
+    }
+
+    /** The server said that it will end. */
+    public List<Action> departed(ServerIncarnation server, long nowNanos) {
+        List<Action> actions = new ArrayList<>();
+        if (current.equals(Optional.of(server))) {
+            leave(nowNanos, actions);
+        }
+        return actions;
+    }
+
+    /** Others sealed the member; a living server goes on under another one. */
+    public List<Action> sealed(long nowNanos) {
+        List<Action> actions = new ArrayList<>();
+        Optional<ServerIncarnation> server = current;
+        if (server.isPresent()) {
+            boolean wasLeaving = leaving;
+            detach("sealed-by-others", !wasLeaving, nowNanos, actions);
+            if (!wasLeaving) {
+                attach(server.get(), 0, actions);
+            }
+        } else if (alone) {
+            alone = false;
+            withoutServerSinceNanos = nowNanos;
+        }
+        return actions;
+    }
+
+    /** What is due by time. */
+    public List<Action> tick(long nowNanos) {
+        List<Action> actions = new ArrayList<>();
+        if (current.isPresent() && isOver(heardNanos, times.silenceMs(), nowNanos)) {
+            detach("server-silent", false, nowNanos, actions);
+        }
+        if (leaving && !drained && isOver(leavingSinceNanos, times.drainAfterMs(), nowNanos)) {
+            drained = true;
+            actions.add(new Action.Drain(current.orElseThrow()));
+        }
+        if (current.isEmpty() && !alone && isOver(withoutServerSinceNanos, times.aloneMs(), nowNanos)) {
+            alone = true;
+            actions.add(new Action.JoinAlone());
+        }
+        return actions;
+    }
+
+    private boolean isOutdated(ServerIncarnation server) {
+        Optional<ServerIncarnation> newest = current.isPresent() ? current : former;
+        return newest.isPresent() && server.bornMs() < newest.get().bornMs();
+    }
+
+    private void attach(ServerIncarnation server, long joinAfterMs, List<Action> actions) {
+        if (alone) {
+            actions.add(new Action.Detach("server-arrived", true));
+        }
+        alone = false;
+        life = former.equals(Optional.of(server)) ? life + 1 : 1;
+        current = Optional.of(server);
+        actions.add(new Action.Attach(server, life, joinAfterMs));
+    }
+
+    private void leave(long nowNanos, List<Action> actions) {
+        if (!leaving) {
+            leaving = true;
+            drained = false;
+            leavingSinceNanos = nowNanos;
+            actions.add(new Action.Leave(current.orElseThrow()));
+        }
+    }
+
+    private void detach(String reason, boolean replaced, long nowNanos, List<Action> actions) {
+        former = current;
+        current = Optional.empty();
+        leaving = false;
+        withoutServerSinceNanos = nowNanos;
+        actions.add(new Action.Detach(reason, replaced));
+    }
+
+    private static boolean isOver(long sinceNanos, long ms, long nowNanos) {
+        return nowNanos - sinceNanos >= TimeUnit.MILLISECONDS.toNanos(ms);
+    }
+}
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Daemon.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Daemon.java
@@ -9,10 +9,17 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.coriandercrank.control.ControlOptions;
+import org.coriandercrank.control.HostIdentity;
+import org.coriandercrank.daemon.DaemonHost;
+import org.coriandercrank.daemon.HostOptions;
+import org.coriandercrank.daemon.HostServices;
 import org.coriandercrank.http.HttpServer;
 import org.coriandercrank.http.HttpServerOptions;
+import org.coriandercrank.kernel.backend.BackendServer;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.log.DecisionLog;
 import org.coriandercrank.kernel.plugin.PluginRegistry;
@@ -25,9 +32,9 @@
 import org.coriandercrank.kernel.time.TimerService;
 
 /**
- * A daemon process: one incarnation at a time, and the admin endpoint that outlives them.
+ * A daemon process with the product's own adapters and admin endpoint.
  *
- * <p>Thread safe; the change of incarnations runs on the duty thread {@code lifecycle}.
+ * <p>Thread safe; a sealed member is replaced on the duty thread {@code lifecycle}.
  */
 public final class Daemon implements AdminEndpoint.Source, AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -39,38 +46,54 @@
     private final TimerService timers = new SystemTimerService();
     private final EventLoopGroup group;
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-    private final Incarnation.Environment environment;
+    private final PluginRegistry plugins = PluginRegistry.load();
+    private final ObjectStore store;
     private final HttpServer admin;
-    private volatile Incarnation incarnation;
+    private final DaemonHost host;
     private volatile boolean leaving;
 
     /** Starts a daemon; blocks until its ports are bound. */
     public Daemon(DaemonSettings settings) {
         this.settings = settings;
         group = new MultiThreadIoEventLoopGroup(settings.ioThreads(), NioIoHandler.newFactory());
-        PluginRegistry plugins = PluginRegistry.load();
-        ObjectStore store =
-                plugins.get(Kind.STORE, settings.storeAdapter()).open(settings.store(), settings.storeTimeoutMs());
-        environment = new Incarnation.Environment(
-                settings,
+        store = plugins.get(Kind.STORE, settings.storeAdapter()).open(settings.store(), settings.storeTimeoutMs());
+        new JvmMemoryMetrics().bindTo(metrics);
+        new ProcessorMetrics().bindTo(metrics);
+        host = new DaemonHost(hostOptions(settings), hostServices(), () -> lifecycle.offer(this::replaceMember));
+        admin = HttpServer.listen(
+                group, settings.adminListen(), HttpServerOptions.DEFAULTS, new AdminEndpoint(() -> this, metrics));
+        host.start(settings.callerListen());
+    }
+
+    private HostServices hostServices() {
+        return new HostServices(
                 group,
                 timers,
                 plugins,
                 store,
                 metrics,
                 new DecisionLog(settings.routingLogLinesPerSecond(), timers.clock()),
-                new DecisionLog(PLACEMENT_LOG_LINES_PER_SECOND, timers.clock()));
-        new JvmMemoryMetrics().bindTo(metrics);
-        new ProcessorMetrics().bindTo(metrics);
-        incarnation = create();
-        admin = HttpServer.listen(
-                group, settings.adminListen(), HttpServerOptions.DEFAULTS, new AdminEndpoint(() -> this, metrics));
-        incarnation.start();
+                new DecisionLog(PLACEMENT_LOG_LINES_PER_SECOND, timers.clock()),
+                timers.clock());
+    }
+
+    private static HostOptions hostOptions(DaemonSettings settings) {
+        HostIdentity identity = new HostIdentity(
+                settings.hostName(),
+                settings.peerAdvertise(),
+                settings.callerListen(),
+                settings.adminListen(),
+                settings.region(),
+                settings.failureDomain());
+        return HostOptions.defaults(
+                identity,
+                settings.peerListen(),
+                ControlOptions.DEFAULT.withLease(settings.ttlMs(), settings.heartbeatMs(), settings.marginPercent()));
     }
 
     @Override
     public DaemonStatus status() {
-        return incarnation.status();
+        return host.status();
     }
 
     @Override
@@ -78,23 +101,41 @@
         if (leaving) {
             return Readiness.DRAINING;
         }
-        return incarnation.hasConfiguration() ? Readiness.READY : Readiness.STARTING;
+        return host.hasConfiguration() ? Readiness.READY : Readiness.STARTING;
     }
 
+    /**
+     * Uses a backend server that announced itself; an unchanged announcement has no effect.
+     *
+     * <p>The member is announced as owner of the server only after the server answered, or failed to answer, one health
+     * call. This call opens connections and loads classes; without it the first grant could exceed its time-out of
+     * 300 ms while ranges were already moving here. The health itself is not used, because it may mislead.
+     */
     @Override
     public void announce(BackendInfo info) {
-        incarnation.announce(info);
+        if (host.backend().equals(Optional.of(info))) {
+            return;
+        }
+        BackendServer server =
+                plugins.get(Kind.BACKEND, settings.backendAdapter()).connect(info);
+        host.attach(info, server);
+        server.health().whenComplete((health, failure) -> {
+            if (host.backend().equals(Optional.of(info))) {
+                host.announce();
+                logger.atInfo().log("event=backend-attached backend=%s service=%s", info.name(), info.service());
+            }
+        });
     }
 
     /** A planned stop, bounded by the drain time-out of the settings; blocks. */
     public void leave() {
         leaving = true;
-        logger.atInfo().log("event=leaving member=%s", incarnation.self());
+        logger.atInfo().log("event=leaving member=%s", host.self());
         try {
-            incarnation.leave().get(settings.drainTimeoutMs(), TimeUnit.MILLISECONDS);
-            logger.atInfo().log("event=left member=%s", incarnation.self());
+            plannedStop().get(settings.drainTimeoutMs(), TimeUnit.MILLISECONDS);
+            logger.atInfo().log("event=left member=%s", host.self());
         } catch (TimeoutException e) {
-            logger.atWarning().log("event=leave-timeout member=%s", incarnation.self());
+            logger.atWarning().log("event=leave-timeout member=%s", host.self());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (java.util.concurrent.ExecutionException e) {
@@ -102,29 +143,31 @@
         }
     }
 
-    private Incarnation create() {
-        return new Incarnation(environment, () -> lifecycle.offer(this::replace));
+    /** Ranges move away and requests in flight finish, then the record is sealed; the caller bounds the time. */
+    private CompletableFuture<Void> plannedStop() {
+        host.stopAccepting();
+        return host.leave()
+                .thenCompose(done -> host.awaitNoRanges(settings.drainTimeoutMs()))
+                .thenCompose(done -> CompletableFuture.allOf(host.drainGate(), host.drainCallers()))
+                .thenCompose(done -> host.retireMember());
     }
 
-    private void replace() {
-        if (leaving) {
-            return;
+    private void replaceMember() {
+        if (!leaving) {
+            host.replaceMember().whenComplete((done, failure) -> {
+                if (failure != null) {
+                    logger.atSevere().withCause(failure).log("event=rejoin-failed");
+                }
+            });
         }
-        Incarnation old = incarnation;
-        Optional<BackendInfo> backend = old.backend();
-        old.close();
-        Incarnation next = create();
-        backend.ifPresent(next::announce);
-        next.start();
-        incarnation = next;
     }
 
     @Override
     public void close() {
         lifecycle.close();
         admin.close();
-        incarnation.close();
-        environment.store().close();
+        host.close();
+        store.close();
         timers.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/LocalGate.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/LocalGate.java
@@ -14,6 +14,7 @@
 import org.coriandercrank.kernel.id.ServiceName;
 import org.coriandercrank.kernel.message.OutcomeAnswer;
 import org.coriandercrank.kernel.message.OutcomeQuery;
+import org.coriandercrank.kernel.ownership.GateLoad;
 import org.coriandercrank.kernel.ownership.GateStatus;
 import org.coriandercrank.kernel.ownership.InheritedRecords;
 import org.coriandercrank.kernel.ownership.OwnerGate;
@@ -27,13 +28,13 @@
  * The gate of this host, which exists from the first announcement of a backend server on. Thread safe. Before that,
  * requests are refused and outcome queries get {@code UNKNOWN}.
  */
-final class LocalGate implements OwnerGate, AutoCloseable {
+public final class LocalGate implements OwnerGate, AutoCloseable {
     private static final GateStatus NO_GATE = new GateStatus(false, false, 0, 0, List.of());
 
     private final Function<ServiceName, Gate> factory;
     private final AtomicReference<Gate> gate = new AtomicReference<>();
 
-    LocalGate(Function<ServiceName, Gate> factory) {
+    public LocalGate(Function<ServiceName, Gate> factory) {
         this.factory = factory;
     }
 
@@ -66,6 +67,16 @@
         current.attach(info, server);
     }
 
+    @Override
+    public void detach() {
+        find().ifPresent(Gate::detach);
+    }
+
+    @Override
+    public void stopSending() {
+        find().ifPresent(Gate::stopSending);
+    }
+
     @Override
     public CompletableFuture<Void> acquire(KeyRange range, Generation fence, InheritedRecords inherited) {
         return find().map(g -> g.acquire(range, fence, inherited)).orElseGet(LocalGate::noBackend);
@@ -92,6 +103,16 @@
         return find().map(Gate::status).orElse(NO_GATE);
     }
 
+    @Override
+    public boolean mayHold(KeyRange range) {
+        return find().map(g -> g.mayHold(range)).orElse(false);
+    }
+
+    @Override
+    public GateLoad load() {
+        return find().map(Gate::load).orElse(GateLoad.NONE);
+    }
+
     @Override
     public void close() {
         find().ifPresent(Gate::close);
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/AdmissionTest.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/AdmissionTest.java
@@ -17,21 +17,27 @@
     /** Guards against a wrong code or order of checks. */
     @ParameterizedTest
     @CsvSource({
-        // lease, range, draining, attached, grants fail, record lost, remaining, share, queued, running, wait, code
-        "true,  SERVED,     false, true,  false, false, 100, false, 0,  0, 0,   ",
-        "false, NOT_SERVED, true,  false, true,  true,  0,   true,  10, 4, 500, LEASE_LAPSED",
-        "true,  NOT_SERVED, true,  false, true,  true,  0,   true,  10, 4, 500, NOT_OWNER",
-        "true,  MOVING,     true,  false, true,  true,  0,   true,  10, 4, 500, RANGE_MOVING",
-        "true,  SERVED,     true,  false, true,  true,  0,   true,  10, 4, 500, DRAINING",
-        "true,  SERVED,     false, false, true,  true,  0,   true,  10, 4, 500, RECORD_LOST",
-        "true,  SERVED,     false, false, false, false, 0,   true,  10, 4, 500, BACKEND_UNAVAILABLE",
-        "true,  SERVED,     false, true,  true,  false, 0,   true,  10, 4, 500, BACKEND_UNAVAILABLE",
-        "true,  SERVED,     false, true,  false, false, 0,   true,  10, 4, 500, DEADLINE_EXPIRED",
-        "true,  SERVED,     false, true,  false, false, 100, true,  10, 4, 500, KEY_SHARE_EXCEEDED",
-        "true,  SERVED,     false, true,  false, false, 100, false, 10, 4, 500, OVERLOADED",
-        "true,  SERVED,     false, true,  false, false, 100, false, 9,  4, 101, OVERLOADED",
-        "true,  SERVED,     false, true,  false, false, 100, false, 9,  4, 99,  ",
-        "true,  SERVED,     false, true,  false, false, 100, false, 0,  3, 0,   ",
+        // lease, range, draining, attached, grants fail, record lost, remaining, share, queued, running, wait, code,
+        // service, objective, overloaded
+        "true,  SERVED,     false, true,  false, false, 100, false, 0,  0, 0,   , 0, 1000, false",
+        "false, NOT_SERVED, true,  false, true,  true,  0,   true,  10, 4, 500, LEASE_LAPSED, 0, 1000, false",
+        "true,  NOT_SERVED, true,  false, true,  true,  0,   true,  10, 4, 500, NOT_OWNER, 0, 1000, false",
+        "true,  MOVING,     true,  false, true,  true,  0,   true,  10, 4, 500, RANGE_MOVING, 0, 1000, false",
+        "true,  SERVED,     true,  false, true,  true,  0,   true,  10, 4, 500, DRAINING, 0, 1000, false",
+        "true,  SERVED,     false, false, true,  true,  0,   true,  10, 4, 500, RECORD_LOST, 0, 1000, false",
+        "true,  SERVED,     false, false, false, false, 0,   true,  10, 4, 500, BACKEND_UNAVAILABLE, 0, 1000, false",
+        "true,  SERVED,     false, true,  true,  false, 0,   true,  10, 4, 500, BACKEND_UNAVAILABLE, 0, 1000, false",
+        "true,  SERVED,     false, true,  false, false, 0,   true,  10, 4, 500, DEADLINE_EXPIRED, 0, 1000, false",
+        "true,  SERVED,     false, true,  false, false, 100, true,  10, 4, 500, KEY_SHARE_EXCEEDED, 0, 1000, false",
+        "true,  SERVED,     false, true,  false, false, 100, false, 10, 4, 500, OVERLOADED, 0, 1000, false",
+        "true,  SERVED,     false, true,  false, false, 100, false, 9,  4, 101, OVERLOADED, 0, 1000, false",
+        "true,  SERVED,     false, true,  false, false, 100, false, 9,  4, 99,  , 0, 1000, false",
+        "true,  SERVED,     false, true,  false, false, 100, false, 0,  3, 0,   , 0, 1000, false",
+        "true,  SERVED,     false, true,  false, false, 100, false, 9,  4, 99,  OVERLOADED, 10, 1000, false",
+        "true,  SERVED,     false, true,  false, false, 100, false, 9,  4, 80,  , 40, 1000, false",
+        "true,  SERVED,     false, true,  false, false, 900, false, 9,  4, 80,  OVERLOADED, 40, 100, true",
+        "true,  SERVED,     false, true,  false, false, 900, false, 9,  4, 80,  , 40, 100, false",
+        "true,  SERVED,     false, true,  false, false, 900, false, 9,  4, 50,  , 40, 100, true",
     })
     void refusals(ArgumentsAccessor row) {
         Situation situation = new Situation(
@@ -48,9 +54,13 @@
                 row.getInteger(9),
                 4,
                 row.getLong(10),
-                50);
+                row.getLong(12),
+                row.getLong(13),
+                row.getBoolean(14));
         ResultCode code = row.get(11, ResultCode.class);
-        assertThat(Admission.refusal(situation).map(CallerAnswer::code).orElse(null))
+        assertThat(Admission.refusal(situation, () -> 50)
+                        .map(CallerAnswer::code)
+                        .orElse(null))
                 .isEqualTo(code);
     }
 
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateFixture.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateFixture.java
@@ -144,7 +144,8 @@
                 "body".getBytes(StandardCharsets.UTF_8),
                 remainingMs,
                 Optional.ofNullable(idempotencyKey).map(IdempotencyKey::new),
-                ageMs);
+                ageMs,
+                Optional.empty());
     }
 
     static ResultCode codeOf(CompletableFuture<CallerAnswer> answer) {
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateModel.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateModel.java
@@ -87,7 +87,8 @@
                 rules.maxKeySharePercent(),
                 rules.placementPolicy(),
                 rules.balancingPolicy(),
-                rules.locality());
+                rules.locality(),
+                rules.keySpaceBits());
     }
 
     void act(int kind, int pick) {
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/HotKeyTrialTest.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/HotKeyTrialTest.java
@@ -51,7 +51,8 @@
                     maxKeySharePercent,
                     rules.placementPolicy(),
                     rules.balancingPolicy(),
-                    rules.locality());
+                    rules.locality(),
+                    rules.keySpaceBits());
             gate.serving(SLOTS);
             gate.backend.onCall = this::serve;
         }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/Gate.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/Gate.java
@@ -13,6 +13,7 @@
 import org.coriandercrank.kernel.id.RequestId;
 import org.coriandercrank.kernel.message.OutcomeAnswer;
 import org.coriandercrank.kernel.message.OutcomeQuery;
+import org.coriandercrank.kernel.ownership.GateLoad;
 import org.coriandercrank.kernel.ownership.GateStatus;
 import org.coriandercrank.kernel.ownership.InheritedRecords;
 import org.coriandercrank.kernel.ownership.OwnerGate;
@@ -119,6 +120,16 @@
         duty.execute(() -> core.attach(info, server));
     }
 
+    @Override
+    public void detach() {
+        duty.execute(core::detach);
+    }
+
+    @Override
+    public void stopSending() {
+        duty.execute(core::stopSending);
+    }
+
     @Override
     public CompletableFuture<Void> acquire(KeyRange range, Generation fence, InheritedRecords inherited) {
         return duty.call(() -> thenTick(core.acquire(range, fence, inherited))).thenCompose(Function.identity());
@@ -144,6 +155,16 @@
         return core.status();
     }
 
+    @Override
+    public boolean mayHold(KeyRange range) {
+        return core.mayHold(range);
+    }
+
+    @Override
+    public GateLoad load() {
+        return core.load();
+    }
+
     /** Refuses what waits and ends the thread; calls at the backend server are left to end. */
     @Override
     public void close() {
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateOptions.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateOptions.java
@@ -9,6 +9,7 @@
  * @param grantValidityMs longest validity of a grant; what is left of the lease is a further bound
  * @param grantTimeoutMs time after which an unanswered grant counts as failed
  * @param grantRetryMs pause after a failed grant
+ * @param grantDelayMs time for which changes of the granted ranges are collected before a grant is sent
  * @param rampMs time in which the concurrency grows from a quarter of the slots to all of them after an attach
  * @param overloadRecoveryMs time in which the concurrency returns to all slots after the server reported overload
  * @param recordRetentionMs time for which outcome records are kept
@@ -22,6 +23,8 @@
  * @param lostCallGraceMs time after its deadline at which a call has ended on a server that honours deadlines
  * @param lostCallLifetimeMs time after its deadline at which a call with a lost answer is taken as ended on a server
  *     that does not honour deadlines
+ * @param maxParked most requests that wait for a range that is assigned to this gate and not served yet; 0 refuses them
+ * @param parkMs longest time that such a request waits
  * @param releaseWithoutProof whether a release may complete although the server neither answered the revoke nor
  *     honours validity
  */
@@ -32,6 +35,7 @@
         int grantValidityMs,
         int grantTimeoutMs,
         int grantRetryMs,
+        int grantDelayMs,
         int rampMs,
         int overloadRecoveryMs,
         int recordRetentionMs,
@@ -43,6 +47,8 @@
         int ageMarginMs,
         int lostCallGraceMs,
         int lostCallLifetimeMs,
+        int maxParked,
+        int parkMs,
         boolean releaseWithoutProof) {
     public static final GateOptions DEFAULTS = new GateOptions(
             8_192,
@@ -51,6 +57,7 @@
             1_000,
             300,
             50,
+            0,
             5_000,
             1_000,
             600_000,
@@ -62,6 +69,8 @@
             250,
             250,
             60_000,
+            0,
+            0,
             false);
 
     public GateOptions {
@@ -71,6 +80,7 @@
         checkPositive("grantValidityMs", grantValidityMs);
         checkPositive("grantTimeoutMs", grantTimeoutMs);
         checkPositive("grantRetryMs", grantRetryMs);
+        checkNotNegative("grantDelayMs", grantDelayMs);
         checkNotNegative("rampMs", rampMs);
         checkPositive("overloadRecoveryMs", overloadRecoveryMs);
         checkPositive("recordRetentionMs", recordRetentionMs);
@@ -82,6 +92,60 @@
         checkNotNegative("ageMarginMs", ageMarginMs);
         checkNotNegative("lostCallGraceMs", lostCallGraceMs);
         checkNotNegative("lostCallLifetimeMs", lostCallLifetimeMs);
+        checkNotNegative("maxParked", maxParked);
+        checkNotNegative("parkMs", parkMs);
+    }
+
+    /** These options with other times of grants. */
+    public GateOptions withGrants(int newValidityMs, int newTimeoutMs, int newRetryMs, int newDelayMs) {
+        return new GateOptions(
+                ringCapacity,
+                tickMs,
+                idleTickMs,
+                newValidityMs,
+                newTimeoutMs,
+                newRetryMs,
+                newDelayMs,
+                rampMs,
+                overloadRecoveryMs,
+                recordRetentionMs,
+                maxRecords,
+                maxRecordBytes,
+                maxTransferBytes,
+                barRetentionMs,
+                maxBars,
+                ageMarginMs,
+                lostCallGraceMs,
+                lostCallLifetimeMs,
+                maxParked,
+                parkMs,
+                releaseWithoutProof);
+    }
+
+    /** These options with other bounds of parked requests. */
+    public GateOptions withParking(int newMaxParked, int newParkMs) {
+        return new GateOptions(
+                ringCapacity,
+                tickMs,
+                idleTickMs,
+                grantValidityMs,
+                grantTimeoutMs,
+                grantRetryMs,
+                grantDelayMs,
+                rampMs,
+                overloadRecoveryMs,
+                recordRetentionMs,
+                maxRecords,
+                maxRecordBytes,
+                maxTransferBytes,
+                barRetentionMs,
+                maxBars,
+                ageMarginMs,
+                lostCallGraceMs,
+                lostCallLifetimeMs,
+                newMaxParked,
+                newParkMs,
+                releaseWithoutProof);
     }
 
     public GateOptions withRampMs(int newRampMs) {
@@ -92,6 +156,7 @@
                 grantValidityMs,
                 grantTimeoutMs,
                 grantRetryMs,
+                grantDelayMs,
                 newRampMs,
                 overloadRecoveryMs,
                 recordRetentionMs,
@@ -103,6 +168,8 @@
                 ageMarginMs,
                 lostCallGraceMs,
                 lostCallLifetimeMs,
+                maxParked,
+                parkMs,
                 releaseWithoutProof);
     }
 
@@ -114,6 +181,7 @@
                 grantValidityMs,
                 grantTimeoutMs,
                 grantRetryMs,
+                grantDelayMs,
                 rampMs,
                 overloadRecoveryMs,
                 newRetentionMs,
@@ -125,6 +193,8 @@
                 ageMarginMs,
                 lostCallGraceMs,
                 lostCallLifetimeMs,
+                maxParked,
+                parkMs,
                 releaseWithoutProof);
     }
 
@@ -136,6 +206,7 @@
                 grantValidityMs,
                 grantTimeoutMs,
                 grantRetryMs,
+                grantDelayMs,
                 rampMs,
                 overloadRecoveryMs,
                 recordRetentionMs,
@@ -147,6 +218,8 @@
                 ageMarginMs,
                 lostCallGraceMs,
                 lostCallLifetimeMs,
+                maxParked,
+                parkMs,
                 newReleaseWithoutProof);
     }
 
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/Admission.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/Admission.java
@@ -1,6 +1,7 @@
 package org.coriandercrank.gate.internal;
 
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.request.CallerAnswer;
 
@@ -21,7 +22,9 @@
      * @param remainingMs time to the deadline
      * @param concurrency calls that the backend server may have at present
      * @param expectedWaitMs time until a slot is free for the request
-     * @param retryAfterMs time after which a refused request has a chance
+     * @param serviceMs expected time of the request at the server
+     * @param objectiveMs time in which an answer has its full worth
+     * @param overloaded whether more work arrives than the server can do
      */
     public record Situation(
             boolean leaseValid,
@@ -37,7 +40,12 @@
             int running,
             int concurrency,
             long expectedWaitMs,
-            long retryAfterMs) {}
+            long serviceMs,
+            long objectiveMs,
+            boolean overloaded) {}
+
+    /** Part of the expected service time that a fast server needs at least. */
+    static final double LEAST_SERVICE_SHARE = 0.5;
 
     private static final long MOVING_RETRY_MS = 100;
     private static final long GRANT_RETRY_MS = 200;
@@ -45,9 +53,13 @@
 
     private Admission() {}
 
-    /** The refusal, or empty if the request is admitted. */
-    public static Optional<CallerAnswer> refusal(Situation s) {
-        return refusalByState(s).or(() -> refusalByLoad(s));
+    /**
+     * The refusal, or empty if the request is admitted.
+     *
+     * @param retryAfterMs time after which a request that is refused for load has a chance; asked only then
+     */
+    public static Optional<CallerAnswer> refusal(Situation s, LongSupplier retryAfterMs) {
+        return refusalByState(s).or(() -> refusalByLoad(s, retryAfterMs));
     }
 
     private static Optional<CallerAnswer> refusalByState(Situation s) {
@@ -76,19 +88,22 @@
         return Optional.empty();
     }
 
-    private static Optional<CallerAnswer> refusalByLoad(Situation s) {
+    private static Optional<CallerAnswer> refusalByLoad(Situation s, LongSupplier retryAfterMs) {
         if (s.remainingMs() <= 0) {
             return Optional.of(CallerAnswer.of(ResultCode.DEADLINE_EXPIRED, "the deadline has passed"));
         }
         if (s.keyShareExceeded()) {
-            return later(ResultCode.KEY_SHARE_EXCEEDED, "the key uses more than its share", s.retryAfterMs());
+            return later(ResultCode.KEY_SHARE_EXCEEDED, "the key uses more than its share", retryAfterMs.getAsLong());
         }
         boolean slotFree = s.running() < s.concurrency() && s.queued() == 0;
         if (!slotFree && s.queued() >= s.maxQueueLength()) {
-            return later(ResultCode.OVERLOADED, "the queue is full", s.retryAfterMs());
+            return later(ResultCode.OVERLOADED, "the queue is full", retryAfterMs.getAsLong());
+        }
+        if (s.expectedWaitMs() > 0 && s.expectedWaitMs() + LEAST_SERVICE_SHARE * s.serviceMs() > s.remainingMs()) {
+            return later(ResultCode.OVERLOADED, "the deadline would pass before the answer", retryAfterMs.getAsLong());
         }
-        if (s.expectedWaitMs() > s.remainingMs()) {
-            return later(ResultCode.OVERLOADED, "the deadline would pass in the queue", s.retryAfterMs());
+        if (s.overloaded() && s.expectedWaitMs() + s.serviceMs() > s.objectiveMs()) {
+            return later(ResultCode.OVERLOADED, "more work arrives than can be done in time", retryAfterMs.getAsLong());
         }
         return Optional.empty();
     }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/Execution.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/Execution.java
@@ -45,6 +45,7 @@
     private final KeyHash hash;
     private final long digest;
     private final boolean repeatable;
+    private final long arrivedAtNanos;
     private final long deadlineNanos;
     private final List<RequestId> ids = new ArrayList<>();
     private final List<Waiter> waiters = new ArrayList<>();
@@ -54,11 +55,19 @@
     private boolean cancelRequested;
     private boolean cancelSent;
 
-    public Execution(CallerRequest request, KeyHash hash, long digest, boolean repeatable, long deadlineNanos) {
+    /** @param arrivedAtNanos when the request came to the gate */
+    public Execution(
+            CallerRequest request,
+            KeyHash hash,
+            long digest,
+            boolean repeatable,
+            long arrivedAtNanos,
+            long deadlineNanos) {
         this.request = request;
         this.hash = hash;
         this.digest = digest;
         this.repeatable = repeatable;
+        this.arrivedAtNanos = arrivedAtNanos;
         this.deadlineNanos = deadlineNanos;
     }
 
@@ -83,6 +92,10 @@
         return digest == otherDigest && hash.equals(otherHash);
     }
 
+    public long arrivedAtNanos() {
+        return arrivedAtNanos;
+    }
+
     public long deadlineNanos() {
         return deadlineNanos;
     }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateCore.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateCore.java
@@ -13,6 +13,7 @@
 import org.coriandercrank.kernel.id.RequestId;
 import org.coriandercrank.kernel.message.OutcomeAnswer;
 import org.coriandercrank.kernel.message.OutcomeQuery;
+import org.coriandercrank.kernel.ownership.GateLoad;
 import org.coriandercrank.kernel.ownership.GateStatus;
 import org.coriandercrank.kernel.ownership.GateStatus.ServingRange;
 import org.coriandercrank.kernel.ownership.InheritedRecords;
@@ -25,7 +26,8 @@
 /**
  * Joins the parts of an owner gate.
  *
- * <p>All methods run on the thread of the gate, except {@link #status()} and {@link #loads()}, which are thread safe.
+ * <p>All methods run on the thread of the gate, except {@link #status()}, {@link #loads()}, {@link #load()} and
+ * {@link #mayHold}, which are thread safe.
  */
 public final class GateCore {
     private static final long LOAD_ROLL_MS = 500;
@@ -46,6 +48,8 @@
     private long loadRolledAtNanos;
     private volatile GateStatus published = new GateStatus(false, false, 0, 0, List.of());
     private volatile List<RangeLoad> publishedLoads = List.of();
+    private volatile Backend publishedBackend;
+    private volatile GateLoad publishedLoad = GateLoad.NONE;
 
     public GateCore(GateRuntime runtime) {
         this.runtime = runtime;
@@ -76,6 +80,9 @@
         if (!query.service().equals(runtime.inputs().service())) {
             return OutcomeAnswer.of(OutcomeAnswer.State.UNKNOWN);
         }
+        if (requestService.isParked(query.requestId())) {
+            return OutcomeAnswer.of(OutcomeAnswer.State.RUNNING);
+        }
         long nowNanos = runtime.nowNanos();
         OutcomeAnswer answer = requests.resolve(query.requestId(), memoryReachesBack(query, nowNanos), nowNanos);
         runtime.logDecision(() -> "event=resolve request=" + query.requestId() + " state=" + answer.state());
@@ -110,15 +117,39 @@
             replaced.add(backend);
         }
         backend = new Backend(info, server);
+        publishedBackend = backend;
         requestService.attach(backend);
+        rangeService.attach(backend);
         grants.attach(backend);
         runtime.logDecision(() -> "event=attach backend=" + info.name() + " slots=" + info.slots() + " capabilities="
                 + info.capabilities());
         advance();
     }
 
+    /** Gives up everything; the backend server can start nothing any more. */
+    public void detach() {
+        if (backend == null) {
+            return;
+        }
+        runtime.logDecision(() -> "event=detach backend=" + backend.info().name());
+        requestService.refuseQueued(ResultCode.BACKEND_UNAVAILABLE, "the backend server is gone");
+        replaced.add(backend);
+        backend = null;
+        publishedBackend = null;
+        grants.detach();
+        requestService.detach();
+        rangeService.attach(null);
+        rangeService.revokeAll();
+        advance();
+    }
+
+    public void stopSending() {
+        requestService.stopSending();
+        advance();
+    }
+
     public CompletableFuture<Void> acquire(KeyRange range, Generation fence, InheritedRecords inherited) {
-        CompletableFuture<Void> result = rangeService.acquire(range, fence, inherited, backend);
+        CompletableFuture<Void> result = rangeService.acquire(range, fence, inherited);
         advance();
         return result;
     }
@@ -172,6 +203,15 @@
                 latest.serving());
     }
 
+    public boolean mayHold(KeyRange range) {
+        Backend current = publishedBackend;
+        return current != null && current.server().mayHold(range);
+    }
+
+    public GateLoad load() {
+        return publishedLoad;
+    }
+
     public List<RangeLoad> loads() {
         return publishedLoads;
     }
@@ -181,6 +221,7 @@
         rangeService.tick(nowNanos);
         grants.tick(nowNanos);
         rangeService.completeAcquires(nowNanos);
+        requestService.unpark(nowNanos);
         rangeService.completeReleases(nowNanos);
         requestService.dispatch();
         drain.advance(backend, requestService.queued(), requestService.inFlight());
@@ -207,7 +248,7 @@
             if (requestService.isInUse(old)) {
                 return false;
             }
-            if (!old.server().equals(backend.server())) {
+            if (backend == null || !old.server().equals(backend.server())) {
                 old.server().close();
             }
             return true;
@@ -245,6 +286,7 @@
     }
 
     private void publishSizes() {
+        publishedLoad = requestService.load();
         runtime.metrics().setSizes(requestService.queued(), requestService.inFlight(), records.size());
     }
 }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GrantDriver.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GrantDriver.java
@@ -1,6 +1,8 @@
 package org.coriandercrank.gate.internal;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.coriandercrank.gate.internal.Execution.Backend;
 import org.coriandercrank.gate.internal.RangeEntry.State;
@@ -8,7 +10,10 @@
 import org.coriandercrank.kernel.backend.Grant.GrantedRange;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.ownership.Handover;
 import org.coriandercrank.kernel.table.BackendInfo.Capability;
+import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.KeyRanges;
 
 /**
  * Keeps the granted ranges of the backend server in step with the range table.
@@ -50,16 +55,25 @@
         outstanding = null;
         acknowledged = false;
         failing = false;
-        dirty = runtime.rules().keyed();
+        dirty = runtime.rules().keyed() && !ranges.entries().isEmpty();
         nextSendNanos = runtime.nowNanos();
     }
 
+    void detach() {
+        backend = null;
+        outstanding = null;
+        acknowledged = false;
+        failing = false;
+        dirty = false;
+    }
+
     /** Sends a grant as soon as no other is outstanding. */
     void requestGrant() {
-        dirty = true;
-        if (!failing) {
-            nextSendNanos = runtime.nowNanos();
+        if (!failing && !(dirty && outstanding == null)) {
+            nextSendNanos = runtime.nowNanos()
+                    + TimeUnit.MILLISECONDS.toNanos(runtime.options().grantDelayMs());
         }
+        dirty = true;
     }
 
     /** Whether the backend server has a grant that it honours. */
@@ -103,9 +117,8 @@
     }
 
     private void sendIfDue(long nowNanos) {
-        List<GrantedRange> granted = ranges.grantable().stream()
-                .map(e -> new GrantedRange(e.range(), e.fence()))
-                .toList();
+        List<GrantedRange> granted = new ArrayList<>();
+        ranges.grantable().forEach(entry -> addGranted(entry, granted));
         long leaseMs = runtime.leaseRemainingMs();
         if (leaseMs >= 1 && (dirty || !granted.isEmpty())) {
             send(granted, Math.min(runtime.options().grantValidityMs(), leaseMs), nowNanos);
@@ -114,6 +127,23 @@
         }
     }
 
+    /** An entry that is being acquired is granted in the pieces in which its last server released it. */
+    private static void addGranted(RangeEntry entry, List<GrantedRange> granted) {
+        List<KeyRange> rest = List.of(entry.range());
+        if (entry.state() == State.ACQUIRING) {
+            for (Handover handover : entry.inherited().handovers()) {
+                Optional<KeyRange> piece = KeyRanges.intersect(handover.range(), entry.range());
+                if (piece.isPresent() && rest.stream().anyMatch(r -> r.contains(piece.get()))) {
+                    granted.add(new GrantedRange(piece.get(), entry.fence(), handover.token()));
+                    rest = rest.stream()
+                            .flatMap(r -> KeyRanges.subtract(r, List.of(piece.get())).stream())
+                            .toList();
+                }
+            }
+        }
+        rest.forEach(range -> granted.add(new GrantedRange(range, entry.fence())));
+    }
+
     private void send(List<GrantedRange> granted, long validityMs, long nowNanos) {
         sequence++;
         Sent sent = new Sent(backend, new Grant(sequence, granted, validityMs), nowNanos);
@@ -162,13 +192,21 @@
             }
         }
         for (RangeEntry entry : ranges.inState(State.ACQUIRING)) {
-            if (granted.stream().anyMatch(entry::isServedThrough)) {
+            if (isServedThrough(entry, granted)) {
                 ranges.advance(entry, State.SERVING);
             }
         }
         nextSendNanos = dirty ? nowNanos : sent.atNanos() + sent.validityNanos() / RENEWALS_PER_VALIDITY;
     }
 
+    private static boolean isServedThrough(RangeEntry entry, List<GrantedRange> granted) {
+        List<KeyRange> pieces = granted.stream()
+                .filter(g -> g.fence().equals(entry.fence()) && g.range().overlaps(entry.range()))
+                .map(GrantedRange::range)
+                .toList();
+        return KeyRanges.subtract(entry.range(), pieces).isEmpty();
+    }
+
     private void onFailure(Sent sent, CrankException failure, long nowNanos) {
         failing = true;
         dirty = true;
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeEntry.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeEntry.java
@@ -178,11 +178,6 @@
                 && (granted.fence().equals(fence) || replacedFences.contains(granted.fence()));
     }
 
-    /** Whether a granted range contains this entry under its fence. */
-    public boolean isServedThrough(GrantedRange granted) {
-        return granted.range().contains(range) && granted.fence().equals(fence);
-    }
-
     /** Notes that the backend server may believe until a time that it holds the range. */
     public void hold(long untilNanos) {
         heldUntilNanos = everGranted && heldUntilNanos - untilNanos > 0 ? heldUntilNanos : untilNanos;
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeService.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeService.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -44,6 +45,7 @@
     private final ReleaseRules rules;
     private final FenceHistory fences = new FenceHistory();
     private final List<Release> releases = new ArrayList<>();
+    private Optional<Backend> backend = Optional.empty();
 
     RangeService(GateRuntime runtime, RangeTable ranges, RecordTable records, GrantDriver grants) {
         this.runtime = runtime;
@@ -56,7 +58,11 @@
                 runtime.options().releaseWithoutProof());
     }
 
-    CompletableFuture<Void> acquire(KeyRange range, Generation fence, InheritedRecords inherited, Backend backend) {
+    void attach(Backend newBackend) {
+        backend = Optional.ofNullable(newBackend);
+    }
+
+    CompletableFuture<Void> acquire(KeyRange range, Generation fence, InheritedRecords inherited) {
         List<RangeEntry> live = liveOverlapping(range);
         for (RangeEntry entry : live) {
             if (entry.fence().equals(fence) && entry.range().contains(range)) {
@@ -64,7 +70,7 @@
                 return entry.acquired();
             }
         }
-        CrankException refusal = refusal(range, fence, live, backend);
+        CrankException refusal = refusal(range, fence, live);
         if (refusal != null) {
             runtime.logDecision(() -> line("acquire-refused", range, fence) + " code=" + refusal.code());
             return CompletableFuture.failedFuture(refusal);
@@ -77,11 +83,11 @@
         return entry.acquired();
     }
 
-    private CrankException refusal(KeyRange range, Generation fence, List<RangeEntry> live, Backend backend) {
+    private CrankException refusal(KeyRange range, Generation fence, List<RangeEntry> live) {
         if (!runtime.rules().keyed()) {
             return new CrankException(ResultCode.BAD_REQUEST, "the service is not divided by key");
         }
-        if (backend == null) {
+        if (backend.isEmpty()) {
             return new CrankException(ResultCode.BACKEND_UNAVAILABLE, "no backend server is attached");
         }
         if (!runtime.isLeaseValid()) {
@@ -184,6 +190,19 @@
         }
     }
 
+    /** Revokes all entries at once, because the backend server holds nothing any more. */
+    void revokeAll() {
+        for (RangeEntry entry : List.copyOf(ranges.entries())) {
+            if (entry.state() == State.ACQUIRING) {
+                entry.failAcquire(new CrankException(ResultCode.BACKEND_UNAVAILABLE, "the backend server is gone"));
+            }
+            if (entry.state() != State.REVOKED) {
+                ranges.advance(entry, State.REVOKED);
+            }
+            fences.onRelease(entry.range());
+        }
+    }
+
     ReleaseRules rules() {
         return rules;
     }
@@ -253,10 +272,12 @@
         boolean covered =
                 RangeTable.covers(known.stream().map(RangeTable.Released::range).toList(), release.range);
         InheritedRecords exported = records.export(
-                release.range,
-                covered ? horizon : Horizon.since(nowNanos),
-                runtime.options().maxTransferBytes(),
-                nowNanos);
+                        release.range,
+                        covered ? horizon : Horizon.since(nowNanos),
+                        runtime.options().maxTransferBytes(),
+                        nowNanos)
+                .withHandovers(backend.map(b -> b.server().takeHandovers(release.range))
+                        .orElse(List.of()));
         runtime.logDecision(() -> "event=released range=" + release.range + " records="
                 + exported.records().size() + " complete-for-ms=" + exported.completeForMs());
         release.result.complete(exported);
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -13,17 +12,21 @@
 import org.coriandercrank.gate.internal.Execution.Backend;
 import org.coriandercrank.gate.internal.Execution.State;
 import org.coriandercrank.gate.internal.Execution.Waiter;
+import org.coriandercrank.gate.internal.ParkedRequests.Parked;
+import org.coriandercrank.gate.internal.QueueOrder.Place;
 import org.coriandercrank.gate.internal.RequestTable.Lookup;
 import org.coriandercrank.kernel.backend.BackendCall;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.Outcome;
 import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.config.RequestRules;
 import org.coriandercrank.kernel.config.ServiceConfig;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.Key;
 import org.coriandercrank.kernel.id.KeyHash;
 import org.coriandercrank.kernel.id.RequestId;
 import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.ownership.GateLoad;
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
 import org.coriandercrank.kernel.request.CallerAnswer;
 import org.coriandercrank.kernel.request.CallerRequest;
@@ -32,8 +35,8 @@
 /**
  * Admits requests and runs them at the backend server.
  *
- * <p>Invariants: a call is sent only with a valid lease, a free slot and, for a keyed service, a served and granted
- * range; each execution is started at most once; a slot is taken until the call ends, also when the callers already
+ * <p>Invariants: a call is sent only with a free slot and, for a keyed service, with a valid lease and a served and
+ * granted range; each execution is started at most once; a slot is taken until the call ends, also when the callers already
  * have their answer. Not thread safe.
  */
 final class RequestService {
@@ -45,14 +48,15 @@
     private final RequestTable requests;
     private final DrainState drain;
     private final WorkQueue queue = new WorkQueue();
-    private final ServiceTime serviceTime = new ServiceTime();
+    private final LoadControl load;
     private final Set<Execution> running = new LinkedHashSet<>();
     private final List<Execution> lostCalls = new ArrayList<>();
+    private final ParkedRequests parked;
     private final Runnable onEnd;
-    private Horizon unkeyedHorizon;
-    private Horizon unkeyedDropHorizon = Horizon.UNLIMITED;
+    private final RecordLoss recordLoss;
     private Backend backend;
     private ConcurrencyLimit concurrency;
+    private boolean sending = true;
 
     RequestService(
             GateRuntime runtime,
@@ -67,11 +71,14 @@
         this.requests = requests;
         this.drain = drain;
         this.onEnd = onEnd;
-        unkeyedHorizon = Horizon.since(runtime.nowNanos());
+        parked = new ParkedRequests(runtime, ranges);
+        load = new LoadControl(runtime.nowNanos());
+        recordLoss = new RecordLoss(runtime, ranges);
     }
 
     void attach(Backend newBackend) {
         backend = newBackend;
+        sending = true;
         concurrency = new ConcurrencyLimit(
                 newBackend.info().slots(),
                 runtime.options().rampMs(),
@@ -79,10 +86,30 @@
                 runtime.nowNanos());
     }
 
+    void detach() {
+        backend = null;
+    }
+
+    /** Sends the server in use no further request, and refuses those that wait. */
+    void stopSending() {
+        sending = false;
+        refuseQueued(ResultCode.DRAINING, "the server takes no new work");
+    }
+
+    private boolean isDraining() {
+        return !sending || drain.isDraining(backend);
+    }
+
     int queued() {
         return queue.queued();
     }
 
+    GateLoad load() {
+        return backend == null
+                ? GateLoad.NONE
+                : new GateLoad(queue.queued() + running.size(), concurrency.limit(runtime.nowNanos()), load.meanMs());
+    }
+
     int inFlight() {
         return running.size();
     }
@@ -99,8 +126,7 @@
     }
 
     void moveUnkeyedHorizon(long sinceNanos) {
-        unkeyedHorizon = unkeyedHorizon.later(Horizon.since(sinceNanos));
-        unkeyedDropHorizon = unkeyedDropHorizon.later(Horizon.since(sinceNanos));
+        recordLoss.moveUnkeyedHorizon(sinceNanos);
     }
 
     void submit(CallerRequest request, long arrivedAtNanos, CompletableFuture<CallerAnswer> result) {
@@ -137,31 +163,57 @@
             requests.attach(known.running().get(), waiter);
             return;
         }
+        if (parked.contains(request.id())) {
+            refuse(waiter, CallerAnswer.of(ResultCode.DUPLICATE_RUNNING, "a copy of the request waits for its range"));
+            return;
+        }
+        if (rules.keyed() && !isDraining() && parked.park(request, hash, waiter, nowNanos)) {
+            return;
+        }
         ranges.serving(hash).ifPresent(entry -> entry.load().onRequest(hash));
-        Optional<CallerAnswer> refusal = Admission.refusal(situation(request, rules, hash, waiter, nowNanos));
+        Optional<CallerAnswer> refusal =
+                Admission.refusal(situation(request, rules, hash, waiter, nowNanos), () -> retryAfterMs(nowNanos));
         if (refusal.isPresent()) {
             refuse(waiter, refusal.get());
             return;
         }
         Execution execution =
-                new Execution(request, hash, digest, rules.isRepeatable(request.method()), waiter.deadlineNanos());
+                new Execution(request, hash, digest, request.isRepeatable(rules), nowNanos, waiter.deadlineNanos());
         requests.add(execution);
         requests.attach(execution, waiter);
         queue.add(execution);
         dispatch();
     }
 
+    boolean isParked(RequestId id) {
+        return parked.contains(id);
+    }
+
+    /** Submits the parked requests whose range is served now, and refuses those whose wait is over. */
+    void unpark(long nowNanos) {
+        for (Parked p : parked.takeServed()) {
+            submitValid(p.request(), runtime.rules(), p.waiter());
+        }
+        for (Parked p : parked.takeOver(nowNanos, backend != null && sending)) {
+            refuse(
+                    p.waiter(),
+                    CallerAnswer.retryLater(ResultCode.RANGE_MOVING, "the range is being moved", BACKEND_RETRY_MS));
+        }
+    }
+
     private Situation situation(
             CallerRequest request, ServiceConfig rules, KeyHash hash, Waiter waiter, long nowNanos) {
         int limit = backend == null ? 1 : concurrency.limit(nowNanos);
-        int before = Math.max(0, queue.queued() + occupiedSlots() + 1 - limit);
+        double serviceMs = load.serviceMs(request.rules());
+        Place place = QueueOrder.place(request.rules(), nowNanos, serviceMs, nowNanos);
+        long waitMs = load.expectedWaitMs(queue.aheadMs(place, this::serviceMs, nowNanos), occupiedSlots(), limit);
         return new Situation(
-                runtime.isLeaseValid(),
+                hasNeededLease(rules),
                 standing(rules, hash),
-                drain.isDraining(backend),
+                isDraining(),
                 backend != null,
                 rules.keyed() && grants.isFailing() && !grants.isUsable(nowNanos),
-                isRecordLost(request, rules, hash, nowNanos),
+                recordLoss.isPossible(request, rules, hash, nowNanos),
                 TimeUnit.NANOSECONDS.toMillis(waiter.deadlineNanos() - nowNanos),
                 backend != null
                         && queue.exceedsKeyShare(hash, rules, backend.info().slots()),
@@ -169,8 +221,21 @@
                 rules.maxQueueLength(),
                 occupiedSlots(),
                 limit,
-                serviceTime.expectedWaitMs(before, limit),
-                serviceTime.retryAfterMs(queue.queued(), limit));
+                waitMs,
+                (long) serviceMs,
+                request.rules().map(RequestRules::latencyObjectiveMs).orElse(Long.MAX_VALUE),
+                load.isOverloaded(nowNanos));
+    }
+
+    private double serviceMs(Execution execution) {
+        return load.serviceMs(execution.request().rules());
+    }
+
+    /** Time told to a refused caller, from the work that waits now. */
+    private long retryAfterMs(long nowNanos) {
+        int limit = backend == null ? 1 : concurrency.limit(nowNanos);
+        double waitingMs = queue.aheadMs(Place.LAST, this::serviceMs, nowNanos);
+        return load.retryAfterMs(load.expectedWaitMs(waitingMs, occupiedSlots(), limit), limit, nowNanos);
     }
 
     private RangeStanding standing(ServiceConfig rules, KeyHash hash) {
@@ -180,33 +245,11 @@
         return ranges.newest(hash).isPresent() ? RangeStanding.MOVING : RangeStanding.NOT_SERVED;
     }
 
-    /**
-     * Whether an earlier attempt may have run and left no record. The stated age is extended by the time that the
-     * request travelled. A stated age of 0 is a first attempt, or a repeat within less than a millisecond; for it only
-     * dropped records matter, so that first attempts are admitted right after a takeover.
-     */
-    private boolean isRecordLost(CallerRequest request, ServiceConfig rules, KeyHash hash, long nowNanos) {
-        Optional<RangeEntry> entry = ranges.serving(hash);
-        if (request.idempotencyKey().isEmpty() || (rules.keyed() && entry.isEmpty())) {
-            return false;
-        }
-        Horizon horizon = rules.keyed() ? entry.get().horizon() : unkeyedHorizon;
-        Horizon dropHorizon = rules.keyed() ? entry.get().dropHorizon() : unkeyedDropHorizon;
-        OptionalLong ageMs = request.idempotencyKeyAgeMs();
-        if (ageMs.isEmpty()) {
-            return !horizon.unlimited();
-        }
-        long boundedAgeMs = Math.min(ageMs.getAsLong(), Integer.MAX_VALUE)
-                + runtime.options().ageMarginMs();
-        long firstAttemptNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(boundedAgeMs);
-        return !(ageMs.getAsLong() == 0 ? dropHorizon : horizon).covers(firstAttemptNanos);
-    }
-
     /** Starts waiting requests while slots are free. */
     void dispatch() {
         ServiceConfig rules = runtime.rules();
-        while (queue.queued() > 0) {
-            if (!runtime.isLeaseValid()) {
+        while (backend != null && queue.queued() > 0) {
+            if (!hasNeededLease(rules)) {
                 refuseQueued(ResultCode.LEASE_LAPSED, "the lease is not valid");
                 return;
             }
@@ -215,7 +258,7 @@
             if (occupiedSlots() >= limit || (rules.keyed() && !grants.isUsable(nowNanos))) {
                 return;
             }
-            startOrRefuse(queue.next(rules, limit).orElseThrow(), rules, nowNanos);
+            startOrRefuse(queue.next(rules, limit, this::serviceMs, nowNanos).orElseThrow(), rules, nowNanos);
         }
     }
 
@@ -228,17 +271,23 @@
             finishQueued(execution, CallerAnswer.of(ResultCode.NOT_OWNER, "the range is not served here"));
         } else {
             Generation fence = rules.keyed() ? entry.orElseThrow().fence() : Generation.NONE;
-            start(execution, new BackendCall(execution.request().withRemainingMs(remainingMs), fence), nowNanos);
+            start(execution, rules, new BackendCall(execution.request().withRemainingMs(remainingMs), fence), nowNanos);
         }
     }
 
-    private void start(Execution execution, BackendCall call, long nowNanos) {
+    /** Only keys have an owner that another server could replace. */
+    private boolean hasNeededLease(ServiceConfig rules) {
+        return !rules.keyed() || runtime.isLeaseValid();
+    }
+
+    private void start(Execution execution, ServiceConfig rules, BackendCall call, long nowNanos) {
         Backend target = backend;
-        if (!runtime.isLeaseValid()) {
+        if (!hasNeededLease(rules)) {
             finishQueued(execution, CallerAnswer.of(ResultCode.LEASE_LAPSED, "the lease is not valid"));
             return;
         }
         queue.onStart(execution);
+        load.onStart(nowNanos - execution.arrivedAtNanos(), nowNanos);
         execution.start(target, nowNanos);
         running.add(execution);
         runtime.metrics().onExecution();
@@ -259,43 +308,26 @@
             execution.end(State.ENDED);
         }
         if (finalAnswer.outcome() == Outcome.RUN) {
-            serviceTime.onExecuted(nowNanos - execution.startedAtNanos());
+            load.onExecuted(execution.request().rules(), nowNanos - execution.startedAtNanos());
         }
         requests.finish(execution, finalAnswer, nowNanos);
         answerAll(execution, finalAnswer);
         onEnd.run();
     }
 
-    /** Only the codes by which a backend server states that it did not execute the call mean NOT_RUN. */
     private CallerAnswer failureAnswer(Execution execution, CrankException failure, long nowNanos) {
-        return switch (failure.code()) {
-            case OVERLOADED -> {
-                if (execution.backend().equals(backend)) {
-                    concurrency.onOverload(nowNanos);
-                }
-                yield CallerAnswer.retryLater(
-                        ResultCode.OVERLOADED,
-                        "the backend server is overloaded",
-                        serviceTime.retryAfterMs(queue.queued(), concurrency.limit(nowNanos)));
-            }
-            case FENCE_REJECTED -> {
-                grants.requestGrant();
-                yield CallerAnswer.retryLater(
-                        ResultCode.FENCE_REJECTED, "the backend server rejected the fence", BACKEND_RETRY_MS);
-            }
-            case BACKEND_UNAVAILABLE ->
-                CallerAnswer.retryLater(
-                        ResultCode.BACKEND_UNAVAILABLE, "the backend server was not reached", BACKEND_RETRY_MS);
-            case DEADLINE_EXPIRED ->
-                CallerAnswer.of(ResultCode.DEADLINE_EXPIRED, "the backend server stopped the request at its deadline");
-            default ->
-                CallerAnswer.of(
-                        execution.isCancelRequested() ? ResultCode.CANCELLED_RUNNING : ResultCode.OUTCOME_UNKNOWN,
-                        "the answer of the backend server was lost: " + failure.code());
-        };
+        if (failure.code() == ResultCode.OVERLOADED && execution.backend().equals(backend)) {
+            concurrency.onOverload(nowNanos);
+        } else if (failure.code() == ResultCode.FENCE_REJECTED) {
+            grants.requestGrant();
+        }
+        return CallFailures.answer(failure.code(), execution.isCancelRequested(), () -> retryAfterMs(nowNanos));
     }
 
     void cancel(RequestId id) {
+        parked.take(id)
+                .ifPresent(p -> refuse(
+                        p.waiter(), CallerAnswer.of(ResultCode.CANCELLED, "cancelled before its range was served")));
         Optional<Execution> found = requests.active(id);
         if (found.isEmpty()) {
             return;
@@ -315,10 +347,25 @@
         }
     }
 
+    /** Whether even a fast server could no longer answer in time. */
+    private boolean isHopeless(Execution execution, long nowNanos) {
+        long remainingMs = TimeUnit.NANOSECONDS.toMillis(execution.deadlineNanos() - nowNanos);
+        return remainingMs < Admission.LEAST_SERVICE_SHARE * serviceMs(execution);
+    }
+
     /** Answers those whose deadline has passed, and stops calls that nobody waits for or that hold up a release. */
     void expire(RangeService rangeService, long nowNanos) {
         for (Execution execution : List.copyOf(requests.active())) {
             boolean overdue = nowNanos - execution.deadlineNanos() >= 0;
+            if (execution.state() == State.QUEUED && !overdue && isHopeless(execution, nowNanos)) {
+                finishQueued(
+                        execution,
+                        CallerAnswer.retryLater(
+                                ResultCode.OVERLOADED,
+                                "the time left is too short for the work",
+                                retryAfterMs(nowNanos)));
+                continue;
+            }
             if (execution.state() == State.QUEUED && overdue) {
                 finishQueued(
                         execution, CallerAnswer.of(ResultCode.DEADLINE_EXPIRED, "the deadline passed in the queue"));
@@ -335,7 +382,7 @@
             }
         }
         lostCalls.removeIf(call -> call.isSettled(rangeService.rules(), false, nowNanos));
-        if (!runtime.isLeaseValid()) {
+        if (!hasNeededLease(runtime.rules())) {
             refuseQueued(ResultCode.LEASE_LAPSED, "the lease is not valid");
         }
     }
@@ -366,6 +413,9 @@
     }
 
     private int occupiedSlots() {
+        if (backend == null) {
+            return 0;
+        }
         int occupied = 0;
         for (Execution execution : running) {
             if (execution.backend().info().address().equals(backend.info().address())) {
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/ServiceTime.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/ServiceTime.java
@@ -14,6 +14,11 @@
         meanNanos = meanNanos == 0 ? durationNanos : meanNanos + WEIGHT_OF_NEW * (durationNanos - meanNanos);
     }
 
+    /** Smoothed time of a call; 0 until one has been measured. */
+    public double meanMs() {
+        return meanNanos / TimeUnit.MILLISECONDS.toNanos(1);
+    }
+
     /** Time until a request starts that has a number of requests before it; 0 until a call has been measured. */
     public long expectedWaitMs(int requestsBefore, int concurrency) {
         return (long) (requestsBefore * meanNanos / concurrency / TimeUnit.MILLISECONDS.toNanos(1));
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/WorkQueue.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/WorkQueue.java
@@ -1,12 +1,13 @@
 package org.coriandercrank.gate.internal;
 
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
+import org.coriandercrank.gate.internal.QueueOrder.Place;
 import org.coriandercrank.kernel.config.ServiceConfig;
 import org.coriandercrank.kernel.id.KeyHash;
 
@@ -14,9 +15,9 @@
  * Waiting requests in order of arrival and the use of queue and slots by key.
  *
  * <p>Per-key share: a key may use the configured share of slots and queue. Above it, a request is refused only while
- * others wait or three quarters of slots and queue are in use, so a lone hot key still gets the whole server. Slots are handed out
- * in order of arrival, but while requests of other keys wait, a key that already has its share of the running calls is
- * passed over. A share of 100 percent is plain order of arrival. Not thread safe.
+ * others wait or three quarters of slots and queue are in use, so a lone hot key still gets the whole server. Slots are
+ * handed out in the order of {@link QueueOrder}, but while requests of other keys wait, a key that already has its share
+ * of the running calls is passed over. A share of 100 percent is plain queue order. Not thread safe.
  */
 public final class WorkQueue {
     private static final int NEAR_FULL_PERCENT = 75;
@@ -68,23 +69,44 @@
         return queue.stream().filter(condition).toList();
     }
 
-    /** The request that gets the next free slot; it stays in the queue. */
-    public Optional<Execution> next(ServiceConfig rules, int concurrency) {
-        Iterator<Execution> inOrder = queue.iterator();
-        if (!inOrder.hasNext()) {
-            return Optional.empty();
-        }
-        Execution first = inOrder.next();
-        if (!rules.keyed() || rules.maxKeySharePercent() >= 100) {
-            return Optional.of(first);
-        }
+    /**
+     * The request that gets the next free slot; it stays in the queue.
+     *
+     * @param serviceMs expected time of a request at the server
+     */
+    public Optional<Execution> next(
+            ServiceConfig rules, int concurrency, ToDoubleFunction<Execution> serviceMs, long nowNanos) {
+        boolean shares = rules.keyed() && rules.maxKeySharePercent() < 100;
         int share = share(rules, concurrency);
+        Optional<Execution> withinShare = first(e -> !shares || usage(e).running < share, serviceMs, nowNanos);
+        return withinShare.isPresent() ? withinShare : first(e -> true, serviceMs, nowNanos);
+    }
+
+    private Optional<Execution> first(
+            Predicate<Execution> condition, ToDoubleFunction<Execution> serviceMs, long nowNanos) {
+        Execution best = null;
+        Place bestPlace = null;
+        for (Execution execution : queue) {
+            if (condition.test(execution)) {
+                Place place = QueueOrder.place(execution, serviceMs, nowNanos);
+                if (best == null || place.isBefore(bestPlace)) {
+                    best = execution;
+                    bestPlace = place;
+                }
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Service times of the waiting requests that a request at a place does not go before. */
+    public double aheadMs(Place place, ToDoubleFunction<Execution> serviceMs, long nowNanos) {
+        double sum = 0;
         for (Execution execution : queue) {
-            if (usage(execution).running < share) {
-                return Optional.of(execution);
+            if (!place.isBefore(QueueOrder.place(execution, serviceMs, nowNanos))) {
+                sum += serviceMs.applyAsDouble(execution);
             }
         }
-        return Optional.of(first);
+        return sum;
     }
 
     public void onStart(Execution execution) {
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ClientConnectionHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ClientConnectionHandler.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -22,21 +23,22 @@
  * times out closes the connection, so that its late answer is never taken for that of another call.
  */
 final class ClientConnectionHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
-    private final long idleCloseMs;
-
+    private final HttpClientOptions options;
+    private HttpCall call;
+    private ChannelFuture written;
     private CompletableFuture<HttpReply> outstanding;
     private Runnable release;
     private ScheduledFuture<?> timeout;
     private ScheduledFuture<?> idleClose;
 
-    ClientConnectionHandler(long idleCloseMs) {
-        this.idleCloseMs = idleCloseMs;
+    ClientConnectionHandler(HttpClientOptions options) {
+        this.options = options;
     }
 
     void send(
             Channel channel,
             HostAddress target,
-            HttpCall call,
+            HttpCall newCall,
             long timeoutMs,
             CompletableFuture<HttpReply> result,
             Runnable whenFree) {
@@ -51,12 +53,13 @@
         }
         FullHttpRequest request;
         try {
-            request = request(target, call);
+            request = request(target, newCall);
         } catch (IllegalArgumentException e) {
             whenFree.run();
             result.completeExceptionally(new HttpCallException(Stage.NOT_SENT, "call is not valid HTTP", e));
             return;
         }
+        call = newCall;
         outstanding = result;
         release = whenFree;
         timeout = channel.eventLoop()
@@ -64,7 +67,18 @@
                         () -> failAndClose(channel, "no answer from " + target + " within " + timeoutMs + " ms", null),
                         timeoutMs,
                         TimeUnit.MILLISECONDS);
-        channel.writeAndFlush(request);
+        written = channel.writeAndFlush(request);
+        result.whenComplete((reply, failure) -> {
+            if (result.isCancelled()) {
+                channel.eventLoop().execute(() -> closeIfOutstanding(channel, result));
+            }
+        });
+    }
+
+    private void closeIfOutstanding(Channel channel, CompletableFuture<HttpReply> cancelled) {
+        if (outstanding == cancelled) {
+            failAndClose(channel, "call was cancelled", null);
+        }
     }
 
     private static FullHttpRequest request(HostAddress target, HttpCall call) {
@@ -74,7 +88,8 @@
                 call.target(),
                 Unpooled.wrappedBuffer(call.body()));
         HttpHeadersSupport.toNetty(call.headers(), request.headers());
-        request.headers().set(HttpHeaderNames.HOST, target.toString());
+        request.headers()
+                .set(HttpHeaderNames.HOST, call.header(HttpHeadersSupport.HOST).orElse(target.toString()));
         if (call.body().length > 0 || !("GET".equals(call.method()) || "HEAD".equals(call.method()))) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
         }
@@ -89,15 +104,28 @@
             context.close();
             return;
         }
-        timeout.cancel(false);
-        outstanding = null;
-        release = null;
+        if (response.decoderResult().isFailure()) {
+            failAndClose(
+                    context.channel(),
+                    "the answer is not valid HTTP",
+                    response.decoderResult().cause());
+            return;
+        }
         byte[] body = new byte[response.content().readableBytes()];
         response.content().readBytes(body);
         HttpReply reply =
                 new HttpReply(response.status().code(), HttpHeadersSupport.fromNetty(response.headers()), body);
-        if (HttpUtil.isKeepAlive(response)) {
-            idleClose = context.executor().schedule(() -> closeIfIdle(context), idleCloseMs, TimeUnit.MILLISECONDS);
+        if (!options.replyCheck().belongsTo(call, reply)) {
+            failAndClose(context.channel(), "the answer does not belong to the call", null);
+            return;
+        }
+        timeout.cancel(false);
+        outstanding = null;
+        release = null;
+        // The server may answer before it has read the whole body; what follows on the connection would be misread.
+        if (HttpUtil.isKeepAlive(response) && written.isSuccess()) {
+            idleClose = context.executor()
+                    .schedule(() -> closeIfIdle(context), options.idleCloseMs(), TimeUnit.MILLISECONDS);
             whenFree.run();
         } else {
             context.close();
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpCall.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpCall.java
@@ -9,7 +9,8 @@
  * A request, on the server or the client side. Immutable by convention: the body array is not changed.
  *
  * @param target path and query, starting with a slash
- * @param headers without {@code Host}, {@code Content-Length}, {@code Connection} and {@code Transfer-Encoding}
+ * @param headers without {@code Content-Length}, {@code Connection} and {@code Transfer-Encoding}; a client call without
+ *     {@code Host} gets the address of its server
  */
 public record HttpCall(String method, String target, List<Header> headers, byte[] body) {
     public HttpCall {
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClient.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClient.java
@@ -20,7 +20,8 @@
  * A client of one HTTP/1.1 server with a bounded pool of keep-alive connections; one call at a time on each.
  *
  * <p>Thread safe. The most recently used connection is used first. A call is written to at most one connection and is
- * never repeated by this class. Futures fail with {@link HttpCallException}.
+ * never repeated by this class. Futures fail with {@link HttpCallException}; cancelling one closes the connection of its
+ * call, which tells the server to stop.
  */
 public final class HttpClient implements AutoCloseable {
     private record Waiting(HttpCall call, long deadlineNanos, CompletableFuture<HttpReply> result) {}
@@ -52,7 +53,7 @@
                         channel.pipeline()
                                 .addLast(new HttpClientCodec())
                                 .addLast(new HttpObjectAggregator(options.maxBodyBytes()))
-                                .addLast(new ClientConnectionHandler(options.idleCloseMs()));
+                                .addLast(new ClientConnectionHandler(options));
                     }
                 });
     }
@@ -150,6 +151,10 @@
     }
 
     private void send(Channel channel, Waiting entry) {
+        if (entry.result.isDone()) {
+            release(channel);
+            return;
+        }
         long remainingMs = TimeUnit.NANOSECONDS.toMillis(entry.deadlineNanos - System.nanoTime());
         if (remainingMs <= 0) {
             release(channel);
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClientOptions.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClientOptions.java
@@ -6,12 +6,26 @@
  * @param maxConnections open connections at most; further calls wait
  * @param maxWaiting calls that may wait for a connection; one more fails at once
  * @param idleCloseMs time after which an unused connection is closed
+ * @param replyCheck tells replies that belong to a call from those that do not
  */
 public record HttpClientOptions(
-        int maxConnections, int maxWaiting, int connectTimeoutMs, int maxBodyBytes, long idleCloseMs) {
-    public static final HttpClientOptions DEFAULTS = new HttpClientOptions(16, 1_024, 500, 16_777_216, 30_000);
+        int maxConnections,
+        int maxWaiting,
+        int connectTimeoutMs,
+        int maxBodyBytes,
+        long idleCloseMs,
+        ReplyCheck replyCheck) {
+    public static final HttpClientOptions DEFAULTS =
+            new HttpClientOptions(16, 1_024, 500, 16_777_216, 30_000, ReplyCheck.ANY);
+
+    /** Options of a client that takes every reply. */
+    public HttpClientOptions(
+            int maxConnections, int maxWaiting, int connectTimeoutMs, int maxBodyBytes, long idleCloseMs) {
+        this(maxConnections, maxWaiting, connectTimeoutMs, maxBodyBytes, idleCloseMs, ReplyCheck.ANY);
+    }
 
     public HttpClientOptions withMaxConnections(int newMaxConnections) {
-        return new HttpClientOptions(newMaxConnections, maxWaiting, connectTimeoutMs, maxBodyBytes, idleCloseMs);
+        return new HttpClientOptions(
+                newMaxConnections, maxWaiting, connectTimeoutMs, maxBodyBytes, idleCloseMs, replyCheck);
     }
 }
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpHeadersSupport.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpHeadersSupport.java
@@ -11,12 +11,13 @@
 
 /** Conversion between Netty's headers and {@link Header}. Stateless. */
 final class HttpHeadersSupport {
+    static final String HOST = "host";
+
     /** Fields that belong to one connection and are set by this package. */
     private static final Set<String> CONNECTION_FIELDS = Set.of(
             "connection",
             "content-length",
             "expect",
-            "host",
             "keep-alive",
             "proxy-connection",
             "te",
@@ -39,7 +40,7 @@
 
     static void toNetty(List<Header> headers, HttpHeaders target) {
         for (Header header : headers) {
-            if (!CONNECTION_FIELDS.contains(header.name())) {
+            if (!CONNECTION_FIELDS.contains(header.name()) && !header.name().equals(HOST)) {
                 target.add(header.name(), header.value());
             }
         }
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
@@ -33,9 +33,11 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One connection of {@link HttpServer}. Confined to its event loop. Requests are handled one at a time, which keeps
- * answers in order. While one is handled, reading goes on so that a close by the caller is noticed; it pauses when a
- * pipelined request arrives, which bounds memory.
+ * One connection of {@link HttpServer}. Confined to its event loop.
+ *
+ * <p>Invariant: answers are written in the order of the requests. Pipelined requests are handled at the same time, up to
+ * a limit beyond which reading pauses. Only the last request taken can end the connection, so no request that was handed
+ * to the handler is left without its answer; what follows is not read.
  */
 final class ServerConnectionHandler extends SimpleChannelInboundHandler<HttpObject> {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -45,15 +47,35 @@
     private static final int STATUS_INTERNAL = 500;
     private static final long CLOSE_WAIT_MS = 1_000;
 
+    /** Requests of one connection that are handled at the same time. */
+    private static final int MAX_PIPELINED = 16;
+
+    /** A request that was handed to the handler and has no written answer. */
+    private static final class Exchange {
+        private final CompletableFuture<Void> closed = new CompletableFuture<>();
+        private final boolean callerKeepsAlive;
+        private final boolean headOnly;
+        private HttpReply reply;
+        private Throwable failure;
+
+        private Exchange(boolean callerKeepsAlive, boolean headOnly) {
+            this.callerKeepsAlive = callerKeepsAlive;
+            this.headOnly = headOnly;
+        }
+
+        private boolean isAnswered() {
+            return reply != null || failure != null;
+        }
+    }
+
     private final HttpServerOptions options;
     private final HttpHandler handler;
     private final AtomicInteger openCalls;
-
     private HttpRequest head;
     private ByteArrayOutputStream body;
-    private CompletableFuture<Void> closed;
-    private boolean rejected;
-    private final Deque<HttpObject> pipelined = new ArrayDeque<>();
+    private boolean stopped;
+    private final Deque<Exchange> exchanges = new ArrayDeque<>();
+    private final Deque<HttpObject> unread = new ArrayDeque<>();
 
     ServerConnectionHandler(HttpServerOptions options, HttpHandler handler, AtomicInteger openCalls) {
         this.options = options;
@@ -63,16 +85,21 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
-        if (closed != null) {
-            pipelined.add(ReferenceCountUtil.retain(part));
+        if (!unread.isEmpty() || mustWait()) {
+            unread.add(ReferenceCountUtil.retain(part));
             context.channel().config().setAutoRead(false);
             return;
         }
         handle(context, part);
     }
 
+    /** Whether a request that starts now has to wait for earlier ones. */
+    private boolean mustWait() {
+        return head == null && exchanges.size() >= MAX_PIPELINED;
+    }
+
     private void handle(ChannelHandlerContext context, HttpObject part) {
-        if (rejected) {
+        if (stopped) {
             return;
         }
         if (part.decoderResult().isFailure()) {
@@ -82,7 +109,7 @@
         if (part instanceof HttpRequest request) {
             begin(context, request);
         }
-        if (part instanceof HttpContent content && !rejected) {
+        if (part instanceof HttpContent content && !stopped) {
             append(context, content);
         }
     }
@@ -92,7 +119,7 @@
         body = new ByteArrayOutputStream();
         if (HttpUtil.getContentLength(request, 0L) > options.maxBodyBytes()) {
             reject(context, STATUS_BODY_TOO_LARGE);
-        } else if (HttpUtil.is100ContinueExpected(request)) {
+        } else if (HttpUtil.is100ContinueExpected(request) && exchanges.isEmpty()) {
             context.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
@@ -115,25 +142,40 @@
     }
 
     private void dispatch(ChannelHandlerContext context) {
-        boolean keepAlive = HttpUtil.isKeepAlive(head);
-        boolean headOnly = "HEAD".equals(head.method().name());
+        Exchange exchange = new Exchange(
+                HttpUtil.isKeepAlive(head), "HEAD".equals(head.method().name()));
         HttpCall call = new HttpCall(
                 head.method().name(), head.uri(), HttpHeadersSupport.fromNetty(head.headers()), body.toByteArray());
-        closed = new CompletableFuture<>();
+        head = null;
+        body = null;
+        stopped = !exchange.callerKeepsAlive;
+        exchanges.add(exchange);
         openCalls.incrementAndGet();
-        handleSafely(call)
-                .whenComplete((reply, failure) -> context.executor()
-                        .execute(() -> finish(context, reply, failure, keepAlive, headOnly)
-                                .addListener(done -> openCalls.decrementAndGet())));
+        handleSafely(call, exchange.closed)
+                .whenComplete((reply, failure) -> context.executor().execute(() -> {
+                    exchange.reply = reply;
+                    exchange.failure = failure;
+                    writeAnswered(context);
+                }));
     }
 
-    private ChannelFuture finish(
-            ChannelHandlerContext context, HttpReply reply, Throwable failure, boolean keepAlive, boolean headOnly) {
-        if (failure != null && unwrap(failure) instanceof HttpAbortException abort) {
-            closed = null;
+    /** Writes the answers that no unanswered request precedes. */
+    private void writeAnswered(ChannelHandlerContext context) {
+        while (!exchanges.isEmpty() && exchanges.peekFirst().isAnswered()) {
+            Exchange exchange = exchanges.pollFirst();
+            finish(context, exchange).addListener(done -> openCalls.decrementAndGet());
+        }
+        resume(context);
+    }
+
+    private ChannelFuture finish(ChannelHandlerContext context, Exchange exchange) {
+        if (exchange.failure != null && unwrap(exchange.failure) instanceof HttpAbortException abort) {
             return abort(context, abort);
         }
-        return write(context, replyOrError(reply, failure), keepAlive, headOnly);
+        HttpReply reply = replyOrError(exchange.reply, exchange.failure);
+        boolean last = exchanges.isEmpty();
+        boolean keepAlive = !last || (exchange.callerKeepsAlive && !reply.asksForClose());
+        return write(context, reply, keepAlive, exchange.headOnly);
     }
 
     private static Throwable unwrap(Throwable failure) {
@@ -142,7 +184,7 @@
 
     /** The rest of a cut answer is missing, so the announced content length exceeds what is written. */
     private ChannelFuture abort(ChannelHandlerContext context, HttpAbortException abort) {
-        rejected = true;
+        stopped = true;
         if (abort.cutReply().isEmpty()) {
             return context.close();
         }
@@ -157,7 +199,7 @@
                 .addListener(ChannelFutureListener.CLOSE);
     }
 
-    private CompletableFuture<HttpReply> handleSafely(HttpCall call) {
+    private CompletableFuture<HttpReply> handleSafely(HttpCall call, CompletableFuture<Void> closed) {
         try {
             return handler.handle(call, closed);
         } catch (RuntimeException e) {
@@ -173,10 +215,7 @@
         return HttpReply.text(STATUS_INTERNAL, "internal error\n");
     }
 
-    private ChannelFuture write(
-            ChannelHandlerContext context, HttpReply reply, boolean callerKeepAlive, boolean headOnly) {
-        closed = null;
-        boolean keepAlive = callerKeepAlive && !reply.asksForClose();
+    private ChannelFuture write(ChannelHandlerContext context, HttpReply reply, boolean keepAlive, boolean headOnly) {
         FullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(reply.status()),
@@ -185,11 +224,9 @@
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
         HttpUtil.setKeepAlive(response, keepAlive);
         ChannelFuture written = context.writeAndFlush(response);
-        if (keepAlive) {
-            resume(context);
-        } else {
+        if (!keepAlive) {
             // A request that follows on a closing connection could run without its answer ever being written.
-            rejected = true;
+            stopped = true;
             written.addListener(done -> closeAfterCaller(context));
         }
         return written;
@@ -208,22 +245,28 @@
     }
 
     private void resume(ChannelHandlerContext context) {
-        while (closed == null && !pipelined.isEmpty()) {
-            HttpObject part = pipelined.poll();
+        while (!unread.isEmpty() && !mustWait()) {
+            HttpObject part = unread.poll();
             try {
                 handle(context, part);
             } finally {
                 ReferenceCountUtil.release(part);
             }
         }
-        if (pipelined.isEmpty()) {
+        if (unread.isEmpty()) {
             context.channel().config().setAutoRead(true);
         }
     }
 
+    /** Answers a request that cannot be handled, after those before it, and ends the connection. */
     private void reject(ChannelHandlerContext context, int status) {
-        rejected = true;
-        write(context, options.rejection().apply(status), false, false);
+        stopped = true;
+        head = null;
+        Exchange exchange = new Exchange(false, false);
+        exchange.reply = options.rejection().apply(status);
+        exchanges.add(exchange);
+        openCalls.incrementAndGet();
+        writeAnswered(context);
     }
 
     private static int statusOf(Throwable cause) {
@@ -233,11 +276,10 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        pipelined.forEach(ReferenceCountUtil::release);
-        pipelined.clear();
-        if (closed != null) {
-            closed.complete(null);
-        }
+        unread.forEach(ReferenceCountUtil::release);
+        unread.clear();
+        stopped = true;
+        exchanges.forEach(exchange -> exchange.closed.complete(null));
     }
 
     @Override
--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/FakeGate.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/FakeGate.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Function;
 import org.coriandercrank.kernel.id.RequestId;
+import org.coriandercrank.kernel.ownership.GateLoad;
 import org.coriandercrank.kernel.ownership.OwnerGate;
 import org.coriandercrank.kernel.request.CallerAnswer;
 import org.coriandercrank.kernel.request.CallerRequest;
@@ -29,6 +30,7 @@
                     cancelled.add((RequestId) arguments[0]);
                     yield null;
                 }
+                case "load" -> GateLoad.NONE;
                 default -> throw new UnsupportedOperationException(method.getName());
             });
 }
--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/TestWorld.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/TestWorld.java
@@ -74,7 +74,8 @@
                         new DecisionLog(0, timers.clock()),
                         meters,
                         new Region("east"),
-                        new FailureDomain("east-a")),
+                        new FailureDomain("east-a"),
+                        Optional.empty()),
                 options);
         address = ingress.start(LOOPBACK);
         client = new HttpClient(group, address, HttpClientOptions.DEFAULTS);
@@ -93,8 +94,10 @@
                 100,
                 50,
                 1_500,
-                budgetPercent,
-                budgetMinPerSecond,
+                new RetryRules(
+                        budgetPercent / 100.0,
+                        budgetMinPerSecond,
+                        budgetMinPerSecond * 2 + (budgetPercent > 0 ? 100 : 0)),
                 5_000,
                 HealthRules.DEFAULTS);
     }
--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/internal/balancing/BalancingTest.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/internal/balancing/BalancingTest.java
@@ -39,13 +39,13 @@
                 MemberState.ACTIVE,
                 Optional.empty(),
                 List.of());
-        return new BalancingCandidate(member, inFlight, sameDomain, sameRegion, weightPercent);
+        return new BalancingCandidate(member, inFlight, sameDomain, sameRegion, weightPercent, 0);
     }
 
     @Test
     void offersThePoliciesByName() {
         assertThat(PluginRegistry.load().names(Kind.BALANCING))
-                .containsExactly("least-in-flight", "round-robin", "two-choices");
+                .containsExactly("expected-time", "least-in-flight", "round-robin", "two-choices");
     }
 
     @Test
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
@@ -10,17 +10,14 @@
 import org.coriandercrank.http.HttpServer;
 import org.coriandercrank.http.HttpServerOptions;
 import org.coriandercrank.ingress.internal.balancing.Balancer;
-import org.coriandercrank.ingress.internal.protocol.AnswerRenderer;
-import org.coriandercrank.ingress.internal.protocol.ParsedRequest;
-import org.coriandercrank.ingress.internal.protocol.RequestIds;
-import org.coriandercrank.ingress.internal.protocol.RequestParser;
+import org.coriandercrank.ingress.internal.protocol.NativeProtocol;
 import org.coriandercrank.ingress.internal.routing.DispatchContext;
 import org.coriandercrank.ingress.internal.routing.DispatchResult;
 import org.coriandercrank.ingress.internal.routing.ForwardHandlers;
 import org.coriandercrank.ingress.internal.routing.IngressMetrics;
 import org.coriandercrank.ingress.internal.routing.RequestDispatch;
 import org.coriandercrank.ingress.internal.routing.RequestExecutor;
-import org.coriandercrank.ingress.internal.routing.RetryBudget;
+import org.coriandercrank.ingress.internal.routing.RetryBudgets;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.id.HostAddress;
@@ -43,13 +40,13 @@
     private final IngressDependencies parts;
     private final IngressOptions options;
     private final RequestIds ids = new RequestIds();
-    private final RequestParser parser = new RequestParser(ids);
-    private final AnswerRenderer renderer;
+    private final CallerProtocol protocol;
     private final IngressMetrics metrics;
     private final RequestExecutor duty;
     private final DispatchContext context;
     private final AtomicInteger inFlight = new AtomicInteger();
     private final CompletableFuture<Void> idleWhileDraining = new CompletableFuture<>();
+    private volatile boolean closing;
     private volatile boolean draining;
     private volatile int excludedServers;
     private volatile HttpServer server;
@@ -58,15 +55,12 @@
     public Ingress(IngressDependencies parts, IngressOptions options) {
         this.parts = parts;
         this.options = options;
-        this.renderer = new AnswerRenderer(options.retryAfterMs());
+        this.protocol = parts.protocol().orElseGet(() -> new NativeProtocol(ids, options.retryAfterMs()));
         this.metrics = new IngressMetrics(parts.meters());
         this.duty = new RequestExecutor(new DutyThread("ingress", RING_SLOTS_PER_REQUEST * options.maxInFlight()));
         Balancer balancer = new Balancer(parts.region(), parts.failureDomain(), options.health(), new Random());
-        RetryBudget budget = new RetryBudget(
-                options.retryBudgetPercent(),
-                options.retryBudgetMinPerSecond(),
-                parts.timers().clock().nowNanos());
-        this.context = new DispatchContext(parts, options, duty, balancer, budget, metrics);
+        this.context =
+                new DispatchContext(parts, options, duty, balancer, new RetryBudgets(options.retryBudget()), metrics);
         metrics.registerGauges(inFlight::get, () -> excludedServers);
         ForwardHandlers.register(parts.handlers(), parts.gate(), parts.view());
     }
@@ -86,6 +80,11 @@
         return server.address();
     }
 
+    /** Serves on, and asks callers to close their connections with the next answer. */
+    public void closeConnections() {
+        closing = true;
+    }
+
     /** Accepts no further connections; requests on open ones are still served. */
     public void stopAccepting() {
         if (server != null) {
@@ -98,6 +97,7 @@
      * earlier requests are answered and the answers are written, or the time for writing them has passed.
      */
     public CompletableFuture<Void> drain() {
+        closing = true;
         draining = true;
         completeIfIdle();
         CompletableFuture<Void> drained = new CompletableFuture<>();
@@ -131,7 +131,7 @@
 
     private CompletableFuture<HttpReply> handle(HttpCall call, CompletableFuture<Void> closed) {
         long receivedAtNanos = parts.timers().clock().nowNanos();
-        ParsedRequest parsed = parser.parse(call, parts.view().current());
+        ParsedRequest parsed = protocol.parse(call, parts.view().current());
         if (parsed.refusal().isPresent()) {
             return refuse(parsed, parsed.refusal().get(), receivedAtNanos);
         }
@@ -172,7 +172,7 @@
     }
 
     private HttpReply reply(RequestId id, DispatchResult result) {
-        return renderer.render(id, result.answer(), result.owner(), draining);
+        return protocol.render(id, result.answer(), result.owner(), closing);
     }
 
     private static CallerAnswer internal(Throwable failure) {
@@ -186,7 +186,7 @@
         metrics.finished(service, refusal.code(), parts.timers().clock().nowNanos() - receivedAtNanos);
         parts.decisions()
                 .log(() -> "event=refuse service=" + service + " request=" + parsed.id() + " result=" + refusal.code());
-        return CompletableFuture.completedFuture(renderer.render(parsed.id(), refusal, Optional.empty(), draining));
+        return CompletableFuture.completedFuture(protocol.render(parsed.id(), refusal, Optional.empty(), closing));
     }
 
     private HttpReply rejection(int status, HttpServerOptions limits) {
@@ -202,7 +202,7 @@
             default -> CallerAnswer.of(ResultCode.BAD_REQUEST, "request: is not valid HTTP/1.1");
         };
         metrics.finished(NO_SERVICE, answer.code(), 0);
-        return renderer.render(ids.generate(), answer, Optional.empty(), true);
+        return protocol.render(ids.generate(), answer, Optional.empty(), true);
     }
 
     private void release() {
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/IngressDependencies.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/IngressDependencies.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.EventLoopGroup;
+import java.util.Optional;
 import org.coriandercrank.kernel.id.FailureDomain;
 import org.coriandercrank.kernel.id.Region;
 import org.coriandercrank.kernel.log.DecisionLog;
@@ -15,6 +16,8 @@
 /**
  * Parts that the caller side uses; all stay the property of the creator. Immutable. The member id of this daemon is
  * read from the routing snapshot, because it changes when a sealed daemon joins again.
+ *
+ * @param protocol how callers write requests; empty for the product's own protocol
  */
 public record IngressDependencies(
         EventLoopGroup ioGroup,
@@ -27,4 +30,5 @@
         DecisionLog decisions,
         MeterRegistry meters,
         Region region,
-        FailureDomain failureDomain) {}
+        FailureDomain failureDomain,
+        Optional<CallerProtocol> protocol) {}
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/IngressOptions.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/IngressOptions.java
@@ -13,8 +13,7 @@
  * @param queryTimeoutMs time given to one outcome query
  * @param answerGraceMs time after the deadline in which the exact answer of the gate is awaited
  * @param retryAfterMs {@code Retry-After} of refusals that name none
- * @param retryBudgetPercent retries allowed per hundred requests
- * @param retryBudgetMinPerSecond retries allowed per second in addition
+ * @param retryBudget retries allowed per service
  * @param drainWriteMs longest time that a drain waits, after the last answer, for answers to be written
  */
 public record IngressOptions(
@@ -28,12 +27,11 @@
         long queryTimeoutMs,
         long answerGraceMs,
         long retryAfterMs,
-        int retryBudgetPercent,
-        int retryBudgetMinPerSecond,
+        RetryRules retryBudget,
         long drainWriteMs,
         HealthRules health) {
     public static final IngressOptions DEFAULTS = new IngressOptions(
-            8_192, 24, 4, 1_500, 1_000, 5, 100, 1_000, 100, 1_000, 10, 10, 5_000, HealthRules.DEFAULTS);
+            8_192, 24, 4, 1_500, 1_000, 5, 100, 1_000, 100, 1_000, RetryRules.DEFAULTS, 5_000, HealthRules.DEFAULTS);
 
     public IngressOptions {
         if (maxInFlight < 1 || maxSends < 1 || maxAttemptIds < 1 || maxAttemptIds > 99) {
@@ -45,8 +43,5 @@
         if (backoffMs < 1 || maxBackoffMs < backoffMs || queryTimeoutMs < 1 || retryAfterMs < 1) {
             throw new IllegalArgumentException("backoffs, queryTimeoutMs and retryAfterMs must be positive");
         }
-        if (retryBudgetPercent < 0 || retryBudgetMinPerSecond < 0) {
-            throw new IllegalArgumentException("retry budget must not be negative");
-        }
     }
 }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/protocol/ParsedRequest.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/ParsedRequest.java
@@ -1,4 +1,4 @@
-package org.coriandercrank.ingress.internal.protocol;
+package org.coriandercrank.ingress;
 
 import java.util.Optional;
 import org.coriandercrank.kernel.config.ServiceConfig;
@@ -21,11 +21,11 @@
         }
     }
 
-    static ParsedRequest accepted(CallerRequest request, ServiceConfig service) {
+    public static ParsedRequest accepted(CallerRequest request, ServiceConfig service) {
         return new ParsedRequest(request.id(), Optional.of(new Accepted(request, service)), Optional.empty());
     }
 
-    static ParsedRequest refused(RequestId id, CallerAnswer refusal) {
+    public static ParsedRequest refused(RequestId id, CallerAnswer refusal) {
         return new ParsedRequest(id, Optional.empty(), Optional.of(refusal));
     }
 }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/protocol/RequestIds.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/RequestIds.java
@@ -1,4 +1,4 @@
-package org.coriandercrank.ingress.internal.protocol;
+package org.coriandercrank.ingress;
 
 import java.security.SecureRandom;
 import java.util.concurrent.atomic.AtomicLong;
@@ -27,7 +27,7 @@
     }
 
     /** Fails with {@code BAD_REQUEST_ID}. */
-    static RequestId parse(String text) {
+    public static RequestId parse(String text) {
         if (text.length() > MAX_CALLER_ID_LENGTH || text.contains(ATTEMPT_SEPARATOR)) {
             throw new CrankException(
                     ResultCode.BAD_REQUEST_ID,
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
@@ -15,6 +15,7 @@
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.Region;
 import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.ownership.GateLoad;
 import org.coriandercrank.kernel.ownership.KnownMember;
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
 import org.coriandercrank.kernel.placement.BalancingCandidate;
@@ -35,6 +36,7 @@
     private final HealthRules healthRules;
     private final RandomGenerator random;
     private final Map<MemberId, Integer> inFlight = new HashMap<>();
+    private final LoadBoard loads = new LoadBoard();
     private final Map<ServiceName, ServiceState> services = new HashMap<>();
 
     /** A server that may get requests, with its weight. */
@@ -79,11 +81,11 @@
                 continue;
             }
             if (!state.health.isExcluded(id)) {
-                healthy.add(candidate(eligible));
+                healthy.add(candidate(eligible, nowNanos));
             } else if (repeatable && state.health.tryProbe(id, nowNanos)) {
                 return Optional.of(eligible.member());
             } else {
-                excluded.add(candidate(eligible));
+                excluded.add(candidate(eligible, nowNanos));
             }
         }
         List<BalancingCandidate> candidates =
@@ -102,6 +104,11 @@
         inFlight.computeIfPresent(member, (id, count) -> count > 1 ? count - 1 : null);
     }
 
+    /** Takes over what the gate of a server told of its load. */
+    public void learnLoad(MemberId member, GateLoad load, long nowNanos) {
+        loads.learn(member, load, inFlight.getOrDefault(member, 0), nowNanos);
+    }
+
     /** Records whether a server handled a request well. */
     public void result(ServiceName service, MemberId member, boolean success, long nowNanos) {
         ServiceState state = services.get(service);
@@ -117,14 +124,16 @@
                 .sum();
     }
 
-    private BalancingCandidate candidate(Eligible eligible) {
+    private BalancingCandidate candidate(Eligible eligible, long nowNanos) {
         Member member = eligible.member();
+        int own = inFlight.getOrDefault(member.id(), 0);
         return new BalancingCandidate(
                 member,
-                inFlight.getOrDefault(member.id(), 0),
+                own,
                 member.failureDomain().equals(failureDomain),
                 member.region().equals(region),
-                eligible.weightPercent());
+                eligible.weightPercent(),
+                loads.expectedMs(member.id(), own, nowNanos));
     }
 
     /** Compares snapshots by identity, because a comparison by content costs more than a new list. */
@@ -134,6 +143,7 @@
                 services.computeIfAbsent(service, name -> new ServiceState(new HealthTracker(healthRules)));
         if (state.snapshot != snapshot) {
             state.snapshot = snapshot;
+            loads.retain(snapshot.members().keySet());
             state.eligible = eligible(snapshot, service);
             state.health.retain(
                     state.eligible.stream().map(e -> e.member().id()).collect(Collectors.toSet()));
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/BalancingPlugin.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/BalancingPlugin.java
@@ -10,6 +10,7 @@
     public void register(PluginRegistry registry) {
         registry.register(Kind.BALANCING, "two-choices", new TwoChoicesPolicy());
         registry.register(Kind.BALANCING, "round-robin", new RoundRobinPolicy());
+        registry.register(Kind.BALANCING, "expected-time", new ExpectedTimePolicy());
         registry.register(Kind.BALANCING, "least-in-flight", new LeastInFlightPolicy());
     }
 }
--- /dev/null
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/protocol/NativeProtocol.java
@@ -0,0 +1,34 @@
+package org.coriandercrank.ingress.internal.protocol;
+
+import java.util.Optional;
+import org.coriandercrank.http.HttpCall;
+import org.coriandercrank.http.HttpReply;
+import org.coriandercrank.ingress.CallerProtocol;
+import org.coriandercrank.ingress.ParsedRequest;
+import org.coriandercrank.ingress.RequestIds;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.RequestId;
+import org.coriandercrank.kernel.ownership.RoutingSnapshot;
+import org.coriandercrank.kernel.request.CallerAnswer;
+
+/** The product's own protocol, as {@code docs/PROTOCOL_CALLERS.md} has it. Thread safe. */
+public final class NativeProtocol implements CallerProtocol {
+    private final RequestParser parser;
+    private final AnswerRenderer renderer;
+
+    /** @param defaultRetryAfterMs {@code Retry-After} of refusals that name none */
+    public NativeProtocol(RequestIds ids, long defaultRetryAfterMs) {
+        parser = new RequestParser(ids);
+        renderer = new AnswerRenderer(defaultRetryAfterMs);
+    }
+
+    @Override
+    public ParsedRequest parse(HttpCall call, RoutingSnapshot snapshot) {
+        return parser.parse(call, snapshot);
+    }
+
+    @Override
+    public HttpReply render(RequestId id, CallerAnswer answer, Optional<MemberId> owner, boolean closeConnection) {
+        return renderer.render(id, answer, owner, closeConnection);
+    }
+}
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/protocol/RequestParser.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/protocol/RequestParser.java
@@ -5,6 +5,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.coriandercrank.http.HttpCall;
+import org.coriandercrank.ingress.ParsedRequest;
+import org.coriandercrank.ingress.RequestIds;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.config.ServiceConfig;
@@ -98,7 +100,8 @@
                 call.body(),
                 deadlineMs,
                 idempotencyKey,
-                keyAgeMs);
+                keyAgeMs,
+                Optional.empty());
         return ParsedRequest.accepted(request, service);
     }
 
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptHistory.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptHistory.java
@@ -81,6 +81,11 @@
         return attempts.stream().anyMatch(k -> k != Knowledge.NOT_RUN);
     }
 
+    /** Attempts that are not proved to have reached no server. */
+    public int mayHaveRunTimes() {
+        return (int) attempts.stream().filter(k -> k != Knowledge.NOT_RUN).count();
+    }
+
     public int sends() {
         return attempts.size();
     }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
@@ -8,6 +8,7 @@
 import org.coriandercrank.kernel.message.CancelRequest;
 import org.coriandercrank.kernel.message.ForwardAnswer;
 import org.coriandercrank.kernel.message.ForwardRequest;
+import org.coriandercrank.kernel.ownership.GateLoad;
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
 import org.coriandercrank.kernel.peer.PeerTarget;
 import org.coriandercrank.kernel.request.CallerAnswer;
@@ -53,6 +54,7 @@
                     .submit(timed)
                     .whenComplete((answer, failure) -> dispatch.post(() -> {
                         if (failure == null) {
+                            learnLoad(attempt, context.parts().gate().load());
                             onAnswer(attempt, answer, generation);
                         } else {
                             onFailure(attempt, CrankException.of(failure));
@@ -70,6 +72,7 @@
                         remainingMs + context.options().answerGraceMs())
                 .whenComplete((forwarded, failure) -> dispatch.post(() -> {
                     if (failure == null) {
+                        learnLoad(attempt, forwarded.load());
                         onAnswer(attempt, forwarded.answer(), forwarded.tableGeneration());
                     } else {
                         onFailure(attempt, CrankException.of(failure));
@@ -77,6 +80,12 @@
                 }));
     }
 
+    private void learnLoad(Attempt attempt, GateLoad load) {
+        if (isBalanced()) {
+            context.balancer().learnLoad(attempt.target().member(), load, context.nowNanos());
+        }
+    }
+
     /** Asks the gate that has the outstanding attempt, if there is one, to stop it. */
     void cancelOutstanding() {
         if (outstanding.isEmpty()) {
@@ -112,6 +121,8 @@
         history.answered(answer);
         if (answer.code() == ResultCode.BARRED) {
             dispatch.retry(true, "barred", answer);
+        } else if (answer.code() == ResultCode.OK && answer.status() >= SERVER_ERROR_STATUS && history.canSend()) {
+            dispatch.retry(true, "server-error", answer);
         } else if (!history.canSend() || answer.code() == ResultCode.OK) {
             dispatch.finish(answer);
         } else if (isBalanced()) {
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/DispatchContext.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/DispatchContext.java
@@ -12,7 +12,7 @@
         IngressOptions options,
         RequestExecutor duty,
         Balancer balancer,
-        RetryBudget budget,
+        RetryBudgets budgets,
         IngressMetrics metrics) {
     private static final long FULL_RING_RETRY_MS = 1;
 
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/ForwardHandlers.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/ForwardHandlers.java
@@ -20,7 +20,7 @@
                 ForwardRequest.class,
                 (sender, message) -> gate.submit(message.request())
                         .thenApply(answer -> new ForwardAnswer(
-                                answer, generation(view, message.request().service()))));
+                                answer, generation(view, message.request().service()), gate.load())));
         handlers.register(CancelRequest.class, (sender, message) -> {
             gate.cancel(message.requestId());
             return null;
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
@@ -7,9 +7,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
-import org.coriandercrank.ingress.internal.protocol.ParsedRequest;
-import org.coriandercrank.ingress.internal.protocol.RequestIds;
+import org.coriandercrank.ingress.ParsedRequest;
+import org.coriandercrank.ingress.RequestIds;
 import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.config.RequestRules;
 import org.coriandercrank.kernel.config.ServiceConfig;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.KeyHash;
@@ -40,6 +41,7 @@
     private final CallerRequest request;
     private final ServiceConfig service;
     private final boolean repeatable;
+    private final int maxServers;
     private final Optional<KeyHash> keyHash;
     private final AttemptHistory history;
     private final Hold hold;
@@ -51,7 +53,7 @@
 
     private int attemptNumber = 1;
     private Optional<MemberId> lastTarget = Optional.empty();
-    private Optional<CallerAnswer> lastRefusal = Optional.empty();
+    private Optional<CallerAnswer> lastAnswer = Optional.empty();
     private Subscription deadlineTimer;
 
     /** @param receivedAtNanos when the request was parsed; its deadline counts from then */
@@ -63,7 +65,8 @@
         this.context = context;
         this.request = accepted.request();
         this.service = accepted.service();
-        this.repeatable = service.isRepeatable(request.method());
+        this.repeatable = request.isRepeatable(service);
+        this.maxServers = request.rules().map(RequestRules::maxServers).orElse(Integer.MAX_VALUE);
         this.keyHash = request.key().map(key -> key.hash());
         this.history = new AttemptHistory(repeatable);
         this.hold = new Hold(
@@ -82,7 +85,7 @@
     }
 
     private void begin() {
-        context.budget().request();
+        budget().request();
         deadlineTimer = after(context.msUntil(deadlineNanos), this::deadlinePassed);
         route("first");
     }
@@ -124,7 +127,7 @@
         if (context.msUntil(deadlineNanos) == 0) {
             finishExpired();
         } else if (history.sends() >= context.options().maxSends()) {
-            finish(lastRefusal.orElseGet(() ->
+            finish(lastAnswer.orElseGet(() ->
                     retryLater(ResultCode.NO_OWNER, "no server took the request in " + history.sends() + " sends")));
         } else if (keyHash.isPresent()) {
             routeToOwner(context.parts().view().current(), keyHash.get(), reason);
@@ -157,7 +160,7 @@
         Optional<Member> chosen =
                 context.balancer().choose(snapshot, service, policy, tried, repeatable, context.nowNanos());
         if (chosen.isEmpty()) {
-            finish(lastRefusal.orElseGet(
+            finish(lastAnswer.orElseGet(
                     () -> retryLater(ResultCode.NO_OWNER, "no server of the service takes requests")));
             return;
         }
@@ -173,6 +176,10 @@
         sender.send(target, request.withId(attemptId), snapshot, reason);
     }
 
+    private RetryBudget budget() {
+        return context.budgets().of(service.name(), context.nowNanos());
+    }
+
     Generation generationIn(RoutingSnapshot snapshot) {
         return snapshot.table(service.name()).map(AssignmentTable::generation).orElse(Generation.NONE);
     }
@@ -220,7 +227,7 @@
      * @param seen the snapshot that the refused send was based on
      */
     void holdAndRepeat(CallerAnswer refusal, RoutingSnapshot seen) {
-        lastRefusal = Optional.of(refusal);
+        lastAnswer = Optional.of(refusal);
         if (hold.remainingMs(refusal.code(), context.nowNanos()) == 0) {
             finish(refusal);
             return;
@@ -232,22 +239,26 @@
     }
 
     /**
-     * Sends a further attempt if the history, the ids and the budget allow it.
+     * Sends a further attempt if the history, the ids and the budget allow it. An attempt that reached no server and was
+     * not refused for load costs nothing of the budget.
      *
-     * @param newId whether the id of the last attempt must not be used again
+     * @param newId whether a server may have got the last attempt, so that its id must not be used again
      * @param otherwise the answer if there is no further attempt
      */
     void retry(boolean newId, String reason, CallerAnswer otherwise) {
         if (isDone()) {
             return;
         }
-        lastRefusal = Optional.of(otherwise);
+        lastAnswer = Optional.of(otherwise);
         boolean idsLeft = !newId || attemptNumber < context.options().maxAttemptIds();
-        if (!history.canSend() || !idsLeft) {
+        if (!history.canSend() || !idsLeft || history.mayHaveRunTimes() >= maxServers) {
             finish(otherwise);
-        } else if (!context.budget().tryRetry(context.nowNanos())) {
+        } else if ((newId || isLoad(otherwise.code())) && !budget().tryRetry(context.nowNanos())) {
             context.metrics().budgetRefusal();
-            finish(retryLater(ResultCode.RETRY_BUDGET_EXHAUSTED, "last failure: " + otherwise.code()));
+            finish(
+                    otherwise.code() == ResultCode.OK
+                            ? otherwise
+                            : retryLater(ResultCode.RETRY_BUDGET_EXHAUSTED, "last failure: " + otherwise.code()));
         } else {
             attemptNumber += newId ? 1 : 0;
             context.metrics().retried();
@@ -255,6 +266,12 @@
         }
     }
 
+    private static boolean isLoad(ResultCode code) {
+        return code == ResultCode.OVERLOADED
+                || code == ResultCode.KEY_SHARE_EXCEEDED
+                || code == ResultCode.FENCE_REJECTED;
+    }
+
     private void deadlinePassed() {
         if (isDone()) {
             return;
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/BackendServer.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/BackendServer.java
@@ -1,8 +1,11 @@
 package org.coriandercrank.kernel.backend;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.coriandercrank.kernel.id.RequestId;
+import org.coriandercrank.kernel.ownership.Handover;
 import org.coriandercrank.kernel.request.CallerAnswer;
+import org.coriandercrank.kernel.table.KeyRange;
 
 /**
  * A backend server. Implementations are thread safe and never block the caller.
@@ -25,6 +28,19 @@
      */
     CompletableFuture<Long> grant(Grant grant);
 
+    /** What the server left of released ranges that overlap a range, as far as it is known; each is returned once. */
+    default List<Handover> takeHandovers(KeyRange range) {
+        return List.of();
+    }
+
+    /**
+     * Whether the server may hold part of a range that this process did not grant, left over from a former process of the
+     * daemon. Until a grant without the range is acknowledged, or such a grant has lapsed, nobody else may get the range.
+     */
+    default boolean mayHold(KeyRange range) {
+        return false;
+    }
+
     /** Tells the server that it gets no new work. */
     CompletableFuture<Void> drain();
 
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/code/ResultCode.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/code/ResultCode.java
@@ -25,6 +25,7 @@
     BAD_IDEMPOTENCY_KEY(107, 400, Outcome.NOT_RUN, "Idempotency-Key or Crank-Key-Age-Ms is malformed"),
     IDEMPOTENCY_KEY_REUSED(108, 422, Outcome.NOT_RUN, "the key was used before for a different request"),
     BAD_REQUEST_ID(109, 400, Outcome.NOT_RUN, "Crank-Request-Id is malformed"),
+    UNKNOWN_ROUTE(110, 404, Outcome.NOT_RUN, "the configuration has no route for the host and path"),
 
     OVERLOADED(200, 503, Outcome.NOT_RUN, "the queue of the backend server is full"),
     NO_OWNER(201, 503, Outcome.NOT_RUN, "no server owns the key at present"),
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/Configuration.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/Configuration.java
@@ -9,16 +9,24 @@
  * The whole configuration, content of the object {@code config/current}.
  *
  * <p>Immutable. Its revision is the store revision of the object. {@code recentNotes} holds the latest
- * accepted notes, newest first, so that an unanswered submission can be resolved.
+ * accepted notes, newest first, so that an unanswered submission can be resolved. A configuration that was stored
+ * without routes has none.
  */
-public record Configuration(List<ServiceConfig> services, List<BackendRule> backends, List<AcceptedNote> recentNotes) {
-    public static final Configuration EMPTY = new Configuration(List.of(), List.of(), List.of());
+public record Configuration(
+        List<ServiceConfig> services, List<BackendRule> backends, List<AcceptedNote> recentNotes, List<Route> routes) {
+    public static final Configuration EMPTY = new Configuration(List.of(), List.of(), List.of(), List.of());
     public static final int MAX_RECENT_NOTES = 256;
 
     public Configuration {
         services = List.copyOf(services);
         backends = List.copyOf(backends);
         recentNotes = List.copyOf(recentNotes);
+        routes = routes == null ? List.of() : List.copyOf(routes);
+    }
+
+    /** A configuration without routes. */
+    public Configuration(List<ServiceConfig> services, List<BackendRule> backends, List<AcceptedNote> recentNotes) {
+        this(services, backends, recentNotes, List.of());
     }
 
     public Optional<ServiceConfig> service(ServiceName name) {
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/ServiceConfig.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/ServiceConfig.java
@@ -16,6 +16,8 @@
  * @param placementPolicy name of the placement policy
  * @param balancingPolicy name of the balancing policy
  * @param locality which servers are preferred; a stored configuration without it has the default
+ * @param keySpaceBits leading bits of a key's position that tell keys apart, at most 64; ranges end only where these
+ *     bits change. 0, as in a stored configuration without it, stands for 64
  */
 public record ServiceConfig(
         ServiceName name,
@@ -28,7 +30,8 @@
         int maxKeySharePercent,
         String placementPolicy,
         String balancingPolicy,
-        Locality locality) {
+        Locality locality,
+        int keySpaceBits) {
     public static final Set<String> DEFAULT_REPEATABLE_METHODS = Set.of("GET", "HEAD");
     public static final int DEFAULT_DEADLINE_MS = 2_000;
     public static final int DEFAULT_MAX_DEADLINE_MS = 30_000;
@@ -38,6 +41,7 @@
     public static final String DEFAULT_PLACEMENT_POLICY = "availability";
     public static final String DEFAULT_BALANCING_POLICY = "two-choices";
     public static final Locality DEFAULT_LOCALITY = Locality.DOMAIN_FIRST;
+    public static final int DEFAULT_KEY_SPACE_BITS = 64;
 
     private static final int LIMIT_DEADLINE_MS = 600_000;
     private static final int LIMIT_BODY_BYTES = 8_388_608;
@@ -46,6 +50,8 @@
     public ServiceConfig {
         repeatableMethods = Set.copyOf(repeatableMethods);
         locality = locality == null ? DEFAULT_LOCALITY : locality;
+        keySpaceBits = keySpaceBits == 0 ? DEFAULT_KEY_SPACE_BITS : keySpaceBits;
+        checkRange("keySpaceBits", keySpaceBits, 1, DEFAULT_KEY_SPACE_BITS);
         checkRange("defaultDeadlineMs", defaultDeadlineMs, 1, maxDeadlineMs);
         checkRange("maxDeadlineMs", maxDeadlineMs, 1, LIMIT_DEADLINE_MS);
         checkRange("maxBodyBytes", maxBodyBytes, 0, LIMIT_BODY_BYTES);
@@ -66,7 +72,8 @@
                 DEFAULT_MAX_KEY_SHARE_PERCENT,
                 DEFAULT_PLACEMENT_POLICY,
                 DEFAULT_BALANCING_POLICY,
-                DEFAULT_LOCALITY);
+                DEFAULT_LOCALITY,
+                DEFAULT_KEY_SPACE_BITS);
     }
 
     public boolean isRepeatable(String method) {
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/id/Key.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/id/Key.java
@@ -7,8 +7,13 @@
  * A key of a service, as the caller wrote it after URL decoding.
  *
  * <p>Immutable; 1 to 256 UTF-8 bytes without control characters.
+ *
+ * @param hash position of the key, the same on every daemon and version
  */
-public record Key(String value) {
+public record Key(String value, KeyHash hash) {
+    /** Bits of a numbered key. */
+    public static final int NUMBER_BITS = 16;
+
     private static final int MAX_BYTES = 256;
 
     public Key {
@@ -23,10 +28,23 @@
         }
     }
 
-    /** The position of this key in the hash space; the same on every daemon and version. */
-    public KeyHash hash() {
-        return new KeyHash(
-                Hashing.murmur3_128().hashString(value, StandardCharsets.UTF_8).asLong());
+    /** A key whose position is a hash of its text. */
+    public Key(String value) {
+        this(value, hashOf(value));
+    }
+
+    /** A numbered key, whose position keeps the order of the numbers. */
+    public static Key numbered(int number) {
+        if (number < 0 || number >= 1 << NUMBER_BITS) {
+            throw new IllegalArgumentException("key number must have at most " + NUMBER_BITS + " bits: " + number);
+        }
+        return new Key(Integer.toString(number), new KeyHash((long) number << (Long.SIZE - NUMBER_BITS)));
+    }
+
+    private static KeyHash hashOf(String value) {
+        return new KeyHash(Hashing.murmur3_128()
+                .hashString(value == null ? "" : value, StandardCharsets.UTF_8)
+                .asLong());
     }
 
     @Override
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/OwnerGate.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/OwnerGate.java
@@ -32,6 +32,15 @@
     /** Uses a backend server that announced itself, in place of the one before. */
     void attach(BackendInfo info, BackendServer server);
 
+    /**
+     * Drops the backend server, which has certainly ended or whose grants have certainly lapsed, and gives up all
+     * ranges at once. Requests that wait are refused.
+     */
+    void detach();
+
+    /** Sends the backend server in use no further request, and refuses those that wait; it is about to end. */
+    void stopSending();
+
     /**
      * Grants a range to the backend server and starts serving it. Completes when the range is served; fails if the
      * grant fails, and may then be called again.
@@ -51,4 +60,14 @@
     List<RangeLoad> loads();
 
     GateStatus status();
+
+    /** Whether the backend server may hold part of a range that a former process of this daemon granted. */
+    default boolean mayHold(KeyRange range) {
+        return false;
+    }
+
+    /** How busy the gate is at present; cheap enough to be read with each answer. */
+    default GateLoad load() {
+        return GateLoad.NONE;
+    }
 }
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/peer/PeerHandlers.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/peer/PeerHandlers.java
@@ -15,6 +15,11 @@
         }
     }
 
+    /** Removes a handler; does nothing if another one is registered. */
+    public <M extends Message> void unregister(Class<M> type, PeerHandler<M> handler) {
+        handlers.remove(type, handler);
+    }
+
     @SuppressWarnings("unchecked")
     public <M extends Message> Optional<PeerHandler<M>> find(M message) {
         return Optional.ofNullable((PeerHandler<M>) handlers.get(message.getClass()));
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/placement/BalancingCandidate.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/placement/BalancingCandidate.java
@@ -9,6 +9,12 @@
  * @param sameFailureDomain whether it is in the failure domain of this daemon
  * @param sameRegion whether it is in the region of this daemon
  * @param weightPercent relative capacity
+ * @param expectedMs expected time to an answer without the way there, from what the server told last; 0 if unknown
  */
 public record BalancingCandidate(
-        Member member, int inFlight, boolean sameFailureDomain, boolean sameRegion, int weightPercent) {}
+        Member member,
+        int inFlight,
+        boolean sameFailureDomain,
+        boolean sameRegion,
+        int weightPercent,
+        double expectedMs) {}
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/request/CallerRequest.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/request/CallerRequest.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.coriandercrank.kernel.config.RequestRules;
+import org.coriandercrank.kernel.config.ServiceConfig;
 import org.coriandercrank.kernel.id.IdempotencyKey;
 import org.coriandercrank.kernel.id.Key;
 import org.coriandercrank.kernel.id.RequestId;
@@ -17,6 +19,7 @@
  * @param path path and query as passed on to the backend server, starting with a slash
  * @param remainingMs time left until the deadline when the request was handed over
  * @param idempotencyKeyAgeMs time since the caller's first attempt with the key, if stated
+ * @param rules those of the request's route; empty if the rules of its service apply
  */
 public record CallerRequest(
         RequestId id,
@@ -28,7 +31,8 @@
         byte[] body,
         long remainingMs,
         Optional<IdempotencyKey> idempotencyKey,
-        OptionalLong idempotencyKeyAgeMs) {
+        OptionalLong idempotencyKeyAgeMs,
+        Optional<RequestRules> rules) {
     public CallerRequest {
         headers = List.copyOf(headers);
         if (remainingMs < 0) {
@@ -36,13 +40,38 @@
         }
     }
 
+    /** Whether the request may run more than once. */
+    public boolean isRepeatable(ServiceConfig config) {
+        return rules.map(RequestRules::repeatable).orElseGet(() -> config.isRepeatable(method));
+    }
+
     public CallerRequest withId(RequestId newId) {
         return new CallerRequest(
-                newId, service, key, method, path, headers, body, remainingMs, idempotencyKey, idempotencyKeyAgeMs);
+                newId,
+                service,
+                key,
+                method,
+                path,
+                headers,
+                body,
+                remainingMs,
+                idempotencyKey,
+                idempotencyKeyAgeMs,
+                rules);
     }
 
     public CallerRequest withRemainingMs(long newRemainingMs) {
         return new CallerRequest(
-                id, service, key, method, path, headers, body, newRemainingMs, idempotencyKey, idempotencyKeyAgeMs);
+                id,
+                service,
+                key,
+                method,
+                path,
+                headers,
+                body,
+                newRemainingMs,
+                idempotencyKey,
+                idempotencyKeyAgeMs,
+                rules);
     }
 }
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/KeyRanges.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/table/KeyRanges.java
@@ -1,11 +1,10 @@
-package org.coriandercrank.placement.internal;
+package org.coriandercrank.kernel.table;
 
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import org.coriandercrank.kernel.id.KeyHash;
-import org.coriandercrank.kernel.table.KeyRange;
 
 /** Interval arithmetic on hash ranges. Stateless and thread safe. */
 public final class KeyRanges {
--- a/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/LeaseHolderTest.java
+++ b/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/LeaseHolderTest.java
@@ -92,6 +92,11 @@
     }
 
     private void answerHeartbeats(List<HolderAction> actions, long nowNanos, MemberId... alive) {
+        answerHeartbeats(holder, actions, nowNanos, alive);
+    }
+
+    private static void answerHeartbeats(
+            LeaseHolder holder, List<HolderAction> actions, long nowNanos, MemberId... alive) {
         for (HolderAction action : actions) {
             if (action instanceof HolderAction.SendHeartbeat heartbeat
                     && List.of(alive).contains(heartbeat.witness())) {
@@ -120,4 +125,54 @@
                 Optional.empty(),
                 List.of(witnesses));
     }
+
+    /** A restarted daemon takes over the record of its former process without a move of its ranges. */
+    @Test
+    void leftRecordIsResumedByAWriteOnItsRevision() {
+        LeaseHolder resumed = new LeaseHolder(LeaseTiming.ofMs(2_000, 500, 105), member(A, B), 0, true);
+        HolderAction.WriteRecord create = writes(resumed.tick(MS)).get(0);
+        assertThat(create.expected()).isEqualTo(Revision.NONE);
+        List<HolderAction> afterConflict = resumed.writeConflicted(create.operation(), 2 * MS);
+        HolderAction.ReadRecord read = (HolderAction.ReadRecord) afterConflict.get(0);
+
+        List<HolderAction> afterRead = resumed.readSucceeded(
+                read.operation(), Optional.of(new KnownMember(member(A, B), new Revision(41))), 3 * MS);
+        HolderAction.WriteRecord write = writes(afterRead).get(0);
+        assertThat(write.expected()).isEqualTo(new Revision(41));
+        assertThat(resumed.validUntilNanos()).as("before the own write").isLessThanOrEqualTo(3 * MS);
+
+        answerHeartbeats(resumed, resumed.writeSucceeded(write.operation(), new Revision(42), 4 * MS), 5 * MS, A, B);
+        assertThat(resumed.validUntilNanos()).isGreaterThan(1_000 * MS);
+    }
+
+    /** A write of the former process that lands late must not end the incarnation. */
+    @Test
+    void lateWriteOfTheFormerProcessIsReadAndReplaced() {
+        LeaseHolder resumed = new LeaseHolder(LeaseTiming.ofMs(2_000, 500, 105), member(A, B), 0, true);
+        HolderAction.WriteRecord create = writes(resumed.tick(MS)).get(0);
+        HolderAction.ReadRecord read = (HolderAction.ReadRecord)
+                resumed.writeConflicted(create.operation(), 2 * MS).get(0);
+        HolderAction.WriteRecord write = writes(resumed.readSucceeded(
+                        read.operation(), Optional.of(new KnownMember(member(A, C), new Revision(41))), 3 * MS))
+                .get(0);
+        HolderAction.ReadRecord again = (HolderAction.ReadRecord)
+                resumed.writeConflicted(write.operation(), 4 * MS).get(0);
+        List<HolderAction> actions = resumed.readSucceeded(
+                again.operation(), Optional.of(new KnownMember(member(B, C), new Revision(43))), 5 * MS);
+        assertThat(resumed.isEnded()).isFalse();
+        assertThat(writes(actions))
+                .singleElement()
+                .satisfies(w -> assertThat(w.expected()).isEqualTo(new Revision(43)));
+    }
+
+    @Test
+    void sealedLeftRecordEndsTheIncarnation() {
+        LeaseHolder resumed = new LeaseHolder(LeaseTiming.ofMs(2_000, 500, 105), member(A, B), 0, true);
+        HolderAction.WriteRecord create = writes(resumed.tick(MS)).get(0);
+        HolderAction.ReadRecord read = (HolderAction.ReadRecord)
+                resumed.writeConflicted(create.operation(), 2 * MS).get(0);
+        KnownMember sealed = new KnownMember(member(A, B).withState(MemberState.SEALED), new Revision(41));
+        resumed.readSucceeded(read.operation(), Optional.of(sealed), 3 * MS);
+        assertThat(resumed.isEnded()).isTrue();
+    }
 }
--- a/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/LeaseHolder.java
+++ b/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/LeaseHolder.java
@@ -20,6 +20,9 @@
  * write; at most one store operation is in flight. Each event returns the actions to carry out; the driver publishes
  * {@link #validUntilNanos()} before it carries them out.
  *
+ * <p>A holder may resume an incarnation of which a former process of the same host left a record. The lease of a resumed
+ * incarnation holds only from its first own write on: that write proves that none of the former process can take effect.
+ *
  * <p>Not thread safe. All times are of one monotonic clock, in nanoseconds.
  */
 public final class LeaseHolder {
@@ -35,7 +38,12 @@
     private final List<PendingWrite> pendingWrites = new ArrayList<>();
     private final StoreBackoff backoff;
 
+    private final boolean mayResume;
     private Optional<KnownMember> confirmed = Optional.empty();
+
+    /** Revision of the record that a former process left. */
+    private Revision leftRevision = Revision.NONE;
+
     private Member desired;
     private Revision refusedUpTo = Revision.NONE;
     private long operation;
@@ -46,7 +54,18 @@
 
     /** Starts an incarnation; the first {@link #tick} writes the record. */
     public LeaseHolder(LeaseTiming timing, Member initial, long nowNanos) {
+        this(timing, initial, nowNanos, false);
+    }
+
+    /**
+     * Starts or resumes an incarnation.
+     *
+     * @param mayResume whether a record of the same id was left by a former process of this host, which has certainly
+     *     ended
+     */
+    public LeaseHolder(LeaseTiming timing, Member initial, long nowNanos, boolean mayResume) {
         this.timing = timing;
+        this.mayResume = mayResume;
         this.desired = initial;
         this.startNanos = nowNanos;
         this.votes = new VoteTable(timing, nowNanos);
@@ -171,6 +190,9 @@
         }
         Revision known = confirmed.map(KnownMember::revision).orElse(Revision.NONE);
         Revision found = read.map(KnownMember::revision).orElse(Revision.NONE);
+        if (confirmed.isEmpty() && mayResume && read.isPresent()) {
+            return resume(read.get(), nowNanos);
+        }
         if (found.equals(known)) {
             unresolved = false;
             backoff.failed(nowNanos);
@@ -195,6 +217,21 @@
         }
     }
 
+    private List<HolderAction> resume(KnownMember left, long nowNanos) {
+        if (left.member().state() == MemberState.SEALED) {
+            return end("sealed");
+        }
+        OptionalLong sentAtNanos = earliestPending(left.member());
+        if (sentAtNanos.isPresent()
+                && left.revision().isNewerThan(leftRevision)
+                && !leftRevision.equals(Revision.NONE)) {
+            return confirm(left, sentAtNanos.getAsLong(), nowNanos);
+        }
+        leftRevision = left.revision();
+        unresolved = false;
+        return tick(nowNanos);
+    }
+
     /** The own record was seen as sealed. */
     public List<HolderAction> sealSeen() {
         return ended ? List.of() : end("sealed");
@@ -273,7 +310,7 @@
             operationInFlight = true;
             lastWriteNanos = OptionalLong.of(nowNanos);
             addPending(new PendingWrite(record.get(), nowNanos));
-            Revision expected = confirmed.map(KnownMember::revision).orElse(Revision.NONE);
+            Revision expected = confirmed.map(KnownMember::revision).orElse(leftRevision);
             actions.add(new HolderAction.WriteRecord(operation, record.get(), expected));
         }
     }
--- a/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/internal/MessageCodecTest.java
+++ b/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/internal/MessageCodecTest.java
@@ -11,6 +11,7 @@
 import net.jqwik.api.Property;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.config.RequestRules;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.IdempotencyKey;
 import org.coriandercrank.kernel.id.Key;
@@ -41,6 +42,7 @@
 import org.coriandercrank.kernel.message.RefusalRequest;
 import org.coriandercrank.kernel.message.ReleaseAnswer;
 import org.coriandercrank.kernel.message.ReleaseRequest;
+import org.coriandercrank.kernel.ownership.GateLoad;
 import org.coriandercrank.kernel.placement.RangeLoad;
 import org.coriandercrank.kernel.request.CallerAnswer;
 import org.coriandercrank.kernel.request.CallerRequest;
@@ -69,7 +71,8 @@
             NO_BYTES,
             1_500,
             Optional.of(new IdempotencyKey("k-1")),
-            OptionalLong.of(12));
+            OptionalLong.of(12),
+            Optional.of(new RequestRules(true, 2, 1, 600)));
     private static final OutcomeRecord RECORD = new OutcomeRecord(
             new RequestId("r-1"), Optional.empty(), new KeyHash(-5), 77, CallerAnswer.of(ResultCode.OK, ""), 9);
 
@@ -86,7 +89,7 @@
                 new RefusalAnswer(MEMBER, false, 120),
                 new RefusalNotice(MEMBER, new Revision(8)),
                 new ForwardRequest(REQUEST, new Generation(5)),
-                new ForwardAnswer(ANSWER, new Generation(6)),
+                new ForwardAnswer(ANSWER, new Generation(6), new GateLoad(5, 18, 210.5)),
                 new CancelRequest(new RequestId("r-1")),
                 new OutcomeQuery(new RequestId("r-1"), SERVICE, Optional.of(KeyHash.MAX)),
                 OutcomeAnswer.finished(ANSWER),
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/MessageCodec.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/MessageCodec.java
@@ -152,8 +152,9 @@
                 (out, m) -> {
                     ValueFields.writeAnswer(out, m.answer());
                     out.integer(m.tableGeneration().value());
+                    ValueFields.writeLoad(out, m.load());
                 },
-                in -> new ForwardAnswer(ValueFields.answer(in), ValueFields.generation(in)));
+                in -> new ForwardAnswer(ValueFields.answer(in), ValueFields.generation(in), ValueFields.load(in)));
         register(
                 22,
                 CancelRequest.class,
@@ -193,8 +194,10 @@
                 ReleaseAnswer.class,
                 (out, m) -> out.flag(m.released())
                         .integer(m.recordsCompleteForMs())
-                        .list(m.records(), ValueFields::writeRecord),
-                in -> new ReleaseAnswer(in.flag(), in.integer(), in.list(ValueFields::outcomeRecord)));
+                        .list(m.records(), ValueFields::writeRecord)
+                        .list(m.handovers(), ValueFields::writeHandover),
+                in -> new ReleaseAnswer(
+                        in.flag(), in.integer(), in.list(ValueFields::outcomeRecord), in.list(ValueFields::handover)));
         register(
                 32,
                 FetchObject.class,
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/ValueFields.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/ValueFields.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import org.coriandercrank.kernel.code.Outcome;
 import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.config.RequestRules;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.IdempotencyKey;
 import org.coriandercrank.kernel.id.Key;
@@ -13,6 +14,8 @@
 import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.id.ServiceName;
 import org.coriandercrank.kernel.message.Digest;
+import org.coriandercrank.kernel.ownership.GateLoad;
+import org.coriandercrank.kernel.ownership.Handover;
 import org.coriandercrank.kernel.placement.RangeLoad;
 import org.coriandercrank.kernel.request.CallerAnswer;
 import org.coriandercrank.kernel.request.CallerRequest;
@@ -80,28 +83,49 @@
     static void writeRequest(FieldWriter out, CallerRequest request) throws IOException {
         out.text(request.id())
                 .text(request.service())
-                .optional(request.key(), FieldWriter::text)
+                .optional(request.key(), ValueFields::writeKey)
                 .text(request.method())
                 .text(request.path())
                 .list(request.headers(), ValueFields::writeHeader)
                 .bytes(request.body())
                 .integer(request.remainingMs())
                 .optional(request.idempotencyKey(), FieldWriter::text)
-                .integer(request.idempotencyKeyAgeMs().orElse(ABSENT));
+                .integer(request.idempotencyKeyAgeMs().orElse(ABSENT))
+                .optional(request.rules(), ValueFields::writeRules);
+    }
+
+    private static void writeKey(FieldWriter out, Key key) throws IOException {
+        out.text(key).integer(key.hash().value());
+    }
+
+    private static Key key(FieldReader in) throws IOException {
+        return new Key(in.text(), keyHash(in));
+    }
+
+    private static void writeRules(FieldWriter out, RequestRules rules) throws IOException {
+        out.flag(rules.repeatable())
+                .integer(rules.maxServers())
+                .integer(rules.priority())
+                .integer(rules.latencyObjectiveMs());
+    }
+
+    private static RequestRules rules(FieldReader in) throws IOException {
+        return new RequestRules(in.flag(), in.integer32(), in.integer32(), in.integer());
     }
 
     static CallerRequest request(FieldReader in) throws IOException {
         return new CallerRequest(
                 requestId(in),
                 serviceName(in),
-                in.optional(f -> new Key(f.text())),
+                in.optional(ValueFields::key),
                 in.text(),
                 in.text(),
                 in.list(ValueFields::header),
                 in.bytes(),
                 in.integer(),
                 in.optional(f -> new IdempotencyKey(f.text())),
-                optionalLong(in.integer()));
+                optionalLong(in.integer()),
+                in.optional(ValueFields::rules));
     }
 
     static void writeAnswer(FieldWriter out, CallerAnswer answer) throws IOException {
@@ -147,6 +171,23 @@
                 in.integer());
     }
 
+    static void writeLoad(FieldWriter out, GateLoad load) throws IOException {
+        out.integer(load.pending()).integer(load.concurrency()).real(load.serviceMs());
+    }
+
+    static GateLoad load(FieldReader in) throws IOException {
+        return new GateLoad(in.integer32(), in.integer32(), in.real());
+    }
+
+    static void writeHandover(FieldWriter out, Handover handover) throws IOException {
+        writeRange(out, handover.range());
+        out.text(handover.token());
+    }
+
+    static Handover handover(FieldReader in) throws IOException {
+        return new Handover(range(in), in.text());
+    }
+
     static void writeObject(FieldWriter out, StoredObject object) throws IOException {
         out.text(object.name())
                 .integer(object.revision().value())
--- a/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/FakeDaemons.java
+++ b/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/FakeDaemons.java
@@ -45,10 +45,10 @@
 import org.coriandercrank.kernel.table.AssignmentTable;
 import org.coriandercrank.kernel.table.BackendInfo;
 import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.KeyRanges;
 import org.coriandercrank.kernel.table.Member;
 import org.coriandercrank.kernel.time.MonotonicClock;
 import org.coriandercrank.kernel.time.TimerService;
-import org.coriandercrank.placement.internal.KeyRanges;
 
 /** Stand-ins of the other parts in one process: store, views, links and gates. Thread safe. */
 final class FakeDaemons {
@@ -252,6 +252,14 @@
         @Override
         public void attach(BackendInfo info, BackendServer server) {}
 
+        @Override
+        public void stopSending() {}
+
+        @Override
+        public synchronized void detach() {
+            serving = List.of();
+        }
+
         @Override
         public CompletableFuture<Void> drain() {
             return CompletableFuture.completedFuture(null);
--- a/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/internal/OwnershipChecks.java
+++ b/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/internal/OwnershipChecks.java
@@ -7,6 +7,7 @@
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.table.AssignmentTable;
 import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.KeyRanges;
 import org.coriandercrank.kernel.table.RangeAssignment;
 
 /** Checks of one step from a table to the next. Stateless. */
--- a/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/internal/OwnershipModel.java
+++ b/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/internal/OwnershipModel.java
@@ -21,6 +21,7 @@
 import org.coriandercrank.kernel.placement.RangeLoad;
 import org.coriandercrank.kernel.table.AssignmentTable;
 import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.KeyRanges;
 import org.coriandercrank.kernel.table.Member;
 import org.coriandercrank.kernel.table.MemberState;
 import org.coriandercrank.kernel.table.RangeAssignment;
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/RangeOwnership.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/RangeOwnership.java
@@ -20,12 +20,14 @@
 import org.coriandercrank.kernel.ownership.LeaseView;
 import org.coriandercrank.kernel.ownership.OwnerGate;
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
+import org.coriandercrank.kernel.peer.PeerHandler;
 import org.coriandercrank.kernel.peer.PeerTarget;
 import org.coriandercrank.kernel.ring.DutyThread;
 import org.coriandercrank.kernel.store.JsonCodec;
 import org.coriandercrank.kernel.store.ObjectNames;
 import org.coriandercrank.kernel.store.StoredObject;
 import org.coriandercrank.kernel.table.BackendInfo;
+import org.coriandercrank.kernel.table.KeyRange;
 import org.coriandercrank.kernel.table.Member;
 import org.coriandercrank.kernel.table.MemberState;
 import org.coriandercrank.kernel.time.TimerService;
@@ -62,6 +64,8 @@
     private final Counter releasedRanges;
     private final Counter failedCalls;
     private boolean sealed;
+    private final PeerHandler<ReleaseRequest> releaseHandler = this::onReleaseRequest;
+    private final PeerHandler<LoadQuery> loadHandler = this::onLoadQuery;
     private TimerService.Subscription tick = () -> {};
 
     public RangeOwnership(PlacementContext context, LeaseView lease, OwnerGate gate, RangeOwnershipOptions options) {
@@ -76,8 +80,8 @@
 
     /** Registers the handlers and begins to follow the tables; called once. */
     public void start() {
-        context.handlers().register(ReleaseRequest.class, this::onReleaseRequest);
-        context.handlers().register(LoadQuery.class, this::onLoadQuery);
+        context.handlers().register(ReleaseRequest.class, releaseHandler);
+        context.handlers().register(LoadQuery.class, loadHandler);
         context.view().subscribe(snapshot -> duty.offer(this::refresh));
         tick = context.timers().every(options.tickMs(), duty, this::refresh);
         post(this::refresh);
@@ -95,6 +99,8 @@
     /** Stops following the tables; ranges already served stay with the gate. */
     @Override
     public void close() {
+        context.handlers().unregister(ReleaseRequest.class, releaseHandler);
+        context.handlers().unregister(LoadQuery.class, loadHandler);
         tick.cancel();
         duty.close();
     }
@@ -302,12 +308,22 @@
     private void answerWaiters() {
         waiters.removeIf(waiter -> {
             OwnershipState state = states.get(waiter.request.service());
-            Optional<ReleaseAnswer> answer = state.requestRelease(waiter.request, nowMs());
+            Optional<ReleaseAnswer> answer = state.requestRelease(waiter.request, nowMs())
+                    .filter(a -> !a.released() || !isLeftHeld(waiter.request.range()));
             answer.ifPresent(waiter.answer::complete);
             return answer.isPresent();
         });
     }
 
+    /** Has a range revoked that a former process of this daemon granted and this one does not serve. */
+    private boolean isLeftHeld(KeyRange range) {
+        if (!gate.mayHold(range)) {
+            return false;
+        }
+        gate.release(range);
+        return true;
+    }
+
     private CompletableFuture<LoadReport> onLoadQuery(MemberId sender, LoadQuery query) {
         return duty.call(() -> {
             ServiceName service = context.view()
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/EvenSplit.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/EvenSplit.java
@@ -8,6 +8,7 @@
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.placement.PlacedRange;
 import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.KeyRanges;
 
 /** First placement of a service: the hash space is split in proportion to weight. Stateless and thread safe. */
 final class EvenSplit {
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/MoveSearch.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/MoveSearch.java
@@ -8,6 +8,7 @@
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.placement.RangeLoad.HotHash;
 import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.KeyRanges;
 
 /** Finds the move with the best gain for its cost. Stateless and thread safe. */
 final class MoveSearch {
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/OwnershipState.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/OwnershipState.java
@@ -17,6 +17,7 @@
 import org.coriandercrank.kernel.ownership.InheritedRecords;
 import org.coriandercrank.kernel.table.AssignmentTable;
 import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.KeyRanges;
 import org.coriandercrank.kernel.table.RangeAssignment;
 import org.coriandercrank.placement.internal.Holding.Phase;
 
@@ -57,6 +58,7 @@
     private final ReleasedRecords released;
     private final Set<MemberId> gone = new HashSet<>();
     private AssignmentTable table;
+    private List<RangeAssignment> owned = List.of();
     private boolean sealed;
     private List<Holding> holdings = new ArrayList<>();
     private List<Barrier> barriers = new ArrayList<>();
@@ -85,6 +87,7 @@
             return;
         }
         table = newTable;
+        owned = newTable.ownedBy(self);
         barriers.removeIf(b -> !b.generation.isNewerThan(table.generation()));
         released.prune(table, self);
         gone.removeIf(m -> !table.mentions(m));
@@ -320,11 +323,11 @@
             return List.of();
         }
         List<KeyRange> parts = new ArrayList<>();
-        for (RangeAssignment assignment : table.assignments()) {
+        for (RangeAssignment assignment : owned) {
             boolean keeps = assignment.fence().equals(holding.fence())
                     || (holding.phase() == Phase.SERVING
                             && assignment.previousOwners().isEmpty());
-            if (keeps && assignment.owner().equals(self)) {
+            if (keeps) {
                 KeyRanges.intersect(assignment.range(), holding.range())
                         .ifPresent(common -> parts.addAll(KeyRanges.subtract(common, barrierRanges())));
             }
@@ -341,7 +344,7 @@
         if (sealed) {
             return next;
         }
-        for (RangeAssignment assignment : table.ownedBy(self)) {
+        for (RangeAssignment assignment : owned) {
             List<Holding> held = holdings.stream()
                     .filter(h -> h.range().overlaps(assignment.range()))
                     .toList();
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/PendingRange.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/PendingRange.java
@@ -8,6 +8,7 @@
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.message.ReleaseAnswer;
+import org.coriandercrank.kernel.ownership.Handover;
 import org.coriandercrank.kernel.ownership.InheritedRecords;
 import org.coriandercrank.kernel.request.OutcomeRecord;
 import org.coriandercrank.kernel.table.KeyRange;
@@ -88,6 +89,8 @@
         boolean anySealed = !answers.keySet().containsAll(id.previousOwners());
         List<OutcomeRecord> records =
                 all.stream().flatMap(a -> a.records().stream()).toList();
-        return new InheritedRecords(anySealed ? 0 : completeForMs, records);
+        List<Handover> handovers =
+                all.stream().flatMap(a -> a.handovers().stream()).toList();
+        return new InheritedRecords(anySealed ? 0 : completeForMs, records, handovers);
     }
 }
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/PlacementMeters.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/PlacementMeters.java
@@ -12,6 +12,7 @@
 import org.coriandercrank.kernel.placement.RangeLoad;
 import org.coriandercrank.kernel.table.AssignmentTable;
 import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.KeyRanges;
 import org.coriandercrank.kernel.table.RangeAssignment;
 
 /** Metrics of the planner. Thread safe. */
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/PolicyPlugin.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/PolicyPlugin.java
@@ -10,6 +10,7 @@
     public void register(PluginRegistry registry) {
         registry.register(Kind.PLACEMENT, "availability", new RebalancePolicy(RebalanceRules.AVAILABILITY));
         registry.register(Kind.PLACEMENT, "low-churn", new RebalancePolicy(RebalanceRules.LOW_CHURN));
+        registry.register(Kind.PLACEMENT, "striped", new StripePolicy());
         registry.register(Kind.PLACEMENT, "static", new StaticPolicy());
         registry.register(Kind.PLACEMENT, "greedy", new RebalancePolicy(RebalanceRules.GREEDY));
     }
--- /dev/null
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/RangeAlignment.java
@@ -0,0 +1,42 @@
+package org.coriandercrank.placement.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.coriandercrank.kernel.id.KeyHash;
+import org.coriandercrank.kernel.placement.PlacedRange;
+import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.KeyRanges;
+
+/** Makes ranges end only between keys, for services whose keys are told apart by some leading bits. Stateless. */
+public final class RangeAlignment {
+    private RangeAlignment() {}
+
+    /**
+     * Moves each boundary up to the next position at which the leading bits change; ranges that become empty are left
+     * out.
+     *
+     * @param ranges consecutive ranges
+     * @param bits leading bits that tell keys apart, 1 to 64
+     */
+    public static List<PlacedRange> align(List<PlacedRange> ranges, int bits) {
+        long step = bits == Long.SIZE ? 1 : 1L << (Long.SIZE - bits);
+        List<PlacedRange> aligned = new ArrayList<>(ranges.size());
+        for (PlacedRange placed : ranges) {
+            KeyHash first = ceiling(placed.range().first(), step);
+            boolean toEnd = placed.range().last().equals(KeyHash.MAX);
+            KeyHash end = toEnd
+                    ? KeyHash.MAX
+                    : KeyRanges.previous(ceiling(KeyRanges.next(placed.range().last()), step));
+            boolean wrapped = first.compareTo(placed.range().first()) < 0;
+            if (!wrapped && first.compareTo(end) <= 0) {
+                aligned.add(new PlacedRange(new KeyRange(first, end), placed.owner(), placed.reason()));
+            }
+        }
+        return aligned;
+    }
+
+    /** The first multiple of a power of two that is not below a hash; 0 if there is none. */
+    private static KeyHash ceiling(KeyHash hash, long step) {
+        return new KeyHash((hash.value() + step - 1) & -step);
+    }
+}
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/RangeLoads.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/RangeLoads.java
@@ -9,6 +9,7 @@
 import org.coriandercrank.kernel.placement.RangeLoad.HotHash;
 import org.coriandercrank.kernel.table.AssignmentTable;
 import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.KeyRanges;
 import org.coriandercrank.kernel.table.RangeAssignment;
 
 /**
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/ReleasedRecords.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/ReleasedRecords.java
@@ -7,10 +7,12 @@
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.message.ReleaseAnswer;
+import org.coriandercrank.kernel.ownership.Handover;
 import org.coriandercrank.kernel.ownership.InheritedRecords;
 import org.coriandercrank.kernel.request.OutcomeRecord;
 import org.coriandercrank.kernel.table.AssignmentTable;
 import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.KeyRanges;
 
 /**
  * Outcome records of ranges that this daemon has released, kept for the next owner.
@@ -20,12 +22,12 @@
  * oldest entry is dropped first, which makes the next owner treat the records as lost.
  */
 final class ReleasedRecords {
-    private record Handover(MemberId requester, Generation generation) {}
+    private record Recipient(MemberId requester, Generation generation) {}
 
     private record Entry(
-            KeyRange range, Generation generation, InheritedRecords records, long atMs, Handover handover) {
-        Entry withRange(KeyRange part, Handover newHandover) {
-            return new Entry(part, generation, records, atMs, newHandover);
+            KeyRange range, Generation generation, InheritedRecords records, long atMs, Recipient recipient) {
+        Entry withRange(KeyRange part, Recipient newRecipient) {
+            return new Entry(part, generation, records, atMs, newRecipient);
         }
     }
 
@@ -49,9 +51,10 @@
 
     /** The records of a range for a requester; repeating the request gives the same records. */
     ReleaseAnswer handOver(KeyRange range, MemberId requester, Generation generation, long nowMs) {
-        Handover handover = new Handover(requester, generation);
+        Recipient recipient = new Recipient(requester, generation);
         long completeForMs = ReleaseAnswer.NOT_SERVED;
         List<OutcomeRecord> records = new ArrayList<>();
+        List<Handover> handovers = new ArrayList<>();
         Deque<Entry> next = new ArrayDeque<>();
         for (Entry entry : entries) {
             KeyRange common = KeyRanges.intersect(entry.range, range).orElse(null);
@@ -61,18 +64,21 @@
             }
             long heldMs = nowMs - entry.atMs;
             addRecords(entry, common, heldMs, records);
-            if (entry.handover == null || entry.handover.equals(handover)) {
+            entry.records.handovers().stream()
+                    .filter(h -> h.range().overlaps(common))
+                    .forEach(handovers::add);
+            if (entry.recipient == null || entry.recipient.equals(recipient)) {
                 long ageMs = addSaturated(entry.records.completeForMs(), heldMs);
                 completeForMs = completeForMs < 0 ? ageMs : Math.min(completeForMs, ageMs);
                 KeyRanges.subtract(entry.range, List.of(common))
-                        .forEach(rest -> next.addLast(entry.withRange(rest, entry.handover)));
-                next.addLast(entry.withRange(common, handover));
+                        .forEach(rest -> next.addLast(entry.withRange(rest, entry.recipient)));
+                next.addLast(entry.withRange(common, recipient));
             } else {
                 next.addLast(entry);
             }
         }
         entries = next;
-        return new ReleaseAnswer(true, completeForMs, records);
+        return new ReleaseAnswer(true, completeForMs, records, handovers);
     }
 
     private static void addRecords(Entry entry, KeyRange part, long heldMs, List<OutcomeRecord> out) {
@@ -94,7 +100,7 @@
         Deque<Entry> next = new ArrayDeque<>();
         for (Entry entry : entries) {
             KeyRanges.subtract(entry.range, List.of(range))
-                    .forEach(rest -> next.addLast(entry.withRange(rest, entry.handover)));
+                    .forEach(rest -> next.addLast(entry.withRange(rest, entry.recipient)));
         }
         entries = next;
     }
