--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/ServicePlan.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/ServicePlan.java
@@ -19,6 +19,7 @@
 import org.coriandercrank.kernel.placement.RangeLoad;
 import org.coriandercrank.kernel.table.AssignmentTable;
 import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.KeyRanges;
 import org.coriandercrank.kernel.table.Member;
 import org.coriandercrank.kernel.table.MemberState;
 import org.coriandercrank.kernel.table.RangeAssignment;
@@ -27,7 +28,8 @@
  * Decides on the next table of one service. Stateless and thread safe.
  *
  * <p>Order of decisions: withdrawal, first table, takeover from lost owners, then the policy together with the
- * clearing of previous owners. A takeover changes only ranges of lost owners.
+ * clearing of previous owners. A takeover changes only ranges of lost owners. The ranges of a lost owner whose host has
+ * joined again go back to it.
  */
 public final class ServicePlan {
     /**
@@ -72,6 +74,7 @@
     }
 
     private static final String TAKEOVER_REASON = "owner-lost";
+    private static final String SUCCESSOR_REASON = "owner-restarted";
 
     private final PlacementPolicy policy;
     private final long settleMs;
@@ -100,11 +103,9 @@
     /** The next table, or empty if the present one stands. */
     public Optional<Decision> decide(View view) {
         AssignmentTable table = view.table();
-        boolean keyed = view.configuration()
-                .service(table.service())
-                .map(ServiceConfig::keyed)
-                .orElse(false);
-        if (!keyed) {
+        Optional<ServiceConfig> rules =
+                view.configuration().service(table.service()).filter(ServiceConfig::keyed);
+        if (rules.isEmpty()) {
             return table.assignments().isEmpty() ? Optional.empty() : Optional.of(withdraw(table));
         }
         List<Member> candidates = candidates(view);
@@ -115,7 +116,11 @@
             return Optional.empty();
         }
         List<RangeAssignment> current = TableBuilder.clearPreviousOwners(table, view.gone()::contains, view.reports());
-        List<PlacedRange> wanted = checked(policy.place(input(view, candidates, current)), candidates);
+        List<PlacedRange> wanted = checked(
+                RangeAlignment.align(
+                        policy.place(input(view, candidates, current)),
+                        rules.get().keySpaceBits()),
+                candidates);
         boolean ownerLost =
                 table.assignments().stream().anyMatch(a -> view.gone().contains(a.owner()));
         if (ownerLost) {
@@ -171,6 +176,11 @@
                 taken.add(new PlacedRange(a.range(), a.owner(), WorkingTable.KEPT));
                 continue;
             }
+            Optional<MemberId> successor = successor(view, a.owner());
+            if (successor.isPresent()) {
+                taken.add(new PlacedRange(a.range(), successor.get(), SUCCESSOR_REASON));
+                continue;
+            }
             for (PlacedRange p : wanted) {
                 Optional<KeyRange> common = KeyRanges.intersect(p.range(), a.range());
                 common.ifPresent(range -> taken.add(new PlacedRange(range, p.owner(), TAKEOVER_REASON)));
@@ -179,6 +189,18 @@
         return taken;
     }
 
+    /** The candidate at the address of a lost member. */
+    private static Optional<MemberId> successor(View view, MemberId lost) {
+        Member former = view.members().get(lost);
+        if (former == null) {
+            return Optional.empty();
+        }
+        return candidates(view).stream()
+                .filter(m -> m.peerAddress().equals(former.peerAddress()))
+                .map(Member::id)
+                .findFirst();
+    }
+
     private static Optional<Decision> changed(
             View view, Kind kind, List<RangeAssignment> current, List<PlacedRange> wanted) {
         AssignmentTable table = view.table();
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/StaticPolicy.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/StaticPolicy.java
@@ -10,6 +10,7 @@
 import org.coriandercrank.kernel.placement.PlacedRange;
 import org.coriandercrank.kernel.placement.PlacementInput;
 import org.coriandercrank.kernel.placement.PlacementPolicy;
+import org.coriandercrank.kernel.table.KeyRanges;
 
 /**
  * Baseline: weighted rendezvous hashing of equal ranges, whose number is a power of two; ignores load. Stateless and
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TableCompaction.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TableCompaction.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.stream.IntStream;
 import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.table.KeyRanges;
 
 /** Keeps the number of ranges of a table bounded. Stateless and thread safe. */
 final class TableCompaction {
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/WorkingTable.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/WorkingTable.java
@@ -9,6 +9,7 @@
 import org.coriandercrank.kernel.placement.PlacementInput;
 import org.coriandercrank.kernel.table.AssignmentTable;
 import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.KeyRanges;
 import org.coriandercrank.kernel.table.RangeAssignment;
 
 /**
