Order waiting requests by rank and objective, and refuse what has no chance

Cause: at the worst load the gate served in order of arrival and refused only by deadline, so nearly every payment was late, and requests of an overtaken kind were held until their time was over. Waiting requests now go by rank, then those that can meet their objective, earliest end first; what arrives is measured by kind, so that an overtaken or late request is refused at once while more work arrives than the server can do. Refused callers get times one after the other.

--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlPlane.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlPlane.java
@@ -10,7 +10,7 @@
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.ownership.LeaseView;
 import org.coriandercrank.kernel.ownership.RoutingView;
-import org.coriandercrank.kernel.ring.DutyThread;
+import org.coriandercrank.kernel.ring.Duty;
 import org.coriandercrank.kernel.table.BackendInfo;
 
 /**
@@ -35,13 +35,13 @@
         this.closeThread = closeThread;
     }
 
-    /** A control plane on a thread of its own, with handlers registered but not started. */
+    /** A control plane on a duty of its own, with handlers registered but not started. */
     public static ControlPlane create(ControlOptions options, HostIdentity identity, ControlServices services) {
         return create(options, identity, services, true);
     }
 
     /**
-     * A control plane on a thread of its own that joins only after {@link #rejoin(MemberChoice)}. Until then it keeps its
+     * A control plane on a duty of its own that joins only after {@link #rejoin(MemberChoice)}. Until then it keeps its
      * view of the other members up to date.
      */
     public static ControlPlane createWaiting(ControlOptions options, HostIdentity identity, ControlServices services) {
@@ -50,10 +50,10 @@
 
     private static ControlPlane create(
             ControlOptions options, HostIdentity identity, ControlServices services, boolean joins) {
-        DutyThread thread = new DutyThread("control", RING_CAPACITY);
+        Duty duty = services.duties().create("control", RING_CAPACITY);
         Random random = new Random(new SecureRandom().nextLong());
-        ControlContext context = new ControlContext(options, identity, services, thread, random);
-        return new ControlPlane(context, joins, thread::close);
+        ControlContext context = new ControlContext(options, identity, services, duty, random);
+        return new ControlPlane(context, joins, duty::close);
     }
 
     /**
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlServices.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlServices.java
@@ -4,6 +4,8 @@
 import org.coriandercrank.kernel.log.DecisionLog;
 import org.coriandercrank.kernel.peer.PeerClient;
 import org.coriandercrank.kernel.peer.PeerHandlers;
+import org.coriandercrank.kernel.ring.Duty;
+import org.coriandercrank.kernel.ring.DutyThread;
 import org.coriandercrank.kernel.store.ObjectStore;
 import org.coriandercrank.kernel.time.MonotonicClock;
 import org.coriandercrank.kernel.time.TimerService;
@@ -13,6 +15,7 @@
  *
  * @param holderClock clock of the own lease; it should count the time in which the host was suspended, because the votes
  *     of witnesses lapse in that time
+ * @param duties makes the duty that the control plane runs on
  */
 public record ControlServices(
         ObjectStore store,
@@ -21,7 +24,8 @@
         TimerService timers,
         DecisionLog log,
         MeterRegistry metrics,
-        MonotonicClock holderClock) {
+        MonotonicClock holderClock,
+        Duty.Factory duties) {
     /** Services whose own lease is measured by the clock of the timers. */
     public ControlServices(
             ObjectStore store,
@@ -30,6 +34,6 @@
             TimerService timers,
             DecisionLog log,
             MeterRegistry metrics) {
-        this(store, peers, handlers, timers, log, metrics, timers.clock());
+        this(store, peers, handlers, timers, log, metrics, timers.clock(), DutyThread::new);
     }
 }
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
@@ -257,7 +257,8 @@
                         control.lease(),
                         services.timers(),
                         services.routingLog(),
-                        services.metrics()),
+                        services.metrics(),
+                        services.duties()),
                 options.gate());
     }
 
@@ -269,7 +270,8 @@
                 services.timers(),
                 services.placementLog(),
                 services.metrics(),
-                services.holderClock());
+                services.holderClock(),
+                services.duties());
     }
 
     private PlacementContext placementContext() {
@@ -281,7 +283,8 @@
                 handlers,
                 services.timers(),
                 services.placementLog(),
-                services.metrics());
+                services.metrics(),
+                services.duties());
     }
 
     private IngressDependencies ingressDependencies() {
@@ -297,6 +300,7 @@
                 services.metrics(),
                 options.identity().region(),
                 options.identity().failureDomain(),
-                options.protocol());
+                options.protocol(),
+                services.duties());
     }
 }
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HostServices.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HostServices.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoopGroup;
 import org.coriandercrank.kernel.log.DecisionLog;
 import org.coriandercrank.kernel.plugin.PluginRegistry;
+import org.coriandercrank.kernel.ring.Duty;
 import org.coriandercrank.kernel.store.ObjectStore;
 import org.coriandercrank.kernel.time.MonotonicClock;
 import org.coriandercrank.kernel.time.TimerService;
@@ -12,6 +13,7 @@
  * What a {@link DaemonHost} uses of its process, which closes it. Immutable.
  *
  * @param holderClock clock of the own lease, see {@link org.coriandercrank.control.ControlServices}
+ * @param duties makes the duties of the parts
  */
 public record HostServices(
         EventLoopGroup group,
@@ -21,4 +23,5 @@
         MeterRegistry metrics,
         DecisionLog routingLog,
         DecisionLog placementLog,
-        MonotonicClock holderClock) {}
+        MonotonicClock holderClock,
+        Duty.Factory duties) {}
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Daemon.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Daemon.java
@@ -74,7 +74,8 @@
                 metrics,
                 new DecisionLog(settings.routingLogLinesPerSecond(), timers.clock()),
                 new DecisionLog(PLACEMENT_LOG_LINES_PER_SECOND, timers.clock()),
-                timers.clock());
+                timers.clock(),
+                DutyThread::new);
     }
 
     private static HostOptions hostOptions(DaemonSettings settings) {
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/Gate.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/Gate.java
@@ -20,13 +20,13 @@
 import org.coriandercrank.kernel.placement.RangeLoad;
 import org.coriandercrank.kernel.request.CallerAnswer;
 import org.coriandercrank.kernel.request.CallerRequest;
-import org.coriandercrank.kernel.ring.DutyThread;
+import org.coriandercrank.kernel.ring.Duty;
 import org.coriandercrank.kernel.table.BackendInfo;
 import org.coriandercrank.kernel.table.KeyRange;
 import org.coriandercrank.kernel.time.TimerService;
 
 /**
- * The owner gate of a daemon, with a thread of its own.
+ * The owner gate of a daemon, on a duty of its own.
  *
  * <p>Thread safe; no method blocks. Futures complete on the thread of the gate, so what depends on them must not
  * block. When the ring of the gate is full, {@link #submit} answers OVERLOADED, {@link #resolve}, {@link #acquire},
@@ -36,7 +36,7 @@
     private static final long RING_FULL_RETRY_MS = 20;
 
     private final TimerService timers;
-    private final DutyThread duty;
+    private final Duty duty;
     private final GateCore core;
     private final TimerService.Subscription ticks;
     private final long busyTickMs;
@@ -48,7 +48,7 @@
 
     private Gate(GateInputs inputs, GateOptions options) {
         timers = inputs.timers();
-        duty = new DutyThread("gate", options.ringCapacity());
+        duty = inputs.duties().create("gate", options.ringCapacity());
         core = new GateCore(new GateRuntime(inputs, options, duty, new GateMetrics(inputs.meters()), closed::get));
         busyTickMs = options.tickMs();
         ticks = timers.every(options.idleTickMs(), duty, this::idleTick);
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateInputs.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateInputs.java
@@ -6,6 +6,8 @@
 import org.coriandercrank.kernel.log.DecisionLog;
 import org.coriandercrank.kernel.ownership.LeaseView;
 import org.coriandercrank.kernel.ownership.RoutingView;
+import org.coriandercrank.kernel.ring.Duty;
+import org.coriandercrank.kernel.ring.DutyThread;
 import org.coriandercrank.kernel.time.TimerService;
 
 /**
@@ -13,6 +15,7 @@
  *
  * @param service the only service whose requests the gate admits
  * @param lease in the time of the clock of {@code timers}
+ * @param duties makes the duty that the gate runs on
  */
 public record GateInputs(
         ServiceName service,
@@ -20,7 +23,8 @@
         LeaseView lease,
         TimerService timers,
         DecisionLog decisions,
-        MeterRegistry meters) {
+        MeterRegistry meters,
+        Duty.Factory duties) {
     public GateInputs {
         Objects.requireNonNull(service, "service");
         Objects.requireNonNull(routing, "routing");
@@ -28,5 +32,17 @@
         Objects.requireNonNull(timers, "timers");
         Objects.requireNonNull(decisions, "decisions");
         Objects.requireNonNull(meters, "meters");
+        Objects.requireNonNull(duties, "duties");
+    }
+
+    /** Inputs of a gate with a thread of its own. */
+    public GateInputs(
+            ServiceName service,
+            RoutingView routing,
+            LeaseView lease,
+            TimerService timers,
+            DecisionLog decisions,
+            MeterRegistry meters) {
+        this(service, routing, lease, timers, decisions, meters, DutyThread::new);
     }
 }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateOptions.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateOptions.java
@@ -96,6 +96,32 @@
         checkNotNegative("parkMs", parkMs);
     }
 
+    /** These options with other periods of ticks. */
+    public GateOptions withTicks(int newTickMs, int newIdleTickMs) {
+        return new GateOptions(
+                ringCapacity,
+                newTickMs,
+                newIdleTickMs,
+                grantValidityMs,
+                grantTimeoutMs,
+                grantRetryMs,
+                grantDelayMs,
+                rampMs,
+                overloadRecoveryMs,
+                recordRetentionMs,
+                maxRecords,
+                maxRecordBytes,
+                maxTransferBytes,
+                barRetentionMs,
+                maxBars,
+                ageMarginMs,
+                lostCallGraceMs,
+                lostCallLifetimeMs,
+                maxParked,
+                parkMs,
+                releaseWithoutProof);
+    }
+
     /** These options with other times of grants. */
     public GateOptions withGrants(int newValidityMs, int newTimeoutMs, int newRetryMs, int newDelayMs) {
         return new GateOptions(
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/LoadControl.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/LoadControl.java
@@ -4,18 +4,24 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.coriandercrank.kernel.config.RequestRules;
 
 /**
  * What is known of the load of a backend server: service times by kind of request, whether more work arrives than it can
  * do, and when refused callers may return. Time is an argument; not thread safe.
  *
- * <p>Overload is a queue that never empties: for a whole interval even the request that waited least waited longer than a
- * bound. A burst that the server works off within the interval is none, so its requests are served late, not refused.
+ * <p>Overload is measured by the work that arrives, not by the wait of those that are served: in a queue with ranks some
+ * never wait. It is smoothed, so requests of a short burst are served late and not refused.
  */
 public final class LoadControl {
     private static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
-    private static final long STANDING_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+
+    /** Weight of the latest interval in the smoothed work. */
+    private static final double NEW_WEIGHT = 0.5;
+
+    /** Share of the server that an overtaken kind is taken to get at least, so that its wait stays finite. */
+    private static final double LEAST_SHARE = 0.02;
 
     /** Bounds of the time told to refused callers; nobody knows the load of later seconds. */
     private static final long MIN_RETRY_AFTER_MS = 50;
@@ -24,9 +30,13 @@
 
     private final ServiceTime all = new ServiceTime();
     private final Map<Optional<RequestRules>, ServiceTime> byKind = new HashMap<>();
+    /** Work that arrived in this interval. */
+    private final Map<Optional<RequestRules>, Double> arrivedMs = new HashMap<>();
+
+    /** Slots that the arriving work of each kind keeps busy, smoothed. */
+    private final Map<Optional<RequestRules>, Double> slotsByKind = new HashMap<>();
+
     private long intervalEndNanos;
-    private long leastWaitNanos = Long.MAX_VALUE;
-    private boolean overloaded;
     private long nextReturnNanos;
 
     public LoadControl(long nowNanos) {
@@ -34,10 +44,10 @@
         nextReturnNanos = nowNanos;
     }
 
-    /** A request that waited was sent to the server. */
-    public void onStart(long waitedNanos, long nowNanos) {
+    /** A request arrived, whether it is admitted or not. */
+    public void onArrival(Optional<RequestRules> kind, long nowNanos) {
         roll(nowNanos);
-        leastWaitNanos = Math.min(leastWaitNanos, waitedNanos);
+        arrivedMs.merge(kind, serviceMs(kind), Double::sum);
     }
 
     /** The server answered a request. */
@@ -57,10 +67,31 @@
         return own == null ? all.meanMs() : own.meanMs();
     }
 
-    /** Whether more work arrives than the server can do. */
-    public boolean isOverloaded(long nowNanos) {
+    /** Whether more work of the rank of a kind and of higher ranks arrives than the server can do. */
+    public boolean isOverloaded(Optional<RequestRules> kind, int concurrency, long nowNanos) {
         roll(nowNanos);
-        return overloaded;
+        return slots(other -> rank(other) <= rank(kind)) > concurrency;
+    }
+
+    private double slots(Predicate<Optional<RequestRules>> condition) {
+        double slots = 0;
+        for (Map.Entry<Optional<RequestRules>, Double> arrivals : slotsByKind.entrySet()) {
+            slots += condition.test(arrivals.getKey()) ? arrivals.getValue() : 0;
+        }
+        return slots;
+    }
+
+    private static int rank(Optional<RequestRules> kind) {
+        return kind.map(RequestRules::priority).orElse(0);
+    }
+
+    private static long objectiveMs(Optional<RequestRules> kind) {
+        return kind.map(RequestRules::latencyObjectiveMs).orElse(Long.MAX_VALUE);
+    }
+
+    /** Whether requests of a kind that arrive later go before a waiting request of another kind. */
+    private static boolean overtakes(Optional<RequestRules> kind, Optional<RequestRules> waiting) {
+        return rank(kind) < rank(waiting) || (rank(kind) == rank(waiting) && objectiveMs(kind) < objectiveMs(waiting));
     }
 
     /**
@@ -68,10 +99,15 @@
      *
      * @param aheadMs service times of the waiting requests that go before it
      * @param occupied slots in use
+     * @param kind kind of the request; kinds that overtake it leave it only the rest of the server
      */
-    public long expectedWaitMs(double aheadMs, int occupied, int concurrency) {
+    public long expectedWaitMs(double aheadMs, int occupied, int concurrency, Optional<RequestRules> kind) {
         double excessMs = aheadMs + (occupied + 1 - concurrency) * all.meanMs();
-        return excessMs <= 0 ? 0 : (long) (excessMs / concurrency);
+        if (excessMs <= 0) {
+            return 0;
+        }
+        double left = concurrency - slots(other -> overtakes(other, kind));
+        return (long) (excessMs / Math.max(LEAST_SHARE * concurrency, left));
     }
 
     /**
@@ -83,7 +119,6 @@
         long returnNanos = drainedNanos - nextReturnNanos > 0 ? drainedNanos : nextReturnNanos;
         long afterMs = TimeUnit.NANOSECONDS.toMillis(returnNanos - nowNanos);
         if (afterMs >= MAX_RETRY_AFTER_MS) {
-            nextReturnNanos = drainedNanos;
             return MAX_RETRY_AFTER_MS;
         }
         nextReturnNanos = returnNanos + (long) (TimeUnit.MILLISECONDS.toNanos(1) * all.meanMs() / concurrency);
@@ -94,10 +129,10 @@
         if (nowNanos - intervalEndNanos < 0) {
             return;
         }
-        boolean started = leastWaitNanos != Long.MAX_VALUE;
-        boolean recent = nowNanos - intervalEndNanos < INTERVAL_NANOS;
-        overloaded = started && recent && leastWaitNanos > STANDING_WAIT_NANOS;
-        leastWaitNanos = Long.MAX_VALUE;
+        double intervalMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - intervalEndNanos + INTERVAL_NANOS);
+        slotsByKind.replaceAll((kind, slots) -> (1 - NEW_WEIGHT) * slots);
+        arrivedMs.forEach((kind, ms) -> slotsByKind.merge(kind, NEW_WEIGHT * ms / intervalMs, Double::sum));
+        arrivedMs.clear();
         intervalEndNanos = nowNanos + INTERVAL_NANOS;
     }
 }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
@@ -171,6 +171,7 @@
             return;
         }
         ranges.serving(hash).ifPresent(entry -> entry.load().onRequest(hash));
+        load.onArrival(request.rules(), nowNanos);
         Optional<CallerAnswer> refusal =
                 Admission.refusal(situation(request, rules, hash, waiter, nowNanos), () -> retryAfterMs(nowNanos));
         if (refusal.isPresent()) {
@@ -206,7 +207,8 @@
         int limit = backend == null ? 1 : concurrency.limit(nowNanos);
         double serviceMs = load.serviceMs(request.rules());
         Place place = QueueOrder.place(request.rules(), nowNanos, serviceMs, nowNanos);
-        long waitMs = load.expectedWaitMs(queue.aheadMs(place, this::serviceMs, nowNanos), occupiedSlots(), limit);
+        long waitMs = load.expectedWaitMs(
+                queue.aheadMs(place, this::serviceMs, nowNanos), occupiedSlots(), limit, request.rules());
         return new Situation(
                 hasNeededLease(rules),
                 standing(rules, hash),
@@ -224,7 +226,7 @@
                 waitMs,
                 (long) serviceMs,
                 request.rules().map(RequestRules::latencyObjectiveMs).orElse(Long.MAX_VALUE),
-                load.isOverloaded(nowNanos));
+                load.isOverloaded(request.rules(), limit, nowNanos));
     }
 
     private double serviceMs(Execution execution) {
@@ -235,7 +237,8 @@
     private long retryAfterMs(long nowNanos) {
         int limit = backend == null ? 1 : concurrency.limit(nowNanos);
         double waitingMs = queue.aheadMs(Place.LAST, this::serviceMs, nowNanos);
-        return load.retryAfterMs(load.expectedWaitMs(waitingMs, occupiedSlots(), limit), limit, nowNanos);
+        return load.retryAfterMs(
+                load.expectedWaitMs(waitingMs, occupiedSlots(), limit, Optional.empty()), limit, nowNanos);
     }
 
     private RangeStanding standing(ServiceConfig rules, KeyHash hash) {
@@ -287,7 +290,6 @@
             return;
         }
         queue.onStart(execution);
-        load.onStart(nowNanos - execution.arrivedAtNanos(), nowNanos);
         execution.start(target, nowNanos);
         running.add(execution);
         runtime.metrics().onExecution();
@@ -347,10 +349,16 @@
         }
     }
 
-    /** Whether even a fast server could no longer answer in time. */
+    /** Whether a waiting request has no chance: no time is left, or those in time take all that the server can do. */
     private boolean isHopeless(Execution execution, long nowNanos) {
         long remainingMs = TimeUnit.NANOSECONDS.toMillis(execution.deadlineNanos() - nowNanos);
-        return remainingMs < Admission.LEAST_SERVICE_SHARE * serviceMs(execution);
+        if (remainingMs < Admission.LEAST_SERVICE_SHARE * serviceMs(execution)) {
+            return true;
+        }
+        Place place = QueueOrder.place(execution, this::serviceMs, nowNanos);
+        return place.late()
+                && backend != null
+                && load.isOverloaded(execution.request().rules(), concurrency.limit(nowNanos), nowNanos);
     }
 
     /** Answers those whose deadline has passed, and stops calls that nobody waits for or that hold up a release. */
@@ -361,9 +369,7 @@
                 finishQueued(
                         execution,
                         CallerAnswer.retryLater(
-                                ResultCode.OVERLOADED,
-                                "the time left is too short for the work",
-                                retryAfterMs(nowNanos)));
+                                ResultCode.OVERLOADED, "it cannot be served in the time left", retryAfterMs(nowNanos)));
                 continue;
             }
             if (execution.state() == State.QUEUED && overdue) {
--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/TestWorld.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/TestWorld.java
@@ -32,6 +32,7 @@
 import org.coriandercrank.kernel.peer.PeerHandlers;
 import org.coriandercrank.kernel.plugin.PluginRegistry;
 import org.coriandercrank.kernel.request.Header;
+import org.coriandercrank.kernel.ring.DutyThread;
 import org.coriandercrank.kernel.table.AssignmentTable;
 import org.coriandercrank.kernel.table.BackendInfo;
 import org.coriandercrank.kernel.table.KeyRange;
@@ -75,7 +76,8 @@
                         meters,
                         new Region("east"),
                         new FailureDomain("east-a"),
-                        Optional.empty()),
+                        Optional.empty(),
+                        DutyThread::new),
                 options);
         address = ingress.start(LOOPBACK);
         client = new HttpClient(group, address, HttpClientOptions.DEFAULTS);
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
@@ -23,7 +23,6 @@
 import org.coriandercrank.kernel.id.HostAddress;
 import org.coriandercrank.kernel.id.RequestId;
 import org.coriandercrank.kernel.request.CallerAnswer;
-import org.coriandercrank.kernel.ring.DutyThread;
 
 /**
  * The caller side of a daemon: takes callers' HTTP requests, routes each to the gate of its owner and answers it.
@@ -57,7 +56,8 @@
         this.options = options;
         this.protocol = parts.protocol().orElseGet(() -> new NativeProtocol(ids, options.retryAfterMs()));
         this.metrics = new IngressMetrics(parts.meters());
-        this.duty = new RequestExecutor(new DutyThread("ingress", RING_SLOTS_PER_REQUEST * options.maxInFlight()));
+        this.duty =
+                new RequestExecutor(parts.duties().create("ingress", RING_SLOTS_PER_REQUEST * options.maxInFlight()));
         Balancer balancer = new Balancer(parts.region(), parts.failureDomain(), options.health(), new Random());
         this.context =
                 new DispatchContext(parts, options, duty, balancer, new RetryBudgets(options.retryBudget()), metrics);
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/IngressDependencies.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/IngressDependencies.java
@@ -11,6 +11,7 @@
 import org.coriandercrank.kernel.peer.PeerClient;
 import org.coriandercrank.kernel.peer.PeerHandlers;
 import org.coriandercrank.kernel.plugin.PluginRegistry;
+import org.coriandercrank.kernel.ring.Duty;
 import org.coriandercrank.kernel.time.TimerService;
 
 /**
@@ -18,6 +19,7 @@
  * read from the routing snapshot, because it changes when a sealed daemon joins again.
  *
  * @param protocol how callers write requests; empty for the product's own protocol
+ * @param duties makes the duty that requests run on
  */
 public record IngressDependencies(
         EventLoopGroup ioGroup,
@@ -31,4 +33,5 @@
         MeterRegistry meters,
         Region region,
         FailureDomain failureDomain,
-        Optional<CallerProtocol> protocol) {}
+        Optional<CallerProtocol> protocol,
+        Duty.Factory duties) {}
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestExecutor.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestExecutor.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
-import org.coriandercrank.kernel.ring.DutyThread;
+import org.coriandercrank.kernel.ring.Duty;
 
 /**
  * Executes tasks on the ingress duty until it is closed, and drops them afterwards. Thread safe.
@@ -10,10 +10,10 @@
  * <p>The timer service repeats rejected tasks; without the drop it would repeat those of a closed duty for ever.
  */
 public final class RequestExecutor implements Executor, AutoCloseable {
-    private final DutyThread duty;
+    private final Duty duty;
     private volatile boolean closed;
 
-    public RequestExecutor(DutyThread duty) {
+    public RequestExecutor(Duty duty) {
         this.duty = duty;
     }
 
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ring/DutyThread.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ring/DutyThread.java
@@ -1,14 +1,9 @@
 package org.coriandercrank.kernel.ring;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
-import java.util.function.Supplier;
-import org.coriandercrank.kernel.code.CrankException;
-import org.coriandercrank.kernel.code.ResultCode;
 import org.jctools.queues.MpscArrayQueue;
 
 /**
@@ -18,10 +13,10 @@
  * touched only by them. A task that throws, also an {@link Error}, is logged and does not end the thread. A task whose
  * offer returned true runs, also if the duty is closed meanwhile.
  */
-public final class DutyThread implements Executor, AutoCloseable {
+public final class DutyThread implements Duty {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int SPINS_BEFORE_PARK = 100;
-    private static final long PARK_NANOS = 50_000_000;
+    private static final long PARK_NANOS = 1_000_000_000;
     private static final long CLOSE_WAIT_MS = 2_000;
 
     private final MpscArrayQueue<Runnable> ring;
@@ -39,7 +34,7 @@
         thread.start();
     }
 
-    /** Queues a task; false if the ring is full or the duty is closed. */
+    @Override
     public boolean offer(Runnable task) {
         offering.incrementAndGet();
         try {
@@ -63,29 +58,11 @@
         }
     }
 
-    /** Runs a task on the duty; the future fails with {@code OVERLOADED} if the ring is full. */
-    public <T> CompletableFuture<T> call(Supplier<T> task) {
-        CompletableFuture<T> result = new CompletableFuture<>();
-        if (!offer(() -> complete(result, task))) {
-            result.completeExceptionally(
-                    new CrankException(ResultCode.OVERLOADED, thread.getName() + " takes no task"));
-        }
-        return result;
-    }
-
     /** Whether the calling thread is the thread of this duty. */
     public boolean isCurrentThread() {
         return Thread.currentThread() == thread;
     }
 
-    private static <T> void complete(CompletableFuture<T> result, Supplier<T> task) {
-        try {
-            result.complete(task.get());
-        } catch (RuntimeException | Error e) {
-            result.completeExceptionally(e);
-        }
-    }
-
     private void run() {
         int idleSpins = 0;
         while (true) {
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
@@ -40,7 +40,7 @@
 public final class PeerLink {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int PROTOCOL_VERSION = 1;
-    private static final long CHECK_PERIOD_MS = 50;
+    private static final long CHECK_PERIOD_MS = 100;
 
     private record Outstanding(
             Message message, Class<? extends Message> answerType, CompletableFuture<Message> result) {}
@@ -62,6 +62,7 @@
     private long silentSinceNanos;
     private long lastUseNanos = System.nanoTime();
     private boolean pinged;
+    private boolean idle;
 
     PeerLink(
             LinkSource source,
@@ -130,8 +131,7 @@
             silentSinceNanos = System.nanoTime();
             channel.writeAndFlush(
                     new Frame(Frame.ONE_WAY, new Hello(source.member().get(), PROTOCOL_VERSION)));
-            check = loop.scheduleWithFixedDelay(
-                    this::checkSilence, CHECK_PERIOD_MS, CHECK_PERIOD_MS, TimeUnit.MILLISECONDS);
+            scheduleCheck(CHECK_PERIOD_MS);
         }
     }
 
@@ -154,9 +154,19 @@
         outstanding.put(correlationId, new Outstanding(message, answerType, result));
         ScheduledFuture<?> timeout = loop.schedule(() -> expire(correlationId), timeoutMs, TimeUnit.MILLISECONDS);
         result.whenComplete((answer, error) -> timeout.cancel(false));
+        if (idle) {
+            check.cancel(false);
+            scheduleCheck(CHECK_PERIOD_MS);
+        }
         write(new Frame(correlationId, message));
     }
 
+    /** A link without outstanding calls is looked at only when it may be closed as idle. */
+    private void scheduleCheck(long delayMs) {
+        idle = delayMs > CHECK_PERIOD_MS;
+        check = loop.schedule(this::checkSilence, delayMs, TimeUnit.MILLISECONDS);
+    }
+
     private void write(Frame frame) {
         if (ready) {
             channel.writeAndFlush(frame);
@@ -178,22 +188,24 @@
     private void checkSilence() {
         long nowNanos = System.nanoTime();
         if (outstanding.isEmpty() && ready) {
-            closeIfIdle(nowNanos);
+            long unusedMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - lastUseNanos);
+            if (unusedMs >= options.idleCloseMs()) {
+                fail(ResultCode.LINK_LOST, "idle");
+            } else {
+                scheduleCheck(options.idleCloseMs() - unusedMs + CHECK_PERIOD_MS);
+            }
             return;
         }
         long silentMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - silentSinceNanos);
         if (silentMs >= options.closeAfterMs()) {
             fail(ResultCode.LINK_LOST, "silent for " + silentMs + " ms");
-        } else if (silentMs >= options.pingAfterMs() && !pinged && ready) {
+            return;
+        }
+        if (silentMs >= options.pingAfterMs() && !pinged && ready) {
             pinged = true;
             channel.writeAndFlush(new Frame(Frame.ONE_WAY, new Ping()));
         }
-    }
-
-    private void closeIfIdle(long nowNanos) {
-        if (TimeUnit.NANOSECONDS.toMillis(nowNanos - lastUseNanos) >= options.idleCloseMs()) {
-            fail(ResultCode.LINK_LOST, "idle");
-        }
+        scheduleCheck(CHECK_PERIOD_MS);
     }
 
     private void receive(Frame frame) {
--- a/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/FakeDaemons.java
+++ b/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/FakeDaemons.java
@@ -36,6 +36,7 @@
 import org.coriandercrank.kernel.placement.RangeLoad;
 import org.coriandercrank.kernel.request.CallerAnswer;
 import org.coriandercrank.kernel.request.CallerRequest;
+import org.coriandercrank.kernel.ring.DutyThread;
 import org.coriandercrank.kernel.store.JsonCodec;
 import org.coriandercrank.kernel.store.ObjectNames;
 import org.coriandercrank.kernel.store.ObjectStore;
@@ -68,7 +69,8 @@
                 own,
                 timers,
                 new DecisionLog(0, MonotonicClock.SYSTEM),
-                new SimpleMeterRegistry());
+                new SimpleMeterRegistry(),
+                DutyThread::new);
     }
 
     void write(String name, byte[] value) {
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/PlacementContext.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/PlacementContext.java
@@ -6,10 +6,15 @@
 import org.coriandercrank.kernel.ownership.RoutingView;
 import org.coriandercrank.kernel.peer.PeerClient;
 import org.coriandercrank.kernel.peer.PeerHandlers;
+import org.coriandercrank.kernel.ring.Duty;
 import org.coriandercrank.kernel.store.ObjectStore;
 import org.coriandercrank.kernel.time.TimerService;
 
-/** The parts of the daemon that placement works with. Immutable; all parts are thread safe. */
+/**
+ * The parts of the daemon that placement works with. Immutable; all parts are thread safe.
+ *
+ * @param duties makes the duties that placement runs on
+ */
 public record PlacementContext(
         MemberId self,
         ObjectStore store,
@@ -18,4 +23,5 @@
         PeerHandlers handlers,
         TimerService timers,
         DecisionLog log,
-        MeterRegistry meters) {}
+        MeterRegistry meters,
+        Duty.Factory duties) {}
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/Planner.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/Planner.java
@@ -24,7 +24,7 @@
 import org.coriandercrank.kernel.peer.PeerTarget;
 import org.coriandercrank.kernel.placement.PlacementPolicy;
 import org.coriandercrank.kernel.plugin.PluginRegistry;
-import org.coriandercrank.kernel.ring.DutyThread;
+import org.coriandercrank.kernel.ring.Duty;
 import org.coriandercrank.kernel.store.JsonCodec;
 import org.coriandercrank.kernel.store.ObjectNames;
 import org.coriandercrank.kernel.store.StoredObject;
@@ -63,7 +63,7 @@
     private final PlacementContext context;
     private final PluginRegistry plugins;
     private final PlannerOptions options;
-    private final DutyThread duty = new DutyThread("planner", RING_CAPACITY);
+    private final Duty duty;
     private final PlannerRole role;
     private volatile boolean holdsRole;
     private final LoadCollector loads;
@@ -79,6 +79,7 @@
 
     public Planner(PlacementContext context, PluginRegistry plugins, PlannerOptions options) {
         this.context = context;
+        duty = context.duties().create("planner", RING_CAPACITY);
         this.plugins = plugins;
         this.options = options;
         PlannerElection.Delays delays = new PlannerElection.Delays(
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/RangeOwnership.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/RangeOwnership.java
@@ -22,7 +22,7 @@
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
 import org.coriandercrank.kernel.peer.PeerHandler;
 import org.coriandercrank.kernel.peer.PeerTarget;
-import org.coriandercrank.kernel.ring.DutyThread;
+import org.coriandercrank.kernel.ring.Duty;
 import org.coriandercrank.kernel.store.JsonCodec;
 import org.coriandercrank.kernel.store.ObjectNames;
 import org.coriandercrank.kernel.store.StoredObject;
@@ -57,7 +57,7 @@
     private final LeaseView lease;
     private final OwnerGate gate;
     private final RangeOwnershipOptions options;
-    private final DutyThread duty = new DutyThread("ownership", RING_CAPACITY);
+    private final Duty duty;
     private final Map<ServiceName, OwnershipState> states = new HashMap<>();
     private final List<Waiter> waiters = new ArrayList<>();
     private final Counter acquiredRanges;
@@ -70,6 +70,7 @@
 
     public RangeOwnership(PlacementContext context, LeaseView lease, OwnerGate gate, RangeOwnershipOptions options) {
         this.context = context;
+        duty = context.duties().create("ownership", RING_CAPACITY);
         this.lease = lease;
         this.gate = gate;
         this.options = options;
