Ignore overtaken heartbeats, and take departures without a body

Cause: a heartbeat may arrive seconds late.

Conclusion: heartbeats count by their number within an incarnation, for the watch and for grants; tests failed before.

--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/test/HeartbeatGrantsTest.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/test/HeartbeatGrantsTest.java
@@ -22,6 +22,7 @@
     private static final KeyRange HIGH = range(100, 199);
 
     private final AtomicLong nowNanos = new AtomicLong();
+    private long next = 1;
     private final HeartbeatGrants grants = new HeartbeatGrants(nowNanos::get, 5_000);
 
     private static KeyRange range(long first, long last) {
@@ -40,29 +41,31 @@
     /** A restarted daemon knows nothing yet; an empty list would make the server drop what it holds. */
     @Test
     void heartbeatBeforeTheFirstGrantRenewsNothing() {
-        assertThat(grants.answer(List.of(LOW), List.of())).isEmpty();
+        assertThat(grants.answer(next++, List.of(LOW), List.of())).isEmpty();
     }
 
     @Test
     void validityCountsFromTheOffer() {
         grants.offer(grant(1, 5_000, LOW));
         nowNanos.set(1_200 * MS);
-        assertThat(grants.answer(List.of(), List.of())).map(Renewal::validityMs).contains(3_800L);
+        assertThat(grants.answer(next++, List.of(), List.of()))
+                .map(Renewal::validityMs)
+                .contains(3_800L);
         nowNanos.set(5_000 * MS);
-        assertThat(grants.answer(List.of(LOW), List.of())).isEmpty();
+        assertThat(grants.answer(next++, List.of(LOW), List.of())).isEmpty();
     }
 
     /** The gate may hand a range on once its grant is acknowledged, so the server must have released it. */
     @Test
     void grantIsAcknowledgedOnlyWhenTheServerHoldsNothingElse() {
         CompletableFuture<Long> both = grants.offer(grant(1, 5_000, LOW, HIGH));
-        grants.answer(List.of(), List.of());
+        grants.answer(next++, List.of(), List.of());
         assertThat(both).isCompletedWithValue(1L);
 
         CompletableFuture<Long> lowOnly = grants.offer(grant(2, 5_000, LOW));
-        assertThat(grants.answer(List.of(LOW, HIGH), List.of())).isPresent();
+        assertThat(grants.answer(next++, List.of(LOW, HIGH), List.of())).isPresent();
         assertThat(lowOnly).isNotDone();
-        grants.answer(List.of(LOW), List.of(new Handover(HIGH, "t1")));
+        grants.answer(next++, List.of(LOW), List.of(new Handover(HIGH, "t1")));
         assertThat(lowOnly).isCompletedWithValue(2L);
     }
 
@@ -70,7 +73,7 @@
     @Test
     void rowOverSeveralGrantedRangesCountsAsGranted() {
         CompletableFuture<Long> both = grants.offer(grant(1, 5_000, LOW, HIGH));
-        grants.answer(List.of(range(50, 150)), List.of());
+        grants.answer(next++, List.of(range(50, 150)), List.of());
         assertThat(both).isCompleted();
     }
 
@@ -78,13 +81,13 @@
     void revocationOfEverythingIsDeliveredWithoutALease() {
         grants.offer(grant(1, 0));
         nowNanos.set(9_000 * MS);
-        assertThat(grants.answer(List.of(LOW), List.of())).contains(new Renewal(List.of(), 0));
+        assertThat(grants.answer(next++, List.of(LOW), List.of())).contains(new Renewal(List.of(), 0));
     }
 
     @Test
     void handoverIsTakenOnceAndTheNewestCounts() {
-        grants.answer(List.of(), List.of(new Handover(LOW, "t1"), new Handover(HIGH, "t2")));
-        grants.answer(List.of(), List.of(new Handover(LOW, "t3")));
+        grants.answer(next++, List.of(), List.of(new Handover(LOW, "t1"), new Handover(HIGH, "t2")));
+        grants.answer(next++, List.of(), List.of(new Handover(LOW, "t3")));
         assertThat(grants.takeHandovers(LOW)).containsExactly(new Handover(LOW, "t3"));
         assertThat(grants.takeHandovers(LOW)).isEmpty();
         assertThat(grants.takeHandovers(HIGH)).containsExactly(new Handover(HIGH, "t2"));
@@ -105,7 +108,7 @@
     void leftGrantsCountUntilAHeartbeatOrTheirEnd() {
         assertThat(grants.mayHold(LOW)).isTrue();
         nowNanos.set(1_000 * MS);
-        grants.answer(List.of(LOW), List.of());
+        grants.answer(next++, List.of(LOW), List.of());
         assertThat(grants.mayHold(LOW)).isTrue();
         assertThat(grants.mayHold(HIGH)).isFalse();
         nowNanos.set(5_999 * MS);
@@ -119,4 +122,11 @@
         nowNanos.set(5_000 * MS);
         assertThat(grants.mayHold(LOW)).isFalse();
     }
+
+    @Test
+    void overtakenHeartbeatRenewsNothing() {
+        grants.offer(grant(1, 5_000, LOW));
+        assertThat(grants.answer(9, List.of(), List.of())).isPresent();
+        assertThat(grants.answer(8, List.of(), List.of())).isEmpty();
+    }
 }
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/test/ServerWatchTest.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/test/ServerWatchTest.java
@@ -15,45 +15,46 @@
     private static final ServerIncarnation SAME_ID_LATER = new ServerIncarnation("i-1", 9_000);
     private static final ServerIncarnation OTHER = new ServerIncarnation("i-2", 9_000);
 
+    private long next = 1;
     private final ServerWatch watch = new ServerWatch(new ServerWatch.Times(5_000, 8_000, 2_000), 0);
 
     @Test
     void repeatedHeartbeatsAttachOnce() {
-        assertThat(watch.heard(FIRST, false, 10 * MS)).containsExactly(new Action.Attach(FIRST, 1, 0));
-        assertThat(watch.heard(FIRST, false, 900 * MS)).isEmpty();
+        assertThat(watch.heard(FIRST, next++, false, 10 * MS)).containsExactly(new Action.Attach(FIRST, 1, 0));
+        assertThat(watch.heard(FIRST, next++, false, 900 * MS)).isEmpty();
         assertThat(watch.tick(1_000 * MS)).isEmpty();
     }
 
     /** A server that starts again under its id holds nothing; its member must not keep the fences of before. */
     @Test
     void serverThatStartsAgainUnderItsIdGetsAnotherMember() {
-        watch.heard(FIRST, false, 0);
-        assertThat(watch.heard(SAME_ID_LATER, false, 900 * MS))
+        watch.heard(FIRST, next++, false, 0);
+        assertThat(watch.heard(SAME_ID_LATER, next++, false, 900 * MS))
                 .containsExactly(new Action.Detach("server-replaced", true), new Action.Attach(SAME_ID_LATER, 1, 0));
     }
 
     /** A heartbeat held up by a partition arrives after its sender was replaced. */
     @Test
     void lateHeartbeatOfAnEarlierIncarnationChangesNothing() {
-        watch.heard(OTHER, false, 0);
-        assertThat(watch.heard(FIRST, false, 900 * MS)).isEmpty();
+        watch.heard(OTHER, next++, false, 0);
+        assertThat(watch.heard(FIRST, next++, false, 900 * MS)).isEmpty();
         assertThat(watch.current()).contains(OTHER);
     }
 
     /** The keys of a silent server must move: its grants cannot be valid any more. */
     @Test
     void silentServerIsDroppedAfterItsGrantsHaveLapsed() {
-        watch.heard(FIRST, false, 0);
+        watch.heard(FIRST, next++, false, 0);
         assertThat(watch.tick(4_999 * MS)).isEmpty();
         assertThat(watch.tick(5_000 * MS)).containsExactly(new Action.Detach("server-silent", false));
-        assertThat(watch.heard(FIRST, false, 6_000 * MS)).containsExactly(new Action.Attach(FIRST, 2, 0));
+        assertThat(watch.heard(FIRST, next++, false, 6_000 * MS)).containsExactly(new Action.Attach(FIRST, 2, 0));
     }
 
     @Test
     void leavingServerIsDrainedWithinTheDrainTime() {
-        watch.heard(FIRST, false, 0);
-        assertThat(watch.heard(FIRST, true, 100 * MS)).containsExactly(new Action.Leave(FIRST));
-        assertThat(watch.heard(FIRST, true, 900 * MS)).isEmpty();
+        watch.heard(FIRST, next++, false, 0);
+        assertThat(watch.heard(FIRST, next++, true, 100 * MS)).containsExactly(new Action.Leave(FIRST));
+        assertThat(watch.heard(FIRST, next++, true, 900 * MS)).isEmpty();
         assertThat(watch.tick(2_099 * MS)).isEmpty();
         assertThat(watch.tick(2_100 * MS)).containsExactly(new Action.Drain(FIRST));
         assertThat(watch.tick(2_200 * MS)).isEmpty();
@@ -61,9 +62,9 @@
 
     @Test
     void departureWithoutNoticeIsALeaving() {
-        watch.heard(FIRST, false, 0);
-        assertThat(watch.departed(FIRST, MS)).containsExactly(new Action.Leave(FIRST));
-        assertThat(watch.departed(OTHER, MS)).isEmpty();
+        watch.heard(FIRST, next++, false, 0);
+        assertThat(watch.departed("i-1", MS)).containsExactly(new Action.Leave(FIRST));
+        assertThat(watch.departed("i-2", MS)).isEmpty();
     }
 
     /**
@@ -72,8 +73,8 @@
      */
     @Test
     void serverThatTakesItsLeavingBackGetsAnotherMember() {
-        watch.heard(FIRST, true, 0);
-        assertThat(watch.heard(FIRST, false, 900 * MS))
+        watch.heard(FIRST, next++, true, 0);
+        assertThat(watch.heard(FIRST, next++, false, 900 * MS))
                 .containsExactly(new Action.Detach("server-returned", true), new Action.Attach(FIRST, 2, 5_000));
     }
 
@@ -82,13 +83,13 @@
         assertThat(watch.tick(7_999 * MS)).isEmpty();
         assertThat(watch.tick(8_000 * MS)).containsExactly(new Action.JoinAlone());
         assertThat(watch.tick(9_000 * MS)).isEmpty();
-        assertThat(watch.heard(FIRST, false, 9_100 * MS))
+        assertThat(watch.heard(FIRST, next++, false, 9_100 * MS))
                 .containsExactly(new Action.Detach("server-arrived", true), new Action.Attach(FIRST, 1, 0));
     }
 
     @Test
     void sealedMemberOfALivingServerIsReplaced() {
-        watch.heard(FIRST, false, 0);
+        watch.heard(FIRST, next++, false, 0);
         assertThat(watch.sealed(MS))
                 .containsExactly(new Action.Detach("sealed-by-others", true), new Action.Attach(FIRST, 2, 0));
     }
@@ -96,8 +97,28 @@
     /** A server on its way out must not get ranges again when its member is sealed early. */
     @Test
     void sealedMemberOfALeavingServerIsNotReplaced() {
-        watch.heard(FIRST, true, 0);
+        watch.heard(FIRST, next++, true, 0);
         List<Action> actions = watch.sealed(MS);
         assertThat(actions).containsExactly(new Action.Detach("sealed-by-others", false));
     }
+
+    /**
+     * A heartbeat may arrive seconds late. One sent before the announcement of the leaving looked as if the server had
+     * taken it back, and its requests went on after the drain time.
+     */
+    @Test
+    void overtakenHeartbeatDoesNotTakeALeavingBack() {
+        watch.heard(FIRST, 5, false, 0);
+        watch.heard(FIRST, 7, true, 100 * MS);
+        assertThat(watch.heard(FIRST, 6, false, 900 * MS)).isEmpty();
+        assertThat(watch.tick(2_100 * MS)).containsExactly(new Action.Drain(FIRST));
+    }
+
+    /** The counts of a server start anew with it. */
+    @Test
+    void firstHeartbeatOfAnotherIncarnationCountsWhateverItsNumber() {
+        watch.heard(FIRST, 500, false, 0);
+        assertThat(watch.heard(OTHER, 1, false, 900 * MS))
+                .containsExactly(new Action.Detach("server-replaced", true), new Action.Attach(OTHER, 1, 0));
+    }
 }
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HeartbeatGrants.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HeartbeatGrants.java
@@ -38,6 +38,7 @@
     private List<KeyRange> held = List.of(KeyRange.ALL);
 
     private long heldAtNanos;
+    private long lastHeartbeat = Long.MIN_VALUE;
     private Grant offered;
     private long offeredAtNanos;
     private CompletableFuture<Long> acknowledgement = new CompletableFuture<>();
@@ -66,14 +67,19 @@
     /**
      * The answer to a heartbeat; empty if it renews nothing.
      *
+     * @param heartbeatSequence grows with each heartbeat; one that was overtaken renews nothing
      * @param reported ranges that the server says it holds or still works on
      * @param freed what the server left of ranges that it has released since its last heartbeat
      */
-    public Optional<Renewal> answer(List<KeyRange> reported, List<Handover> freed) {
+    public Optional<Renewal> answer(long heartbeatSequence, List<KeyRange> reported, List<Handover> freed) {
         CompletableFuture<Long> completed = null;
         Renewal renewal;
         long sequence;
         synchronized (this) {
+            if (heartbeatSequence <= lastHeartbeat) {
+                return Optional.empty();
+            }
+            lastHeartbeat = heartbeatSequence;
             keep(freed);
             held = List.copyOf(reported);
             heldAtNanos = clock.nowNanos();
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/ServerWatch.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/ServerWatch.java
@@ -10,7 +10,8 @@
  *
  * <p>A pure state machine with time as argument; not thread safe. Invariants: a member belongs to one incarnation of the
  * server; a server that was silent for longer than its grants can last, or that returns after it announced its leaving,
- * gets another member; a heartbeat of an earlier incarnation than the present one changes nothing.
+ * gets another member; a heartbeat of an earlier incarnation than the present one, or one that was overtaken by a later
+ * one, changes nothing.
  */
 public final class ServerWatch {
     /** What the daemon has to do, in order. */
@@ -51,6 +52,7 @@
     private final Times times;
     private Optional<ServerIncarnation> current = Optional.empty();
     private Optional<ServerIncarnation> former = Optional.empty();
+    private long lastSequence;
     private int life;
     private boolean leaving;
     private boolean drained;
@@ -69,14 +71,20 @@
         return current;
     }
 
-    /** A heartbeat. */
-    public List<Action> heard(ServerIncarnation server, boolean serverLeaves, long nowNanos) {
+    /**
+     * A heartbeat.
+     *
+     * @param sequence grows with each heartbeat of an incarnation; one that does not was held up and says nothing new
+     */
+    public List<Action> heard(ServerIncarnation server, long sequence, boolean serverLeaves, long nowNanos) {
         List<Action> actions = new ArrayList<>();
-        if (isOutdated(server)) {
+        boolean sameServer = current.equals(Optional.of(server));
+        if (isOutdated(server) || (sameServer && sequence <= lastSequence)) {
             return actions;
         }
-        boolean returned = leaving && !serverLeaves && current.equals(Optional.of(server));
-        if (returned || (current.isPresent() && !current.get().equals(server))) {
+        lastSequence = sequence;
+        boolean returned = leaving && !serverLeaves && sameServer;
+        if (returned || (current.isPresent() && !sameServer)) {
             detach(returned ? "server-returned" : "server-replaced", true, nowNanos, actions);
         }
         heardNanos = nowNanos;
@@ -89,10 +97,10 @@
         return actions;
     }
 
-    /** The server said that it will end. */
-    public List<Action> departed(ServerIncarnation server, long nowNanos) {
+    /** The server with an id said that it will end. */
+    public List<Action> departed(String id, long nowNanos) {
         List<Action> actions = new ArrayList<>();
-        if (current.equals(Optional.of(server))) {
+        if (current.isPresent() && current.get().id().equals(id)) {
             leave(nowNanos, actions);
         }
         return actions;
