--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
@@ -86,14 +86,15 @@
         });
     }
 
-    /** Starts all parts; blocks until the ports are bound. */
-    public void start(HostAddress callerListen) {
+    /** Starts all parts; blocks until the ports are bound. Returns the address for callers with the port in use. */
+    public HostAddress start(HostAddress callerListen) {
         if (options.joinsAtOnce()) {
             startMember();
         }
         control.start();
-        ingress.start(callerListen);
+        HostAddress callers = ingress.start(callerListen);
         logger.atInfo().log("event=started member=%s", control.self());
+        return callers;
     }
 
     private void startMember() {
--- a/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/internal/OwnershipStateTest.java
+++ b/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/internal/OwnershipStateTest.java
@@ -2,9 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.KeyHash;
 import org.coriandercrank.kernel.id.MemberId;
@@ -16,6 +18,7 @@
 import org.coriandercrank.kernel.table.RangeAssignment;
 import org.coriandercrank.placement.TestFleet;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -163,4 +166,52 @@
                 .containsExactly(new OwnershipAction.Acquire(
                         KeyRange.ALL, new Generation(4), new InheritedRecords(expectedMs, List.of())));
     }
+
+    /**
+     * The last server but three leaves: a hundred narrow ranges are asked for, one request each, and each request is
+     * looked at again with every event. A daemon was deaf for seconds while it did so.
+     */
+    @Test
+    @Timeout(value = 20, unit = TimeUnit.SECONDS)
+    void manyNarrowRangesAreReleasedWithoutStandingStill() {
+        int ranges = 400;
+        long width = Long.divideUnsigned(-1L, ranges);
+        List<RangeAssignment> before = new ArrayList<>();
+        List<RangeAssignment> after = new ArrayList<>();
+        for (int i = 0; i < ranges; i++) {
+            KeyHash last = i == ranges - 1 ? KeyHash.MAX : new KeyHash((i + 1) * width - 1);
+            KeyRange range = new KeyRange(new KeyHash(i * width), last);
+            before.add(new RangeAssignment(range, A, new Generation(1), List.of()));
+            after.add(new RangeAssignment(range, B, new Generation(2), List.of(A)));
+        }
+        OwnershipState state = new OwnershipState(A, TestFleet.SERVICE, 10, 500, 500, 1_000);
+        state.applyTable(new AssignmentTable(TestFleet.SERVICE, new Generation(1), before));
+        perform(state, 0);
+        List<ReleaseRequest> requests = after.stream()
+                .map(a -> new ReleaseRequest(B, TestFleet.SERVICE, a.range(), new Generation(2)))
+                .toList();
+        int answered = 0;
+        for (int round = 0; round < 20 && answered < ranges; round++) {
+            answered = 0;
+            for (ReleaseRequest request : requests) {
+                answered += state.requestRelease(request, round)
+                                .filter(ReleaseAnswer::released)
+                                .isPresent()
+                        ? 1
+                        : 0;
+            }
+            perform(state, round);
+        }
+        assertThat(answered).isEqualTo(ranges);
+    }
+
+    private static void perform(OwnershipState state, long nowMs) {
+        for (OwnershipAction action : state.poll(nowMs, member -> false)) {
+            if (action instanceof OwnershipAction.Acquire acquire) {
+                state.acquired(acquire);
+            } else if (action instanceof OwnershipAction.Release release) {
+                state.released(release, InheritedRecords.NONE, nowMs);
+            }
+        }
+    }
 }
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/OwnershipState.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/OwnershipState.java
@@ -60,6 +60,7 @@
     private AssignmentTable table;
     private List<RangeAssignment> owned = List.of();
     private boolean sealed;
+    private boolean dirty;
     private List<Holding> holdings = new ArrayList<>();
     private List<Barrier> barriers = new ArrayList<>();
     private List<Lingering> lingering = new ArrayList<>();
@@ -119,8 +120,9 @@
             reconcile();
         }
         if (request.generation().isNewerThan(table.generation())) {
-            addBarrier(new Barrier(range, request.generation()));
-            reconcile();
+            if (addBarrier(new Barrier(range, request.generation()))) {
+                reconcile();
+            }
         } else if (!sealed && isAssigned(range)) {
             return Optional.of(ReleaseAnswer.notYet());
         }
@@ -135,8 +137,16 @@
                 .anyMatch(a -> a.owner().equals(self) && a.range().overlaps(range));
     }
 
-    /** Repeated requests replace each other; above the bound one barrier covers the hash space until the table is newer. */
-    private void addBarrier(Barrier barrier) {
+    /**
+     * Whether the barrier is news. Repeated requests replace each other; above the bound one barrier covers the hash space
+     * until the table is newer.
+     */
+    private boolean addBarrier(Barrier barrier) {
+        boolean known = barriers.stream()
+                .anyMatch(b -> b.range.contains(barrier.range) && b.generation.compareTo(barrier.generation) >= 0);
+        if (known) {
+            return false;
+        }
         barriers.removeIf(b -> barrier.range.contains(b.range) && barrier.generation.compareTo(b.generation) >= 0);
         barriers.add(barrier);
         if (barriers.size() > MAX_BARRIERS) {
@@ -146,12 +156,14 @@
                     .orElseThrow();
             barriers = new ArrayList<>(List.of(new Barrier(KeyRange.ALL, newest)));
         }
+        return true;
     }
 
     /** What has to be done now; each action is returned once until its result is reported. */
     public List<OwnershipAction> poll(long nowMs, Predicate<MemberId> isSealed) {
         Predicate<MemberId> lost = m -> gone.contains(m) || isSealed.test(m);
         List<OwnershipAction> actions = new ArrayList<>();
+        reconcileIfDirty();
         expireLingering(nowMs);
         acquireReady(nowMs, lost);
         for (int i = 0; i < holdings.size(); i++) {
@@ -177,12 +189,15 @@
     /** Serves what a planned move takes away until the new owner asks; the new owner cannot serve before that. */
     private void lingerWhereNotAsked() {
         List<Lingering> next = new ArrayList<>();
+        List<RangeAssignment> taken = table.assignments().stream()
+                .filter(a -> a.previousOwners().contains(self))
+                .toList();
         for (Holding holding : holdings) {
             if (holding.phase() != Phase.SERVING) {
                 continue;
             }
-            for (RangeAssignment assignment : table.assignments()) {
-                if (assignment.previousOwners().contains(self)) {
+            for (RangeAssignment assignment : taken) {
+                if (assignment.range().overlaps(holding.range())) {
                     KeyRanges.intersect(assignment.range(), holding.range())
                             .ifPresent(part -> next.add(new Lingering(part, lingerUntilMs(part))));
                 }
@@ -249,12 +264,12 @@
     public void acquired(OwnershipAction.Acquire action) {
         released.forget(action.range());
         replace(action.range(), Holding::serving);
-        reconcile();
+        dirty = true;
     }
 
     public void acquireFailed(OwnershipAction.Acquire action, long nowMs) {
         replace(action.range(), h -> h.failed(nowMs + maxRetryMs));
-        reconcile();
+        dirty = true;
     }
 
     public void released(OwnershipAction.Release action, InheritedRecords records, long nowMs) {
@@ -266,7 +281,7 @@
                 }
             }
         }
-        reconcile();
+        dirty = true;
     }
 
     public void releaseFailed(OwnershipAction.Release action, long nowMs) {
@@ -286,7 +301,15 @@
         holdings.replaceAll(h -> h.range().equals(range) ? change.apply(h) : h);
     }
 
+    /** Results come in groups; what follows from them is worked out once before the next actions. */
+    private void reconcileIfDirty() {
+        if (dirty) {
+            reconcile();
+        }
+    }
+
     private void reconcile() {
+        dirty = false;
         List<Holding> next = new ArrayList<>();
         for (Holding holding : holdings) {
             if (holding.phase() == Phase.RELEASING || holding.callOutstanding()) {
@@ -310,7 +333,7 @@
         for (Lingering part : lingering) {
             KeyRanges.intersect(part.range, holding.range()).ifPresent(common -> {
                 List<KeyRange> taken = new ArrayList<>(parts);
-                taken.addAll(barrierRanges());
+                taken.addAll(barriersIn(common));
                 parts.addAll(KeyRanges.subtract(common, taken));
             });
         }
@@ -318,25 +341,35 @@
         return parts;
     }
 
+    /** Only what overlaps is looked at closely: a service may have hundreds of ranges, and each event comes here. */
     private List<KeyRange> allowedParts(Holding holding) {
         if (sealed) {
             return List.of();
         }
         List<KeyRange> parts = new ArrayList<>();
         for (RangeAssignment assignment : owned) {
+            if (!assignment.range().overlaps(holding.range())) {
+                continue;
+            }
             boolean keeps = assignment.fence().equals(holding.fence())
                     || (holding.phase() == Phase.SERVING
                             && assignment.previousOwners().isEmpty());
             if (keeps) {
                 KeyRanges.intersect(assignment.range(), holding.range())
-                        .ifPresent(common -> parts.addAll(KeyRanges.subtract(common, barrierRanges())));
+                        .ifPresent(common -> parts.addAll(KeyRanges.subtract(common, barriersIn(common))));
             }
         }
         return parts;
     }
 
-    private List<KeyRange> barrierRanges() {
-        return barriers.stream().map(Barrier::range).toList();
+    private List<KeyRange> barriersIn(KeyRange range) {
+        List<KeyRange> overlapping = new ArrayList<>();
+        for (Barrier barrier : barriers) {
+            if (barrier.range.overlaps(range)) {
+                overlapping.add(barrier.range);
+            }
+        }
+        return overlapping;
     }
 
     private Map<PendingRange.Id, PendingRange> findPending() {
@@ -351,7 +384,7 @@
             if (held.stream().anyMatch(h -> h.phase() != Phase.SERVING)) {
                 continue;
             }
-            List<KeyRange> taken = new ArrayList<>(barrierRanges());
+            List<KeyRange> taken = new ArrayList<>(barriersIn(assignment.range()));
             held.forEach(h -> taken.add(h.range()));
             for (KeyRange gap : KeyRanges.subtract(assignment.range(), taken)) {
                 PendingRange.Id id = new PendingRange.Id(gap, assignment.fence(), assignment.previousOwners());
@@ -367,6 +400,7 @@
      * Generation#NONE}.
      */
     public Generation settledGeneration() {
+        reconcileIfDirty();
         boolean unsettled = holdings.stream()
                 .anyMatch(h -> h.phase() == Phase.RELEASING
                         || !KeyRanges.subtract(h.range(), allowedParts(h)).isEmpty());
@@ -379,6 +413,7 @@
 
     /** Whether the gate may hold, get or lose any range. */
     public boolean isIdle() {
+        reconcileIfDirty();
         return holdings.isEmpty() && pending.isEmpty();
     }
 }
