Check that an overload loses no request

The replay counted failed requests without reading the count. It now requires one result per request once all deadlines have passed.

--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/OverloadReplayTest.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/OverloadReplayTest.java
@@ -59,6 +59,7 @@
         private final List<Double> retryAfterMs = new ArrayList<>();
         private final long startedAtNanos = gate.now();
         private int nextId;
+        private boolean arrivalsEnded;
 
         Replay(boolean withRules) {
             this.withRules = withRules;
@@ -83,8 +84,19 @@
             return this;
         }
 
+        /** Ends the arrivals and lets the deadlines of all requests pass. */
+        Replay drain() {
+            arrivalsEnded = true;
+            gate.timers.advanceMs((long)
+                    (2 * KINDS.stream().mapToDouble(Kind::deadlineMs).max().orElseThrow()));
+            return this;
+        }
+
         private void arrive(double perMs) {
             gate.timers.after(-Math.log(1 - random.nextDouble()) / perMs, () -> {
+                if (arrivalsEnded) {
+                    return;
+                }
                 double pick = random.nextDouble();
                 int kind = pick < PAYMENT.share() ? 0 : pick < PAYMENT.share() + CHECK.share() ? 1 : 2;
                 submit(kind);
@@ -166,6 +178,15 @@
         }
     }
 
+    /** Overload must not lose a request: each has exactly one result. */
+    @Test
+    void eachRequestHasOneResult() {
+        Replay after = new Replay(true).run(2).drain();
+        for (Tally tally : after.tallies) {
+            assertThat(tally.inTime + tally.late + tally.refused + tally.failed).isEqualTo(tally.offered);
+        }
+    }
+
     /** Refused callers must not return together: no tenth of a second gets more of them than can be served. */
     @Test
     void refusedCallersReturnSpread() {
