Open a link per member id of the calling daemon

Cause: since the links outlive the member they name the id under which they were opened, and owners refuse release requests whose sender differs from the requester; so a daemon that joined again never got a range from a living owner. The same holds on the users' platform after a restart of a server. Now a link belongs to a pair of ids; old links carry the answers still on their way. callsNameThePresentMember fails without the change; both new tests pass with it.

--- a/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/PeerNetworkTest.java
+++ b/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/PeerNetworkTest.java
@@ -6,10 +6,13 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.id.HostAddress;
@@ -80,6 +83,45 @@
         }
     }
 
+    /** Peers refuse requests whose sender is a former id, so a daemon that joined again got no range from them. */
+    @Test
+    void callsNameThePresentMember() throws Exception {
+        AtomicReference<MemberId> self = new AtomicReference<>(CALLING);
+        try (PeerNetwork changing = new PeerNetwork(
+                group, ANY_PORT, self::get, new PeerHandlers(), PeerOptions.DEFAULTS, new SimpleMeterRegistry())) {
+            for (MemberId id : List.of(CALLING, new MemberId("calling-again"))) {
+                self.set(id);
+                RefusalAnswer answer = changing.call(
+                                target, new RefusalRequest(id, new Revision(1)), RefusalAnswer.class, 5_000)
+                        .get(6, TimeUnit.SECONDS);
+                assertThat(answer.witness()).isEqualTo(id);
+            }
+        }
+    }
+
+    /** An answer that is on its way when the daemon gets another id must still arrive. */
+    @Test
+    void answersToTheFormerMemberArrive() throws Exception {
+        AtomicReference<MemberId> self = new AtomicReference<>(CALLING);
+        CompletableFuture<RefusalAnswer> held = new CompletableFuture<>();
+        CountDownLatch received = new CountDownLatch(1);
+        calledHandlers.register(LoadQuery.class, (sender, message) -> {
+            received.countDown();
+            return held;
+        });
+        try (PeerNetwork changing = new PeerNetwork(
+                group, ANY_PORT, self::get, new PeerHandlers(), PeerOptions.DEFAULTS, new SimpleMeterRegistry())) {
+            CompletableFuture<RefusalAnswer> early =
+                    changing.call(target, new LoadQuery(CALLING), RefusalAnswer.class, 5_000);
+            assertThat(received.await(6, TimeUnit.SECONDS)).isTrue();
+            self.set(new MemberId("calling-again"));
+            changing.call(target, new RefusalRequest(self.get(), new Revision(1)), RefusalAnswer.class, 5_000)
+                    .get(6, TimeUnit.SECONDS);
+            held.complete(new RefusalAnswer(CALLED, true, 7));
+            assertThat(early.get(6, TimeUnit.SECONDS).witness()).isEqualTo(CALLED);
+        }
+    }
+
     @Test
     void answersReachTheirOwnCalls() throws Exception {
         for (int i = 0; i < 200; i++) {
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/LinkSource.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/LinkSource.java
@@ -1,11 +1,11 @@
 package org.coriandercrank.peer.internal;
 
-import java.util.function.Supplier;
 import org.coriandercrank.kernel.id.MemberId;
 
 /**
- * The calling side of links. Immutable.
+ * The calling side of a link. Immutable.
  *
+ * @param member the id that the peer takes as sender of everything on the link
  * @param ip the IP that the daemon listens on; its links come from it, so that the network can tell daemons apart
  */
-record LinkSource(Supplier<MemberId> member, String ip) {}
+record LinkSource(MemberId member, String ip) {}
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/LinkTable.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/LinkTable.java
@@ -10,30 +10,41 @@
 import org.coriandercrank.kernel.peer.PeerTarget;
 import org.coriandercrank.peer.PeerOptions;
 
-/** The open outgoing links of a daemon. Thread safe; at most one link per target. */
+/**
+ * The open outgoing links of a daemon. Thread safe; at most one link per target and member id of this daemon.
+ *
+ * <p>A link names its sender when it opens. When the daemon joins under another id, calls take new links; answers to
+ * earlier calls still arrive on the old ones, which close when they are idle.
+ */
 public final class LinkTable implements AutoCloseable {
+    /** Both ends of a link. */
+    private record Ends(LinkSource source, PeerTarget target) {}
+
     private final EventLoopGroup group;
-    private final LinkSource source;
+    private final Supplier<MemberId> self;
+    private final String localIp;
     private final PeerOptions options;
     private final TrafficMeter meter;
-    private final Map<PeerTarget, PeerLink> links = new ConcurrentHashMap<>();
+    private final Map<Ends, PeerLink> links = new ConcurrentHashMap<>();
 
     public LinkTable(
             EventLoopGroup group, Supplier<MemberId> self, String localIp, PeerOptions options, MeterRegistry metrics) {
         this.group = group;
-        this.source = new LinkSource(self, localIp);
+        this.self = self;
+        this.localIp = localIp;
         this.options = options;
         this.meter = new TrafficMeter(metrics);
         metrics.gaugeMapSize("crank.peer.links", List.of(), links);
     }
 
-    /** The link to a target; opens one if there is none. */
+    /** The link from the present member id of this daemon to a target; opens one if there is none. */
     public PeerLink link(PeerTarget target) {
-        return links.computeIfAbsent(target, this::open);
+        return links.computeIfAbsent(new Ends(new LinkSource(self.get(), localIp), target), this::open);
     }
 
-    private PeerLink open(PeerTarget newTarget) {
-        PeerLink link = new PeerLink(source, newTarget, options, meter, group.next(), () -> links.remove(newTarget));
+    private PeerLink open(Ends ends) {
+        PeerLink link =
+                new PeerLink(ends.source(), ends.target(), options, meter, group.next(), () -> links.remove(ends));
         link.open();
         return link;
     }
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
@@ -129,8 +129,7 @@
             fail(ResultCode.PEER_UNREACHABLE, String.valueOf(connecting.cause().getMessage()));
         } else {
             silentSinceNanos = System.nanoTime();
-            channel.writeAndFlush(
-                    new Frame(Frame.ONE_WAY, new Hello(source.member().get(), PROTOCOL_VERSION)));
+            channel.writeAndFlush(new Frame(Frame.ONE_WAY, new Hello(source.member(), PROTOCOL_VERSION)));
             scheduleCheck(CHECK_PERIOD_MS);
         }
     }
