--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/OverloadReplayTest.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/OverloadReplayTest.java
@@ -87,8 +87,8 @@
         /** Ends the arrivals and lets the deadlines of all requests pass. */
         Replay drain() {
             arrivalsEnded = true;
-            gate.timers.advanceMs((long)
-                    (2 * KINDS.stream().mapToDouble(Kind::deadlineMs).max().orElseThrow()));
+            gate.timers.advanceMs(
+                    2 * KINDS.stream().mapToDouble(Kind::deadlineMs).max().orElseThrow());
             return this;
         }
 
