--- a/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/HttpObjectStoreTest.java
+++ b/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/HttpObjectStoreTest.java
@@ -100,7 +100,9 @@
     }
 
     private String stats() {
-        return admin.call(HttpCall.of("GET", "/admin/stats"), ADMIN_LIMIT_MS).join().bodyText();
+        return admin.call(HttpCall.of("GET", "/admin/stats"), ADMIN_LIMIT_MS)
+                .join()
+                .bodyText();
     }
 
     /** Guards against a consumer that misses changes which the bounded history no longer has. */
