--- a/org.coriandercrank.kernel.test/src/test/java/org/coriandercrank/kernel/SystemTimerServiceTest.java
+++ b/org.coriandercrank.kernel.test/src/test/java/org/coriandercrank/kernel/SystemTimerServiceTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -130,6 +132,23 @@
         assertThat(runs).hasValue(0);
     }
 
+    /** A timer service that shares the event loop of the network must not end it. */
+    @Test
+    void closeLeavesAGivenSchedulerRunning() throws Exception {
+        ScheduledExecutorService shared = Executors.newSingleThreadScheduledExecutor();
+        try (SystemTimerService sharing = SystemTimerService.on(shared)) {
+            sharing.every(PERIOD_MS, Runnable::run, runs::incrementAndGet);
+            sharing.once(QUIET_MS / 2, Runnable::run, runs::incrementAndGet);
+            awaitTrue(() -> runs.get() >= 1);
+            sharing.close();
+            sleep(PERIOD_MS);
+            assertNoFurtherRuns();
+            assertThat(shared.submit(() -> true).get(10, TimeUnit.SECONDS)).isTrue();
+        } finally {
+            shared.shutdownNow();
+        }
+    }
+
     @Test
     void closeEndsAllTasks() {
         timers.every(PERIOD_MS, Runnable::run, runs::incrementAndGet);
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/time/SystemTimerService.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/time/SystemTimerService.java
@@ -4,24 +4,48 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
-/** Timer service on one daemon thread. Thread safe. */
+/** Timer service on one daemon thread of its own, or on a given scheduler. Thread safe. */
 public final class SystemTimerService implements TimerService {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long REJECTED_RETRY_MS = 5;
 
-    private final ScheduledThreadPoolExecutor scheduler = new ScheduledThreadPoolExecutor(1, task -> {
-        Thread thread = new Thread(task, "timer");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ScheduledExecutorService scheduler;
+    private final Runnable release;
+    private volatile boolean closed;
 
+    private SystemTimerService(ScheduledExecutorService scheduler, Runnable release) {
+        this.scheduler = scheduler;
+        this.release = release;
+    }
+
+    /** A service with a thread of its own. */
     public SystemTimerService() {
+        this(timerThread());
+    }
+
+    private SystemTimerService(ScheduledThreadPoolExecutor own) {
+        this(own, own::shutdownNow);
+    }
+
+    /** A service on a scheduler that is the property of the caller and is not shut down with it. */
+    public static SystemTimerService on(ScheduledExecutorService scheduler) {
+        return new SystemTimerService(scheduler, () -> {});
+    }
+
+    private static ScheduledThreadPoolExecutor timerThread() {
+        ScheduledThreadPoolExecutor scheduler = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, "timer");
+            thread.setDaemon(true);
+            return thread;
+        });
         scheduler.setRemoveOnCancelPolicy(true);
         scheduler.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+        return scheduler;
     }
 
     @Override
@@ -54,7 +78,7 @@
     }
 
     private void dispatchPeriodic(Executor executor, Runnable task, AtomicBoolean queued) {
-        if (!queued.compareAndSet(false, true)) {
+        if (closed || !queued.compareAndSet(false, true)) {
             return;
         }
         try {
@@ -63,6 +87,7 @@
                 task.run();
             });
         } catch (RejectedExecutionException e) {
+            logger.atFine().withCause(e).log("event=timer-run-left-out reason=duty-full");
             queued.set(false);
         } catch (RuntimeException e) {
             // Only an executor that runs the task at once gets here; a thrown failure would end the subscription.
@@ -71,10 +96,13 @@
     }
 
     private void dispatchOnce(Executor executor, Runnable task) {
+        if (closed) {
+            return;
+        }
         try {
             executor.execute(task);
         } catch (RejectedExecutionException e) {
-            logger.atFine().log("event=timer-retry reason=ring-full");
+            logger.atFine().log("event=timer-retry reason=duty-full");
             retryLater(executor, task);
         }
     }
@@ -89,6 +117,7 @@
 
     @Override
     public void close() {
-        scheduler.shutdownNow();
+        closed = true;
+        release.run();
     }
 }
