--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateOptions.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateOptions.java
@@ -1,5 +1,7 @@
 package org.coriandercrank.gate;
 
+import java.util.function.Consumer;
+
 /**
  * Settings of a gate. Immutable; limits are checked on construction.
  *
@@ -98,155 +100,124 @@
 
     /** These options with other periods of ticks. */
     public GateOptions withTicks(int newTickMs, int newIdleTickMs) {
-        return new GateOptions(
-                ringCapacity,
-                newTickMs,
-                newIdleTickMs,
-                grantValidityMs,
-                grantTimeoutMs,
-                grantRetryMs,
-                grantDelayMs,
-                rampMs,
-                overloadRecoveryMs,
-                recordRetentionMs,
-                maxRecords,
-                maxRecordBytes,
-                maxTransferBytes,
-                barRetentionMs,
-                maxBars,
-                ageMarginMs,
-                lostCallGraceMs,
-                lostCallLifetimeMs,
-                maxParked,
-                parkMs,
-                releaseWithoutProof);
+        return with(draft -> {
+            draft.tickMs = newTickMs;
+            draft.idleTickMs = newIdleTickMs;
+        });
     }
 
     /** These options with other times of grants. */
     public GateOptions withGrants(int newValidityMs, int newTimeoutMs, int newRetryMs, int newDelayMs) {
-        return new GateOptions(
-                ringCapacity,
-                tickMs,
-                idleTickMs,
-                newValidityMs,
-                newTimeoutMs,
-                newRetryMs,
-                newDelayMs,
-                rampMs,
-                overloadRecoveryMs,
-                recordRetentionMs,
-                maxRecords,
-                maxRecordBytes,
-                maxTransferBytes,
-                barRetentionMs,
-                maxBars,
-                ageMarginMs,
-                lostCallGraceMs,
-                lostCallLifetimeMs,
-                maxParked,
-                parkMs,
-                releaseWithoutProof);
+        return with(draft -> {
+            draft.grantValidityMs = newValidityMs;
+            draft.grantTimeoutMs = newTimeoutMs;
+            draft.grantRetryMs = newRetryMs;
+            draft.grantDelayMs = newDelayMs;
+        });
     }
 
     /** These options with other bounds of parked requests. */
     public GateOptions withParking(int newMaxParked, int newParkMs) {
-        return new GateOptions(
-                ringCapacity,
-                tickMs,
-                idleTickMs,
-                grantValidityMs,
-                grantTimeoutMs,
-                grantRetryMs,
-                grantDelayMs,
-                rampMs,
-                overloadRecoveryMs,
-                recordRetentionMs,
-                maxRecords,
-                maxRecordBytes,
-                maxTransferBytes,
-                barRetentionMs,
-                maxBars,
-                ageMarginMs,
-                lostCallGraceMs,
-                lostCallLifetimeMs,
-                newMaxParked,
-                newParkMs,
-                releaseWithoutProof);
+        return with(draft -> {
+            draft.maxParked = newMaxParked;
+            draft.parkMs = newParkMs;
+        });
     }
 
     public GateOptions withRampMs(int newRampMs) {
-        return new GateOptions(
-                ringCapacity,
-                tickMs,
-                idleTickMs,
-                grantValidityMs,
-                grantTimeoutMs,
-                grantRetryMs,
-                grantDelayMs,
-                newRampMs,
-                overloadRecoveryMs,
-                recordRetentionMs,
-                maxRecords,
-                maxRecordBytes,
-                maxTransferBytes,
-                barRetentionMs,
-                maxBars,
-                ageMarginMs,
-                lostCallGraceMs,
-                lostCallLifetimeMs,
-                maxParked,
-                parkMs,
-                releaseWithoutProof);
+        return with(draft -> draft.rampMs = newRampMs);
     }
 
     public GateOptions withRecordLimits(int newRetentionMs, int newMaxRecords, long newMaxRecordBytes) {
-        return new GateOptions(
-                ringCapacity,
-                tickMs,
-                idleTickMs,
-                grantValidityMs,
-                grantTimeoutMs,
-                grantRetryMs,
-                grantDelayMs,
-                rampMs,
-                overloadRecoveryMs,
-                newRetentionMs,
-                newMaxRecords,
-                newMaxRecordBytes,
-                maxTransferBytes,
-                barRetentionMs,
-                maxBars,
-                ageMarginMs,
-                lostCallGraceMs,
-                lostCallLifetimeMs,
-                maxParked,
-                parkMs,
-                releaseWithoutProof);
+        return with(draft -> {
+            draft.recordRetentionMs = newRetentionMs;
+            draft.maxRecords = newMaxRecords;
+            draft.maxRecordBytes = newMaxRecordBytes;
+        });
     }
 
     public GateOptions withReleaseWithoutProof(boolean newReleaseWithoutProof) {
-        return new GateOptions(
-                ringCapacity,
-                tickMs,
-                idleTickMs,
-                grantValidityMs,
-                grantTimeoutMs,
-                grantRetryMs,
-                grantDelayMs,
-                rampMs,
-                overloadRecoveryMs,
-                recordRetentionMs,
-                maxRecords,
-                maxRecordBytes,
-                maxTransferBytes,
-                barRetentionMs,
-                maxBars,
-                ageMarginMs,
-                lostCallGraceMs,
-                lostCallLifetimeMs,
-                maxParked,
-                parkMs,
-                newReleaseWithoutProof);
+        return with(draft -> draft.releaseWithoutProof = newReleaseWithoutProof);
+    }
+
+    /** Values of options that are being changed. Not thread safe. */
+    private static final class Draft {
+        private int ringCapacity;
+        private int tickMs;
+        private int idleTickMs;
+        private int grantValidityMs;
+        private int grantTimeoutMs;
+        private int grantRetryMs;
+        private int grantDelayMs;
+        private int rampMs;
+        private int overloadRecoveryMs;
+        private int recordRetentionMs;
+        private int maxRecords;
+        private long maxRecordBytes;
+        private long maxTransferBytes;
+        private int barRetentionMs;
+        private int maxBars;
+        private int ageMarginMs;
+        private int lostCallGraceMs;
+        private int lostCallLifetimeMs;
+        private int maxParked;
+        private int parkMs;
+        private boolean releaseWithoutProof;
+
+        Draft(GateOptions from) {
+            ringCapacity = from.ringCapacity;
+            tickMs = from.tickMs;
+            idleTickMs = from.idleTickMs;
+            grantValidityMs = from.grantValidityMs;
+            grantTimeoutMs = from.grantTimeoutMs;
+            grantRetryMs = from.grantRetryMs;
+            grantDelayMs = from.grantDelayMs;
+            rampMs = from.rampMs;
+            overloadRecoveryMs = from.overloadRecoveryMs;
+            recordRetentionMs = from.recordRetentionMs;
+            maxRecords = from.maxRecords;
+            maxRecordBytes = from.maxRecordBytes;
+            maxTransferBytes = from.maxTransferBytes;
+            barRetentionMs = from.barRetentionMs;
+            maxBars = from.maxBars;
+            ageMarginMs = from.ageMarginMs;
+            lostCallGraceMs = from.lostCallGraceMs;
+            lostCallLifetimeMs = from.lostCallLifetimeMs;
+            maxParked = from.maxParked;
+            parkMs = from.parkMs;
+            releaseWithoutProof = from.releaseWithoutProof;
+        }
+
+        GateOptions build() {
+            return new GateOptions(
+                    ringCapacity,
+                    tickMs,
+                    idleTickMs,
+                    grantValidityMs,
+                    grantTimeoutMs,
+                    grantRetryMs,
+                    grantDelayMs,
+                    rampMs,
+                    overloadRecoveryMs,
+                    recordRetentionMs,
+                    maxRecords,
+                    maxRecordBytes,
+                    maxTransferBytes,
+                    barRetentionMs,
+                    maxBars,
+                    ageMarginMs,
+                    lostCallGraceMs,
+                    lostCallLifetimeMs,
+                    maxParked,
+                    parkMs,
+                    releaseWithoutProof);
+        }
+    }
+
+    private GateOptions with(Consumer<Draft> change) {
+        Draft draft = new Draft(this);
+        change.accept(draft);
+        return draft.build();
     }
 
     private static void checkPositive(String field, long value) {
