--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
@@ -81,7 +81,7 @@
         ingress = new Ingress(ingressDependencies(), options.ingress());
         control.onSealed((id, reason) -> {
             logger.atWarning().log("event=sealed member=%s reason=\"%s\"", id, reason);
-            Optional.ofNullable(member.get()).ifPresent(MemberParts::seal);
+            sealParts();
             whenSealed.run();
         });
     }
@@ -119,15 +119,20 @@
                 .thenRun(() -> backend().ifPresent(control::backendAnnounced));
     }
 
+    /** Gives up all ranges; nothing is held by a host without a member. */
+    private void sealParts() {
+        Optional.ofNullable(member.get()).ifPresent(MemberParts::seal);
+    }
+
     /** Gives up all ranges and seals the own record; completes when it is sealed. */
     public CompletableFuture<Void> retireMember() {
-        Optional.ofNullable(member.get()).ifPresent(MemberParts::seal);
+        sealParts();
         return control.sealSelf();
     }
 
     /** Ends the member at once; the next one takes its ranges over and seals its record. */
     public CompletableFuture<Void> abandonMember() {
-        Optional.ofNullable(member.get()).ifPresent(MemberParts::seal);
+        sealParts();
         return control.abandon();
     }
 
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HeartbeatGrants.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HeartbeatGrants.java
@@ -94,7 +94,10 @@
             }
             renewal = new Renewal(offered.ranges(), Math.max(0, validityMs));
             sequence = offered.sequence();
-            boolean nothingElse = held.stream().allMatch(this::isOffered);
+            List<KeyRange> granted =
+                    offered.ranges().stream().map(GrantedRange::range).toList();
+            boolean nothingElse = held.stream()
+                    .allMatch(range -> KeyRanges.subtract(range, granted).isEmpty());
             completed = nothingElse ? acknowledgement : null;
         }
         if (completed != null) {
@@ -126,10 +129,4 @@
             handovers.remove(0);
         }
     }
-
-    private boolean isOffered(KeyRange range) {
-        List<KeyRange> granted =
-                offered.ranges().stream().map(GrantedRange::range).toList();
-        return KeyRanges.subtract(range, granted).isEmpty();
-    }
 }
