Hand ranges of a lost backend server to others

Cause: a daemon of the product's own interface never dropped a backend server. The daemon now asks its server for a sign of life four times a second. A server whose port is closed for a second, or that is silent for three calls and honours validity, is detached and its member sealed. BackendFaultTest waits for ranges before it strikes, since a lost server returns empty.

--- a/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpBackendServer.java
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpBackendServer.java
@@ -9,6 +9,7 @@
 import org.coriandercrank.adapters.internal.ServerClock;
 import org.coriandercrank.adapters.internal.UrlNames;
 import org.coriandercrank.http.HttpCall;
+import org.coriandercrank.http.HttpCallException;
 import org.coriandercrank.http.HttpClient;
 import org.coriandercrank.http.HttpClientOptions;
 import org.coriandercrank.http.HttpReply;
@@ -16,6 +17,7 @@
 import org.coriandercrank.kernel.backend.BackendHealth;
 import org.coriandercrank.kernel.backend.BackendServer;
 import org.coriandercrank.kernel.backend.Grant;
+import org.coriandercrank.kernel.backend.Presence;
 import org.coriandercrank.kernel.id.RequestId;
 import org.coriandercrank.kernel.request.CallerAnswer;
 import org.coriandercrank.kernel.request.CallerRequest;
@@ -145,6 +147,16 @@
         });
     }
 
+    @Override
+    public CompletableFuture<Presence> presence() {
+        return control.call(HttpCall.of("GET", "/health"), CONTROL_TIMEOUT_MS).handle((reply, failure) -> {
+            if (failure == null) {
+                return Presence.ANSWERED;
+            }
+            return HttpCallException.isRefused(failure) ? Presence.REFUSED : Presence.SILENT;
+        });
+    }
+
     private CompletableFuture<HttpReply> controlCall(HttpCall call) {
         return BackendReplies.control(control.call(call, CONTROL_TIMEOUT_MS)).whenComplete((reply, failure) -> {
             if (failure == null) {
--- a/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/BackendReplies.java
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/BackendReplies.java
@@ -4,7 +4,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.coriandercrank.http.HttpCallException;
-import org.coriandercrank.http.HttpCallException.Stage;
 import org.coriandercrank.http.HttpReply;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
@@ -78,7 +77,7 @@
     }
 
     private static CrankException failure(String subject, Throwable failure) {
-        boolean notSent = failure instanceof HttpCallException call && call.stage() == Stage.NOT_SENT;
+        boolean notSent = HttpCallException.isNotSent(failure);
         return new CrankException(
                 notSent ? ResultCode.BACKEND_UNAVAILABLE : ResultCode.OUTCOME_UNKNOWN,
                 subject + ": " + failure.getMessage(),
--- a/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/StoreReplies.java
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/StoreReplies.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.coriandercrank.http.HttpCallException;
-import org.coriandercrank.http.HttpCallException.Stage;
 import org.coriandercrank.http.HttpReply;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
@@ -57,7 +56,7 @@
     }
 
     private static CrankException writeFailure(String name, Throwable failure) {
-        boolean notSent = failure instanceof HttpCallException call && call.stage() == Stage.NOT_SENT;
+        boolean notSent = HttpCallException.isNotSent(failure);
         return new CrankException(
                 notSent ? ResultCode.STORE_UNAVAILABLE : ResultCode.WRITE_UNANSWERED,
                 "write of " + name + ": " + failure.getMessage(),
--- /dev/null
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/internal/PresenceWatchTest.java
@@ -0,0 +1,87 @@
+package org.coriandercrank.daemon.internal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.coriandercrank.kernel.backend.Presence;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards against a lost server that keeps its ranges, and against a living one that loses them. */
+class PresenceWatchTest {
+    /** A sign of life, or its absence, at a time. An empty presence is an announcement. */
+    record Sign(long atMs, Optional<Presence> presence) {}
+
+    private static Sign announced(long atMs) {
+        return new Sign(atMs, Optional.empty());
+    }
+
+    private static Sign answered(long atMs) {
+        return new Sign(atMs, Optional.of(Presence.ANSWERED));
+    }
+
+    private static Sign refused(long atMs) {
+        return new Sign(atMs, Optional.of(Presence.REFUSED));
+    }
+
+    private static Sign silent(long atMs) {
+        return new Sign(atMs, Optional.of(Presence.SILENT));
+    }
+
+    static Stream<Arguments> histories() {
+        return Stream.of(
+                Arguments.of(
+                        "port closed", true, List.of(refused(0), refused(500), refused(1_000)), "connections-refused"),
+                Arguments.of(
+                        "port closed, no validity", false, List.of(refused(0), refused(1_000)), "connections-refused"),
+                Arguments.of(
+                        "restart within a second",
+                        true,
+                        List.of(refused(0), refused(900), answered(1_000), refused(1_500)),
+                        ""),
+                Arguments.of("announced meanwhile", true, List.of(refused(0), announced(800), refused(1_200)), ""),
+                Arguments.of("silent", true, List.of(silent(0), silent(1_000), silent(1_250)), "silent"),
+                Arguments.of(
+                        "silent and refused by turns",
+                        true,
+                        List.of(refused(0), silent(600), refused(1_100)),
+                        "connections-refused"),
+                Arguments.of("silent, no validity", false, List.of(silent(0), silent(2_500), silent(60_000)), ""),
+                Arguments.of(
+                        "silent at times",
+                        true,
+                        List.of(silent(0), answered(1_100), silent(2_000), answered(3_100)),
+                        ""),
+                Arguments.of(
+                        "after a suspension of the daemon",
+                        true,
+                        List.of(answered(0), silent(60_000), answered(60_250)),
+                        ""),
+                Arguments.of(
+                        "busy, but it announces itself",
+                        true,
+                        List.of(silent(0), announced(1_100), silent(1_250), silent(2_300)),
+                        ""));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("histories")
+    void tellsALostServerFromALivingOne(String name, boolean honoursValidity, List<Sign> signs, String expected) {
+        PresenceWatch watch = new PresenceWatch(honoursValidity);
+        Optional<String> reason = Optional.empty();
+        for (Sign sign : signs) {
+            assertThat(reason).isEmpty();
+            long nowNanos = TimeUnit.MILLISECONDS.toNanos(sign.atMs());
+            if (sign.presence().isPresent()) {
+                reason = watch.onPresence(sign.presence().get(), nowNanos);
+            } else {
+                watch.onAnnounced();
+            }
+        }
+        assertThat(reason).isEqualTo(Optional.of(expected).filter(text -> !text.isEmpty()));
+    }
+}
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Daemon.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Daemon.java
@@ -20,6 +20,7 @@
 import org.coriandercrank.http.HttpServer;
 import org.coriandercrank.http.HttpServerOptions;
 import org.coriandercrank.kernel.backend.BackendServer;
+import org.coriandercrank.kernel.backend.Presence;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.log.DecisionLog;
 import org.coriandercrank.kernel.plugin.PluginRegistry;
@@ -28,6 +29,7 @@
 import org.coriandercrank.kernel.status.DaemonStatus;
 import org.coriandercrank.kernel.store.ObjectStore;
 import org.coriandercrank.kernel.table.BackendInfo;
+import org.coriandercrank.kernel.table.BackendInfo.Capability;
 import org.coriandercrank.kernel.time.SystemTimerService;
 import org.coriandercrank.kernel.time.TimerService;
 
@@ -39,6 +41,10 @@
 public final class Daemon implements AdminEndpoint.Source, AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int RING_CAPACITY = 64;
+
+    /** Period in which the backend server is asked for a sign of life. */
+    private static final long PRESENCE_PERIOD_MS = 250;
+
     private static final int PLACEMENT_LOG_LINES_PER_SECOND = 1_000;
 
     private final DaemonSettings settings;
@@ -52,6 +58,17 @@
     private final DaemonHost host;
     private volatile boolean leaving;
 
+    /** The attached backend server; touched on the lifecycle duty, as are the fields below. */
+    private Optional<Watched> watched = Optional.empty();
+
+    private boolean asking;
+
+    /** Whether the member has ended and its replacement has not joined. */
+    private boolean replacing;
+
+    /** A backend server and its signs of life. Immutable. */
+    private record Watched(BackendInfo info, BackendServer server, PresenceWatch watch) {}
+
     /** Starts a daemon; blocks until its ports are bound. */
     public Daemon(DaemonSettings settings) {
         this.settings = settings;
@@ -59,10 +76,11 @@
         store = plugins.get(Kind.STORE, settings.storeAdapter()).open(settings.store(), settings.storeTimeoutMs());
         new JvmMemoryMetrics().bindTo(metrics);
         new ProcessorMetrics().bindTo(metrics);
-        host = new DaemonHost(hostOptions(settings), hostServices(), () -> lifecycle.offer(this::replaceMember));
+        host = new DaemonHost(hostOptions(settings), hostServices(), () -> lifecycle.offer(this::onSealed));
         admin = HttpServer.listen(
                 group, settings.adminListen(), HttpServerOptions.DEFAULTS, new AdminEndpoint(() -> this, metrics));
         host.start(settings.callerListen());
+        timers.every(PRESENCE_PERIOD_MS, lifecycle, this::askForPresence);
     }
 
     private HostServices hostServices() {
@@ -115,11 +133,14 @@
     @Override
     public void announce(BackendInfo info) {
         if (host.backend().equals(Optional.of(info))) {
+            lifecycle.offer(() -> watched.ifPresent(w -> w.watch().onAnnounced()));
             return;
         }
         BackendServer server =
                 plugins.get(Kind.BACKEND, settings.backendAdapter()).connect(info);
         host.attach(info, server);
+        boolean honoursValidity = info.capabilities().contains(Capability.VALIDITY);
+        lifecycle.execute(() -> watched = Optional.of(new Watched(info, server, new PresenceWatch(honoursValidity))));
         server.health().whenComplete((health, failure) -> {
             if (host.backend().equals(Optional.of(info))) {
                 host.announce();
@@ -153,14 +174,60 @@
                 .thenCompose(done -> host.retireMember());
     }
 
+    private void askForPresence() {
+        if (asking || watched.isEmpty()) {
+            return;
+        }
+        Watched asked = watched.orElseThrow();
+        asking = true;
+        asked.server()
+                .presence()
+                .whenComplete((presence, failure) -> lifecycle.execute(() -> {
+                    asking = false;
+                    onPresence(asked, failure == null ? presence : Presence.SILENT);
+                }));
+    }
+
+    private void onPresence(Watched asked, Presence presence) {
+        if (leaving || !watched.equals(Optional.of(asked))) {
+            return;
+        }
+        asked.watch()
+                .onPresence(presence, timers.clock().nowNanos())
+                .ifPresent(reason -> dropServer(asked.info(), reason));
+    }
+
+    /**
+     * Ends the member of a lost server, so that others take its ranges. The next member owns nothing until a server
+     * announces itself again.
+     */
+    private void dropServer(BackendInfo info, String reason) {
+        logger.atWarning().log("event=backend-lost backend=%s member=%s reason=%s", info.name(), host.self(), reason);
+        watched = Optional.empty();
+        host.detach();
+        if (!replacing) {
+            replacing = true;
+            host.retireMember().whenComplete((done, failure) -> lifecycle.offer(this::replaceMember));
+        }
+    }
+
+    private void onSealed() {
+        if (!replacing) {
+            replacing = true;
+            replaceMember();
+        }
+    }
+
     private void replaceMember() {
-        if (!leaving) {
-            host.replaceMember().whenComplete((done, failure) -> {
-                if (failure != null) {
-                    logger.atSevere().withCause(failure).log("event=rejoin-failed");
-                }
-            });
+        if (leaving) {
+            return;
         }
+        host.replaceMember().whenComplete((done, failure) -> {
+            if (failure != null) {
+                logger.atSevere().withCause(failure).log("event=rejoin-failed");
+            }
+            lifecycle.offer(() -> replacing = false);
+        });
     }
 
     @Override
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpCallException.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpCallException.java
@@ -6,6 +6,8 @@
 
     /** How far the call got. */
     public enum Stage {
+        /** No byte of the request was written, because nothing listens at the address of the server. */
+        REFUSED,
         /** No byte of the request was written. */
         NOT_SENT,
         /** The server may have handled the request. */
@@ -22,4 +24,14 @@
     public Stage stage() {
         return stage;
     }
+
+    /** Whether a failure tells that no byte of the request was written. */
+    public static boolean isNotSent(Throwable failure) {
+        return failure instanceof HttpCallException e && e.stage != Stage.SENT;
+    }
+
+    /** Whether a failure tells that nothing listens at the address of the server. */
+    public static boolean isRefused(Throwable failure) {
+        return failure instanceof HttpCallException e && e.stage == Stage.REFUSED;
+    }
 }
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClient.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClient.java
@@ -4,11 +4,13 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
@@ -141,7 +143,7 @@
         bootstrap.connect(target.ip(), target.port()).addListener((io.netty.channel.ChannelFutureListener) future -> {
             if (!future.isSuccess()) {
                 connectionClosed();
-                entry.result.completeExceptionally(notSent("cannot connect to " + target, future.cause()));
+                entry.result.completeExceptionally(notConnected(future.cause()));
                 return;
             }
             Channel channel = future.channel();
@@ -208,6 +210,11 @@
         return CompletableFuture.failedFuture(notSent(message, null));
     }
 
+    private HttpCallException notConnected(Throwable cause) {
+        boolean refused = cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+        return new HttpCallException(refused ? Stage.REFUSED : Stage.NOT_SENT, "cannot connect to " + target, cause);
+    }
+
     private static HttpCallException notSent(String message, Throwable cause) {
         return new HttpCallException(Stage.NOT_SENT, message, cause);
     }
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/BackendServer.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/BackendServer.java
@@ -46,6 +46,11 @@
 
     CompletableFuture<BackendHealth> health();
 
+    /** Whether the process of the server is there. Never fails. */
+    default CompletableFuture<Presence> presence() {
+        return health().handle((health, failure) -> failure == null ? Presence.ANSWERED : Presence.SILENT);
+    }
+
     @Override
     void close();
 }
--- a/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/BackendFaultTest.java
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/BackendFaultTest.java
@@ -114,6 +114,7 @@
     @EnumSource
     void faultOfAServerStaysTruthfulLocalAndEnds(Fault fault) {
         SiteHost faulty = site.host(0);
+        site.waitUntil("the server has ranges", () -> !ownedKeys(faulty).isEmpty());
         Set<String> keysOfFaulty = ownedKeys(faulty);
         Traffic traffic = Traffic.start(site, site.callerAddresses(), BEFORE_MS + FAULT_MS + AFTER_MS, 0);
         TestSite.sleep(BEFORE_MS);
