Never lower the fence of a key in the rows of a server

Cause: neighbours went out as one row under their newest fence. When the newer one moved away, the rest went out under its own older fence. A server refuses a row with a fence below one that it has seen on one of its keys, so it rejected each request of the rest (421) until the range moved. Neighbours of one fence are one row now; different fences are joined only above the rows that fit into an answer, and what is left of a joined row keeps its fence, as do rows that a restarted daemon finds at the server. Conclusion: no row is refused for its fence, except if a row that was joined above the bound lapsed while its daemon was down; this is open.

--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HeartbeatGrants.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HeartbeatGrants.java
@@ -25,6 +25,7 @@
     /**
      * What a heartbeat is answered with. Immutable.
      *
+     * @param ranges rows for the server, sorted, see {@link GrantRows}
      * @param validityMs time for which the server may hold the ranges, from the heartbeat on
      */
     public record Renewal(List<GrantedRange> ranges, long validityMs) {}
@@ -33,6 +34,7 @@
 
     private final MonotonicClock clock;
     private final long maxHoldNanos;
+    private final GrantRows rows;
     private final List<Handover> handovers = new ArrayList<>();
     /** What the server held by its latest heartbeat; everything before the first one. */
     private List<KeyRange> held = List.of(KeyRange.ALL);
@@ -43,9 +45,15 @@
     private long offeredAtNanos;
     private CompletableFuture<Long> acknowledgement = new CompletableFuture<>();
 
-    /** @param maxHoldMs longest validity that a former process of the daemon may have granted */
-    public HeartbeatGrants(MonotonicClock clock, long maxHoldMs) {
+    /**
+     * Grants for one incarnation of a server.
+     *
+     * @param maxHoldMs longest validity that a former process of the daemon may have granted
+     * @param maxRows rows that fit into an answer
+     */
+    public HeartbeatGrants(MonotonicClock clock, long maxHoldMs, int maxRows) {
         this.clock = clock;
+        rows = new GrantRows(maxRows);
         this.maxHoldNanos = TimeUnit.MILLISECONDS.toNanos(maxHoldMs);
         heldAtNanos = clock.nowNanos();
     }
@@ -68,10 +76,10 @@
      * The answer to a heartbeat; empty if it renews nothing.
      *
      * @param heartbeatSequence grows with each heartbeat; one that was overtaken renews nothing
-     * @param reported ranges that the server says it holds or still works on
+     * @param reported rows that the server says it holds or still works on
      * @param freed what the server left of ranges that it has released since its last heartbeat
      */
-    public Optional<Renewal> answer(long heartbeatSequence, List<KeyRange> reported, List<Handover> freed) {
+    public Optional<Renewal> answer(long heartbeatSequence, List<GrantedRange> reported, List<Handover> freed) {
         CompletableFuture<Long> completed = null;
         Renewal renewal;
         long sequence;
@@ -81,7 +89,7 @@
             }
             lastHeartbeat = heartbeatSequence;
             keep(freed);
-            held = List.copyOf(reported);
+            held = reported.stream().map(GrantedRange::range).toList();
             heldAtNanos = clock.nowNanos();
             if (offered == null) {
                 return Optional.empty();
@@ -92,7 +100,7 @@
             if (validityMs <= 0 && !revokes) {
                 return Optional.empty();
             }
-            renewal = new Renewal(offered.ranges(), Math.max(0, validityMs));
+            renewal = new Renewal(rows.join(offered.ranges(), reported), Math.max(0, validityMs));
             sequence = offered.sequence();
             List<KeyRange> granted =
                     offered.ranges().stream().map(GrantedRange::range).toList();
