--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/Gate.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/Gate.java
@@ -160,6 +160,11 @@
         return core.mayHold(range);
     }
 
+    @Override
+    public double serviceMs() {
+        return core.serviceMs();
+    }
+
     @Override
     public GateLoad load() {
         return core.load();
