Hold requests of a range that the server rejects

Cause: after a 421 the gate went on sending each request of the range, and the callers' daemons repeated it every 60 ms outside the retry budget. A range whose request was rejected is now marked until a grant that was sent afterwards is acknowledged; its requests wait as for a range on its way, a second at most. Repeats after a rejection take from the retry budget. Conclusion: one arrival per request and heartbeat at most, and never more than the budget.

--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/FakeBackend.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/FakeBackend.java
@@ -1,8 +1,10 @@
 package org.coriandercrank.gate.test;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -44,6 +46,7 @@
     private final MonotonicClock clock;
     final List<Call> calls = new ArrayList<>();
     final List<Grant> grants = new ArrayList<>();
+    private final Map<Grant, CompletableFuture<Long>> unansweredGrants = new LinkedHashMap<>();
     final Set<RequestId> cancelled = new LinkedHashSet<>();
     Consumer<Call> onCall = call -> {};
     boolean answersGrants = true;
@@ -77,12 +80,22 @@
         grants.add(grant);
         lastGrantAtNanos = clock.nowNanos();
         if (!answersGrants) {
-            return new CompletableFuture<>();
+            CompletableFuture<Long> unanswered = new CompletableFuture<>();
+            unansweredGrants.put(grant, unanswered);
+            return unanswered;
         }
         sequence = Math.max(sequence, grant.sequence());
         return CompletableFuture.completedFuture(sequence);
     }
 
+    /** Answers the first grant that got no answer. */
+    void acknowledgeOldest() {
+        Map.Entry<Grant, CompletableFuture<Long>> oldest =
+                unansweredGrants.entrySet().iterator().next();
+        unansweredGrants.remove(oldest.getKey());
+        oldest.getValue().complete(oldest.getKey().sequence());
+    }
+
     Grant lastGrant() {
         return grants.get(grants.size() - 1);
     }
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateFixture.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateFixture.java
@@ -38,6 +38,7 @@
 import org.coriandercrank.kernel.ownership.RoutingView;
 import org.coriandercrank.kernel.request.CallerAnswer;
 import org.coriandercrank.kernel.request.CallerRequest;
+import org.coriandercrank.kernel.table.AssignmentTable;
 import org.coriandercrank.kernel.table.BackendInfo;
 import org.coriandercrank.kernel.table.BackendInfo.Capability;
 import org.coriandercrank.kernel.table.KeyRange;
@@ -45,6 +46,7 @@
 /** A gate core with a fake backend server in virtual time. Not thread safe. */
 final class GateFixture implements RoutingView {
     static final ServiceName SERVICE = new ServiceName("counter-desk");
+    static final MemberId SELF = new MemberId("m1");
     static final Set<Capability> ALL = EnumSet.allOf(Capability.class);
     static final KeyRange LOW = new KeyRange(KeyHash.MIN, new KeyHash(Long.MAX_VALUE));
     static final KeyRange HIGH = new KeyRange(new KeyHash(Long.MIN_VALUE), KeyHash.MAX);
@@ -57,6 +59,7 @@
     boolean leaseRenewed = true;
     ServiceConfig rules = ServiceConfig.withDefaults(SERVICE, true);
     List<BackendRule> backendRules = List.of();
+    Map<ServiceName, AssignmentTable> tables = Map.of();
     private int nextId;
 
     GateFixture() {
@@ -155,7 +158,7 @@
     @Override
     public RoutingSnapshot current() {
         Configuration configuration = new Configuration(List.of(rules), backendRules, List.of());
-        return new RoutingSnapshot(new MemberId("m1"), new Revision(1), configuration, Map.of(), Map.of());
+        return new RoutingSnapshot(SELF, new Revision(1), configuration, tables, Map.of());
     }
 
     @Override
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GrantDriver.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GrantDriver.java
@@ -196,6 +196,11 @@
                 ranges.advance(entry, State.SERVING);
             }
         }
+        for (RangeEntry entry : ranges.inState(State.SERVING)) {
+            if (entry.isRejected() && isServedThrough(entry, granted)) {
+                entry.acknowledge(sent.atNanos());
+            }
+        }
         nextSendNanos = dirty ? nowNanos : sent.atNanos() + sent.validityNanos() / RENEWALS_PER_VALIDITY;
     }
 
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/ParkedRequests.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/ParkedRequests.java
@@ -15,8 +15,8 @@
 import org.coriandercrank.kernel.request.CallerRequest;
 
 /**
- * Requests whose range is assigned to this member and not served yet. They wait here, so that callers' daemons need not
- * repeat them while a range moves. Bounded by number and time; not thread safe.
+ * Requests whose range is assigned to this member and not held by the backend server yet. They wait here, so that callers'
+ * daemons need not repeat them while a range moves. Bounded by number and time; not thread safe.
  */
 final class ParkedRequests {
     /** A request that waits for its range. Immutable. */
@@ -34,7 +34,7 @@
     /** Parks a request if its range is to be served here soon and there is room. */
     boolean park(CallerRequest request, KeyHash hash, Waiter waiter, long nowNanos) {
         boolean room = parked.size() < runtime.options().maxParked();
-        if (!room || ranges.serving(hash).isPresent() || !isAssigned(hash)) {
+        if (!room || isServed(hash) || !isAssigned(hash)) {
             return false;
         }
         long longestNanos =
@@ -44,6 +44,10 @@
         return true;
     }
 
+    private boolean isServed(KeyHash hash) {
+        return ranges.serving(hash).filter(entry -> !entry.isRejected()).isPresent();
+    }
+
     private boolean isAssigned(KeyHash hash) {
         RoutingSnapshot routing = runtime.routing();
         return routing.table(runtime.inputs().service())
@@ -62,7 +66,7 @@
 
     /** Removes and returns the requests whose range is served now, in order of arrival. */
     List<Parked> takeServed() {
-        return take(p -> ranges.serving(p.hash()).isPresent());
+        return take(p -> isServed(p.hash()));
     }
 
     /** Removes and returns the requests that wait no longer. */
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeEntry.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeEntry.java
@@ -1,6 +1,7 @@
 package org.coriandercrank.gate.internal;
 
 import java.util.HashSet;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.coriandercrank.kernel.backend.Grant.GrantedRange;
@@ -40,6 +41,7 @@
     private boolean acquireFailed;
     private boolean everGranted;
     private long heldUntilNanos;
+    private OptionalLong rejectedAtNanos = OptionalLong.empty();
 
     private RangeEntry(
             KeyRange range,
@@ -76,6 +78,7 @@
         part.replacedFences.addAll(replacedFences);
         part.everGranted = everGranted;
         part.heldUntilNanos = heldUntilNanos;
+        part.rejectedAtNanos = rejectedAtNanos;
         return part;
     }
 
@@ -184,6 +187,23 @@
         everGranted = true;
     }
 
+    /** Notes that the backend server does not hold the range although its grant was acknowledged. */
+    public void reject(long nowNanos) {
+        rejectedAtNanos = OptionalLong.of(nowNanos);
+    }
+
+    /** Whether the backend server must be given the range again before it gets further requests of it. */
+    public boolean isRejected() {
+        return rejectedAtNanos.isPresent();
+    }
+
+    /** Notes that the backend server acknowledged a grant with the range that was sent at a time. */
+    public void acknowledge(long sentAtNanos) {
+        if (rejectedAtNanos.isPresent() && sentAtNanos - rejectedAtNanos.getAsLong() >= 0) {
+            rejectedAtNanos = OptionalLong.empty();
+        }
+    }
+
     /** Whether the validity given last has lapsed at the backend server. */
     public boolean isHoldLapsed(long nowNanos) {
         return !everGranted || nowNanos - heldUntilNanos >= 0;
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
@@ -322,6 +322,7 @@
         if (failure.code() == ResultCode.OVERLOADED && execution.backend().equals(backend)) {
             concurrency.onOverload(nowNanos);
         } else if (failure.code() == ResultCode.FENCE_REJECTED) {
+            ranges.serving(execution.hash()).ifPresent(entry -> entry.reject(nowNanos));
             grants.requestGrant();
         }
         return CallFailures.answer(failure.code(), execution.isCancelRequested(), () -> retryAfterMs(nowNanos));
--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/RoutingTest.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/RoutingTest.java
@@ -156,6 +156,18 @@
         }
     }
 
+    /** Guards against repeats beyond the budget to a server that does not hold a range: each arrives there. */
+    @Test
+    void repeatsOfRejectedRequestsTakeFromTheBudget() {
+        try (TestWorld world = new TestWorld(TestWorld.ownedBy("b", 1, B), TestWorld.options(0, 1))) {
+            world.peers.onForward =
+                    (r, n) -> FakePeers.answer(CallerAnswer.of(ResultCode.FENCE_REJECTED, "not held"), 1);
+
+            assertResult(world.call("GET", PATH), ResultCode.RETRY_BUDGET_EXHAUSTED, "not-run");
+            assertThat(world.peers.forwards).hasSize(3);
+        }
+    }
+
     /** Guards against a second execution of a request that a caller repeats through another daemon. */
     @Test
     void followsTheChainOfIdsWhenAnIdIsBarred() {
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
@@ -152,7 +152,8 @@
                     dispatch.holdAndRepeat(answer, attempt.snapshot());
                 }
             }
-            case RANGE_MOVING, FENCE_REJECTED, LEASE_LAPSED, STARTING, DRAINING, NO_OWNER ->
+            case FENCE_REJECTED -> dispatch.holdAndRetry(answer, attempt.snapshot());
+            case RANGE_MOVING, LEASE_LAPSED, STARTING, DRAINING, NO_OWNER ->
                 dispatch.holdAndRepeat(answer, attempt.snapshot());
             default -> dispatch.finish(answer);
         }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
@@ -238,6 +238,16 @@
                 .whenComplete((snapshot, failure) -> post(() -> route(failure == null ? "newer-table" : "repeat")));
     }
 
+    /** As {@link #holdAndRepeat}, within the retry budget, because the refused send reached the backend server. */
+    void holdAndRetry(CallerAnswer refusal, RoutingSnapshot seen) {
+        if (budget().tryRetry(context.nowNanos())) {
+            holdAndRepeat(refusal, seen);
+        } else {
+            context.metrics().budgetRefusal();
+            finish(retryLater(ResultCode.RETRY_BUDGET_EXHAUSTED, "last failure: " + refusal.code()));
+        }
+    }
+
     /**
      * Sends a further attempt if the history, the ids and the budget allow it. An attempt that reached no server and was
      * not refused for load costs nothing of the budget.
