--- a/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/CrankCtl.java
+++ b/org.coriandercrank.ctl/src/main/java/org/coriandercrank/ctl/CrankCtl.java
@@ -12,8 +12,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.logging.Level;
 import org.coriandercrank.ctl.internal.CtlCommand;
 import org.coriandercrank.ctl.internal.CtlResult;
@@ -26,13 +28,29 @@
 import org.coriandercrank.kernel.log.LogSetup;
 import org.coriandercrank.kernel.plugin.PluginRegistry;
 import org.coriandercrank.kernel.plugin.PluginRegistry.Kind;
-import org.coriandercrank.kernel.settings.SettingsLoader;
+import org.coriandercrank.kernel.settings.CommandLine;
+import org.coriandercrank.kernel.settings.Nearest;
 import org.coriandercrank.kernel.store.JsonCodec;
 import org.coriandercrank.kernel.store.ObjectStore;
 
 /** The program {@code crankctl}. Results go to standard output, progress and faults to standard error. */
 public final class CrankCtl {
-    private static final int EXIT_USAGE = 2;
+    /** The commands of one run. Immutable. */
+    private record Commands(NoteCommands notes, StatusCommands status) {}
+
+    private static final Map<String, Function<Commands, CtlCommand>> COMMANDS = new TreeMap<>(Map.of(
+            "note check", commands -> commands.notes()::check,
+            "note submit", commands -> commands.notes()::submit,
+            "note status", commands -> commands.notes()::status,
+            "note list", commands -> commands.notes()::list,
+            "note show", commands -> commands.notes()::show,
+            "note diff", commands -> commands.notes()::diff,
+            "status", commands -> commands.status()::status,
+            "members", commands -> commands.status()::members,
+            "owners", commands -> commands.status()::owners,
+            "explain", commands -> commands.status()::explain));
+    private static final String SYNOPSIS =
+            "COMMAND [--FLAG VALUE]...\ncommands: " + String.join(", ", COMMANDS.keySet());
 
     /** What {@code --json true} prints. Immutable; the order of the fields is that of the text. */
     private record Answer(int code, String name, Object result) {}
@@ -52,12 +70,15 @@
             words.add(flags.remove(0));
         }
         CtlSettings settings = new CtlSettings();
-        try {
-            SettingsLoader.load(settings, flags, environment);
-        } catch (CrankException e) {
-            return fail(e, err).exitCode();
+        OptionalInt exitCode = new CommandLine("crankctl", SYNOPSIS, out, err).load(settings, flags, environment);
+        if (exitCode.isPresent()) {
+            return exitCode.getAsInt();
         }
-        return run(String.join(" ", words), settings, out, err);
+        String command = String.join(" ", words);
+        if (!COMMANDS.containsKey(command)) {
+            return unknown(command, err);
+        }
+        return run(command, settings, out, err);
     }
 
     private static int run(String name, CtlSettings settings, PrintStream out, PrintStream err) {
@@ -65,14 +86,11 @@
         PluginRegistry plugins = PluginRegistry.load();
         try (ObjectStore store = plugins.get(Kind.STORE, settings.storeAdapterName())
                 .open(settings.storeHostAddress(), settings.storeTimeoutMs())) {
-            Map<String, CtlCommand> commands = commands(settings, new Fleet(store, group, plugins), err);
-            CtlCommand command = commands.get(name);
-            if (command == null) {
-                err.println("commands: " + commands.keySet());
-                err.println(SettingsLoader.usage(settings));
-                return EXIT_USAGE;
-            }
-            return print(command.call(), settings, out);
+            Fleet fleet = new Fleet(store, group, plugins);
+            Commands commands = new Commands(
+                    new NoteCommands(settings, fleet, () -> readNote(settings.noteFile()), err::println),
+                    new StatusCommands(settings, fleet));
+            return print(COMMANDS.get(name).apply(commands).call(), settings, out);
         } catch (CrankException e) {
             return print(fail(e, err), settings, out);
         } finally {
@@ -80,29 +98,21 @@
         }
     }
 
+    private static int unknown(String command, PrintStream err) {
+        err.println("\"" + command + "\" is not a command"
+                + Nearest.to(command, COMMANDS.keySet())
+                        .map(nearest -> "; did you mean \"" + nearest + "\"?")
+                        .orElse(""));
+        err.println("commands: " + String.join(", ", COMMANDS.keySet()));
+        return CommandLine.EXIT_USAGE;
+    }
+
     /** Prints a failure for people; the result has it for programs. */
     private static CtlResult fail(CrankException failure, PrintStream err) {
         err.println(failure.code() + " (" + failure.code().number() + "): " + failure.getMessage());
         return new CtlResult(failure.code(), Map.of("message", String.valueOf(failure.getMessage())), List.of());
     }
 
-    private static Map<String, CtlCommand> commands(CtlSettings settings, Fleet fleet, PrintStream err) {
-        NoteCommands notes = new NoteCommands(settings, fleet, () -> readNote(settings.noteFile()), err::println);
-        StatusCommands status = new StatusCommands(settings, fleet);
-        Map<String, CtlCommand> commands = new TreeMap<>();
-        commands.put("note check", notes::check);
-        commands.put("note submit", notes::submit);
-        commands.put("note status", notes::status);
-        commands.put("note list", notes::list);
-        commands.put("note show", notes::show);
-        commands.put("note diff", notes::diff);
-        commands.put("status", status::status);
-        commands.put("members", status::members);
-        commands.put("owners", status::owners);
-        commands.put("explain", status::explain);
-        return commands;
-    }
-
     private static int print(CtlResult result, CtlSettings settings, PrintStream out) {
         if (settings.printJson()) {
             out.println(new String(
--- /dev/null
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/settings/CommandLine.java
@@ -0,0 +1,66 @@
+package org.coriandercrank.kernel.settings;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.coriandercrank.kernel.code.CrankException;
+
+/**
+ * The command line of a program: its settings, {@code --help} and {@code --version}. Immutable.
+ *
+ * @param program name of the program
+ * @param synopsis what follows the name in the first line of the usage
+ * @param out where usage and version go
+ * @param err where faults go
+ */
+public record CommandLine(String program, String synopsis, PrintStream out, PrintStream err) {
+    /** Exit code for faulty settings or usage. */
+    public static final int EXIT_USAGE = 2;
+
+    private static final String HELP = "--help";
+    private static final String VERSION = "--version";
+
+    /** The command line of a program that takes only flags. */
+    public static CommandLine of(String program) {
+        return new CommandLine(program, "[--FLAG VALUE]...", System.out, System.err);
+    }
+
+    /** Loads the settings of a program; prints and ends the process if there is nothing to run. */
+    public static <T extends Settings> T loadOrExit(String program, T bean, String[] arguments) {
+        OptionalInt exitCode = of(program).load(bean, List.of(arguments), System.getenv());
+        if (exitCode.isPresent()) {
+            System.exit(exitCode.getAsInt());
+        }
+        return bean;
+    }
+
+    /** Loads settings; returns an exit code if the program is not to run, because it has printed all there is to say. */
+    public OptionalInt load(Settings bean, List<String> arguments, Map<String, String> environment) {
+        if (arguments.contains(HELP)) {
+            out.println("usage: " + program + " " + synopsis);
+            out.println("Each flag may also be given as an environment variable, such as "
+                    + SettingsLoader.variableName(SettingsLoader.flags(bean).get(0)) + ".");
+            out.println(SettingsLoader.usage(bean));
+            return OptionalInt.of(0);
+        }
+        if (arguments.contains(VERSION)) {
+            out.println(program + " " + version());
+            return OptionalInt.of(0);
+        }
+        try {
+            SettingsLoader.load(bean, arguments, environment);
+            return OptionalInt.empty();
+        } catch (CrankException e) {
+            err.println(e.code() + " (" + e.code().number() + "):\n" + e.getMessage());
+            err.println(program + " " + HELP + " lists the flags");
+            return OptionalInt.of(EXIT_USAGE);
+        }
+    }
+
+    private static String version() {
+        return Optional.ofNullable(CommandLine.class.getPackage().getImplementationVersion())
+                .orElse("(unpackaged build)");
+    }
+}
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/settings/SettingsLoader.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/settings/SettingsLoader.java
@@ -50,6 +50,15 @@
         return VARIABLE_PREFIX + flag.substring("--".length()).replace('-', '_').toUpperCase(Locale.ROOT);
     }
 
+    /** Names of a bean's flags, sorted. */
+    static List<String> flags(Settings bean) {
+        return new CmdLineParser(bean)
+                .getOptions().stream()
+                        .map(handler -> ((NamedOptionDef) handler.option).name())
+                        .sorted()
+                        .toList();
+    }
+
     /** Usage text of a bean's flags. */
     public static String usage(Settings bean) {
         StringWriter out = new StringWriter();
@@ -58,14 +67,18 @@
     }
 
     private static void applyArguments(Settings bean, List<String> arguments, Faults faults) {
+        List<String> flags = flags(bean);
         List<String> rest = new ArrayList<>(arguments);
         while (!rest.isEmpty()) {
             String flag = rest.remove(0);
             int equalsSign = flag.indexOf('=');
-            if (!flag.startsWith("--")) {
-                faults.add(flag, "is not a flag");
+            String name = equalsSign >= 0 ? flag.substring(0, equalsSign) : flag;
+            if (!flags.contains(name)) {
+                faults.add(name, unknown(name, flags));
+                if (name.startsWith("--") && equalsSign < 0) {
+                    skipValue(rest);
+                }
             } else if (equalsSign >= 0) {
-                String name = flag.substring(0, equalsSign);
                 apply(bean, name, flag.substring(equalsSign + 1), name, faults);
             } else if (rest.isEmpty()) {
                 faults.add(flag, "needs a value");
@@ -75,6 +88,19 @@
         }
     }
 
+    private static String unknown(String name, List<String> flags) {
+        return Nearest.to(name, flags)
+                .map(nearest -> "is not a flag; did you mean " + nearest + "?")
+                .orElse("is not a flag");
+    }
+
+    /** The value of an unknown flag is no fault of its own. */
+    private static void skipValue(List<String> rest) {
+        if (!rest.isEmpty() && !rest.get(0).startsWith("--")) {
+            rest.remove(0);
+        }
+    }
+
     private static void apply(Settings bean, String flag, String value, String source, Faults faults) {
         try {
             new CmdLineParser(bean).parseArgument(flag, value);
--- a/org.coriandercrank.load/src/main/java/org/coriandercrank/load/CrankLoad.java
+++ b/org.coriandercrank.load/src/main/java/org/coriandercrank/load/CrankLoad.java
@@ -8,9 +8,8 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
-import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.log.LogSetup;
-import org.coriandercrank.kernel.settings.SettingsLoader;
+import org.coriandercrank.kernel.settings.CommandLine;
 import org.coriandercrank.load.internal.LoadDriver;
 import org.coriandercrank.load.internal.LoadPlan;
 import org.coriandercrank.load.internal.LoadSettings;
@@ -20,21 +19,13 @@
 /** The program {@code crank-load}. Exit code 0: no violation; 1: violations; 2: faulty settings. */
 public final class CrankLoad {
     private static final int EXIT_VIOLATIONS = 1;
-    private static final int EXIT_SETTINGS = 2;
     private static final int IO_THREADS = 2;
 
     private CrankLoad() {}
 
     public static void main(String[] arguments) throws IOException {
         LogSetup.configure(Level.WARNING);
-        LoadSettings settings = new LoadSettings();
-        try {
-            SettingsLoader.load(settings, List.of(arguments), System.getenv());
-        } catch (CrankException e) {
-            System.err.println(e.code() + " (" + e.code().number() + "):\n" + e.getMessage());
-            System.err.println(SettingsLoader.usage(settings));
-            System.exit(EXIT_SETTINGS);
-        }
+        LoadSettings settings = CommandLine.loadOrExit("crank-load", new LoadSettings(), arguments);
         System.exit(run(settings) ? 0 : EXIT_VIOLATIONS);
     }
 
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/CrankBackend.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/CrankBackend.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -77,7 +76,7 @@
 
     /** Runs until the process is stopped. */
     public static void main(String[] arguments) {
-        StandInMain.run(new BackendSettings(), List.of(arguments), settings -> {
+        StandInMain.run("crank-backend", new BackendSettings(), arguments, settings -> {
             CrankBackend backend = start(settings);
             logger.atInfo().log(
                     "event=backend-started name=%s listen=%s",
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/CrankStore.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/CrankStore.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.coriandercrank.http.HttpReply;
@@ -70,7 +69,7 @@
 
     /** Runs until the process is stopped. */
     public static void main(String[] arguments) {
-        StandInMain.run(new StoreSettings(), List.of(arguments), settings -> {
+        StandInMain.run("crank-store", new StoreSettings(), arguments, settings -> {
             CrankStore store = start(settings);
             logger.atInfo().log("event=store-started listen=%s", store.address());
             return store;
