Watch the store while restarted hosts settle

Cause: a daemon that is no relay learns of members from peers only. DisseminationTest#restartedHostsLearnOfEachOtherAtOnce: 9,062 ms from the seals until all hosts know them before, at most 500 ms after.

--- a/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/DisseminationTest.java
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/DisseminationTest.java
@@ -4,16 +4,21 @@
 
 import java.util.List;
 import java.util.Random;
+import org.coriandercrank.control.ControlOptions;
 import org.coriandercrank.control.internal.ObjectCache;
 import org.coriandercrank.kernel.config.AcceptedNote;
 import org.coriandercrank.kernel.config.Configuration;
+import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.NoteId;
 import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.message.FetchObject;
 import org.coriandercrank.kernel.message.ObjectData;
+import org.coriandercrank.kernel.ownership.RoutingSnapshot;
 import org.coriandercrank.kernel.store.JsonCodec;
 import org.coriandercrank.kernel.store.ObjectNames;
 import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.MemberState;
 import org.junit.jupiter.api.Test;
 
 /** Guards against changes that arrive late, nowhere or are undone by an older copy. */
@@ -21,6 +26,12 @@
     /** The design's limit for a change to be in force everywhere. */
     private static final long IN_FORCE_LIMIT_MS = 4_000;
 
+    /** A tenth of the time in which keys must be served again. */
+    private static final long RESTART_LIMIT_MS = 500;
+
+    /** Time after which restarted hosts have joined and seal the members that ended. */
+    private static final long JOINED_MS = 1_000;
+
     private static final int LARGE = 60;
 
     private final FakeCluster cluster = new FakeCluster(places());
@@ -48,6 +59,30 @@
         assertThat(changeAndWait(others)).isBetween(0L, IN_FORCE_LIMIT_MS);
     }
 
+    /**
+     * After a loss of all hosts the daemons know only members that ended with them, the relays among them. On the users'
+     * platform they sent requests to these for two seconds after all had been sealed.
+     */
+    @Test
+    void restartedHostsLearnOfEachOtherAtOnce() {
+        List<MemberId> former =
+                cluster.hosts().stream().map(host -> host.control().self()).toList();
+        cluster.restartAll(
+                ControlOptions.DEFAULT.withLease(3_600, 800, 105).withWatches(2_000, 15_000, 8_000), places());
+        cluster.time().runFor(JOINED_MS);
+        former.forEach(cluster::seal);
+        assertThat(cluster.time()
+                        .runUntil(() -> cluster.hosts().stream().allMatch(host -> knowsSealed(host, former)), 10_000))
+                .isBetween(0L, RESTART_LIMIT_MS);
+    }
+
+    private static boolean knowsSealed(FakeHost host, List<MemberId> members) {
+        RoutingSnapshot snapshot = host.control().routing().current();
+        return members.stream()
+                .allMatch(
+                        id -> snapshot.member(id).map(Member::state).orElse(MemberState.SEALED) == MemberState.SEALED);
+    }
+
     @Test
     void changeReachesAHostThatIsCutOffFromPeers() {
         FakeHost host = cluster.host(5);
--- a/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/FakeCluster.java
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/FakeCluster.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.coriandercrank.control.ControlOptions;
 import org.coriandercrank.kernel.id.HostAddress;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.ServiceName;
@@ -20,6 +21,7 @@
     private static final long PLANNER_RENEWAL_MS = 500;
     private static final long JOIN_SPACING_MS = 20;
     private static final long SETTLE_MS = 5_000;
+    private static final int RESTART_SEED = 1_000;
 
     private final VirtualTime time = new VirtualTime();
     private final FakeStore store = new FakeStore(time);
@@ -44,6 +46,20 @@
         return host;
     }
 
+    /** Ends all daemons at a moment and starts others on their addresses. */
+    void restartAll(ControlOptions options, String... places) {
+        hosts.forEach(FakeHost::kill);
+        hosts.clear();
+        for (String place : places) {
+            int number = hosts.size() + 1;
+            FakeHost host = new FakeHost(time, network, store, number, place, options, number + RESTART_SEED);
+            hosts.add(host);
+            host.control().start();
+            host.control().backendAnnounced(backend(number));
+            time.runFor(JOIN_SPACING_MS);
+        }
+    }
+
     VirtualTime time() {
         return time;
     }
@@ -68,6 +84,12 @@
         return record(member).map(Member::state).orElse(MemberState.JOINING) == MemberState.SEALED;
     }
 
+    void seal(MemberId member) {
+        record(member)
+                .map(former -> former.withState(MemberState.SEALED))
+                .ifPresent(ended -> store.force(ObjectNames.member(member), JsonCodec.encode(ended)));
+    }
+
     double sum(String meter) {
         return hosts.stream().mapToDouble(host -> host.count(meter)).sum();
     }
--- a/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/FakeHost.java
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/FakeHost.java
@@ -43,6 +43,18 @@
     private long controlBytes;
 
     FakeHost(VirtualTime time, Map<HostAddress, FakeHost> network, ObjectStore store, int number, String place) {
+        this(time, network, store, number, place, ControlOptions.DEFAULT, number);
+    }
+
+    /** @param seed makes the member id, so that another start on the same address gets another id */
+    FakeHost(
+            VirtualTime time,
+            Map<HostAddress, FakeHost> network,
+            ObjectStore store,
+            int number,
+            String place,
+            ControlOptions options,
+            int seed) {
         this.time = time;
         this.network = network;
         this.address = new HostAddress("127.0.0.1", number);
@@ -58,7 +70,7 @@
         TimerService timers = time.timers();
         DecisionLog log = new DecisionLog(LOG_LINES_PER_SECOND, timers.clock());
         ControlServices services = new ControlServices(store, this, handlers, timers, log, metrics);
-        control = ControlPlane.create(ControlOptions.DEFAULT, identity, services, this::execute, new Random(number));
+        control = ControlPlane.create(options, identity, services, this::execute, new Random(seed));
         control.onSealed((member, reason) -> sealedIncarnations.add(member));
     }
 
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlOptions.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlOptions.java
@@ -18,6 +18,8 @@
  * @param watchWaitMs how long a watch waits for a change
  * @param configurationWaitMs how long a daemon that is no relay waits for a change of the configuration at the store
  *     itself; 0 if it learns of changes from peers only
+ * @param settleWatchMs time after its start in which a daemon that is no relay watches the store itself; the members it
+ *     knows from its first listing may have ended with it, the relay and its witnesses among them
  * @param pushSpacingMs least time between a heartbeat and an early one that carries news
  * @param maxWitnessedMembers members whose votes are remembered by this daemon as witness
  */
@@ -34,10 +36,11 @@
         long listTimeoutMs,
         long watchWaitMs,
         long configurationWaitMs,
+        long settleWatchMs,
         long pushSpacingMs,
         int maxWitnessedMembers) {
     public static final ControlOptions DEFAULT =
-            new ControlOptions(2_000, 500, 105, 50, 200, 1_500, 10_000, 60_000, 500, 3_000, 1_000, 0, 200, 4_096);
+            new ControlOptions(2_000, 500, 105, 50, 200, 1_500, 10_000, 60_000, 500, 3_000, 1_000, 0, 0, 200, 4_096);
 
     public ControlOptions {
         requirePositive("tickMs", tickMs);
@@ -71,12 +74,13 @@
                 listTimeoutMs,
                 watchWaitMs,
                 configurationWaitMs,
+                settleWatchMs,
                 pushSpacingMs,
                 maxWitnessedMembers);
     }
 
     /** These options with other waits of watches. */
-    public ControlOptions withWatches(long newWatchWaitMs, long newConfigurationWaitMs) {
+    public ControlOptions withWatches(long newWatchWaitMs, long newConfigurationWaitMs, long newSettleWatchMs) {
         return new ControlOptions(
                 ttlMs,
                 heartbeatMs,
@@ -90,6 +94,7 @@
                 listTimeoutMs,
                 newWatchWaitMs,
                 newConfigurationWaitMs,
+                newSettleWatchMs,
                 pushSpacingMs,
                 maxWitnessedMembers);
     }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -61,6 +61,7 @@
     private final ControlMetrics metrics;
     private final Map<FetchObject.Kind, Feed> feeds = new EnumMap<>(FetchObject.Kind.class);
     private final int fallbackSpread;
+    private final long startedNanos;
     private long lastAdvanceNanos;
     private long lastPeerAdvanceNanos;
     private long rankedVersion = -1;
@@ -78,6 +79,7 @@
         long now = context.nowNanos();
         lastAdvanceNanos = now;
         lastPeerAdvanceNanos = now;
+        startedNanos = now;
         for (FetchObject.Kind kind : FetchObject.Kind.values()) {
             feeds.put(kind, new Feed(kind, now));
         }
@@ -117,7 +119,7 @@
             }
             if (!feed.listed) {
                 list(feed);
-            } else if (isWatching()) {
+            } else if (isWatching() || isSettling(nowNanos)) {
                 watch(feed, context.options().watchWaitMs());
             } else if (feed.kind == FetchObject.Kind.CONFIGURATION
                     && context.options().configurationWaitMs() > 0) {
@@ -126,6 +128,11 @@
         }
     }
 
+    /** Whether the daemon started so recently that it may know only members that ended with it. */
+    private boolean isSettling(long nowNanos) {
+        return nowNanos - startedNanos < context.options().settleWatchMs() * NANOS_PER_MS;
+    }
+
     /** Digest of a peer; fetches what it knows beyond this daemon. */
     public void peerDigest(MemberId peer, Digest digest) {
         fetchIfAhead(peer, FetchObject.Kind.CONFIGURATION, digest.configuration());
