Compare rows of a heartbeat in one pass

Cause: to keep the fence of a key, each granted range was compared with each row told and held, on the thread that reads callers' requests and while servers send a heartbeat every 100 ms. All lists are sorted, so one pass does. GrantRowsTest#manyRangesAreJoinedInFewComparisons.

--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/GrantRowsTest.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/GrantRowsTest.java
@@ -1,7 +1,9 @@
 package org.coriandercrank.daemon;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -61,6 +63,21 @@
         assertThat(rows.join(List.of(row(0, 9, 7)), List.of(row(0, 19, 9)))).containsExactly(row(0, 9, 9));
     }
 
+    /** Each heartbeat is answered on the thread that reads callers' requests, which would be read late. */
+    @Test
+    void manyRangesAreJoinedInFewComparisons() {
+        List<GrantedRange> granted = new ArrayList<>();
+        for (int i = 0; i < 20_000; i++) {
+            granted.add(row(2L * i, 2L * i, i + 1));
+        }
+        GrantRows rows = new GrantRows(MANY);
+        assertTimeoutPreemptively(Duration.ofSeconds(10), () -> {
+            for (int heartbeat = 0; heartbeat < 10; heartbeat++) {
+                assertThat(rows.join(granted, granted)).hasSize(20_000);
+            }
+        });
+    }
+
     /** Ranges come under new fences and go, in any order; the server remembers the newest fence of each key. */
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3, 5, 8})
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/GrantRows.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/GrantRows.java
@@ -31,28 +31,37 @@
      * @param held rows that the server says it holds, among them those that a former process of the daemon granted
      */
     List<GrantedRange> join(List<GrantedRange> granted, List<GrantedRange> held) {
-        List<GrantedRange> sorted = granted.stream()
-                .map(range -> withNewestFence(range, held))
-                .sorted(Comparator.comparing(GrantedRange::range))
-                .toList();
+        List<GrantedRange> sorted = raised(raised(sorted(granted), told), sorted(held));
         List<GrantedRange> rows = joined(sorted, (a, b) -> a.fence().equals(b.fence()));
         told = rows.size() <= maxRows ? rows : joined(sorted, (a, b) -> true);
         return told;
     }
 
-    private GrantedRange withNewestFence(GrantedRange granted, List<GrantedRange> held) {
-        Generation fence = newest(newest(granted.fence(), granted, told), granted, held);
-        return new GrantedRange(granted.range(), fence, granted.handover());
+    private static List<GrantedRange> sorted(List<GrantedRange> ranges) {
+        return ranges.stream().sorted(Comparator.comparing(GrantedRange::range)).toList();
     }
 
-    private static Generation newest(Generation fence, GrantedRange granted, List<GrantedRange> others) {
-        Generation newest = fence;
-        for (GrantedRange other : others) {
-            if (other.range().overlaps(granted.range()) && other.fence().isNewerThan(newest)) {
-                newest = other.fence();
+    /**
+     * The ranges, each with the newest of its fence and those of rows that overlap it. One pass over both, because servers
+     * hold hundreds of ranges and send a heartbeat every 100 ms while they give some up.
+     *
+     * @param ranges sorted, none overlaps another, as those of {@code rows}
+     */
+    private static List<GrantedRange> raised(List<GrantedRange> ranges, List<GrantedRange> rows) {
+        List<GrantedRange> raised = new ArrayList<>(ranges.size());
+        int first = 0;
+        for (GrantedRange range : ranges) {
+            while (first < rows.size()
+                    && rows.get(first).range().last().compareTo(range.range().first()) < 0) {
+                first++;
+            }
+            Generation fence = range.fence();
+            for (int i = first; i < rows.size() && rows.get(i).range().overlaps(range.range()); i++) {
+                fence = rows.get(i).fence().isNewerThan(fence) ? rows.get(i).fence() : fence;
             }
+            raised.add(fence.equals(range.fence()) ? range : new GrantedRange(range.range(), fence, range.handover()));
         }
-        return newest;
+        return raised;
     }
 
     private static List<GrantedRange> joined(
