List a link that takes its own pause for silence of the peer as known red

PeerLink#checkSilence counts time in which its own thread did not run, and closes the link before answers that wait in the socket are read.

--- a/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/PeerNetworkTest.java
+++ b/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/PeerNetworkTest.java
@@ -28,6 +28,7 @@
 import org.coriandercrank.testkit.FaultProxy;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Calls between two daemons through a fault-injecting proxy. */
@@ -129,6 +130,8 @@
         }
     }
 
+    /** See KNOWN-RED.txt: a link takes a pause of its own thread for silence of the peer. */
+    @Tag("known-red")
     @Test
     void outOfOrderAnswersReachTheirOwnCalls() throws Exception {
         CompletableFuture<LoadReport> late = new CompletableFuture<>();
