--- /dev/null
+++ b/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/HandshakeWaitTest.java
@@ -0,0 +1,115 @@
+package org.coriandercrank.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.RequestId;
+import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.message.CancelRequest;
+import org.coriandercrank.kernel.message.ForwardAnswer;
+import org.coriandercrank.kernel.message.ForwardRequest;
+import org.coriandercrank.kernel.peer.PeerHandlers;
+import org.coriandercrank.kernel.peer.PeerTarget;
+import org.coriandercrank.kernel.request.CallerAnswer;
+import org.coriandercrank.kernel.request.CallerRequest;
+import org.coriandercrank.testkit.FaultProxy;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Tests requests that are forwarded while the other daemon has not yet answered the handshake of the link. */
+class HandshakeWaitTest {
+    private static final HostAddress ANY_PORT = new HostAddress("127.0.0.1", 0);
+    private static final MemberId CALLEE_ID = new MemberId("called");
+    private static final long REMAINING_MS = 2_000;
+    private static final long HANDSHAKE_DELAY_MS = 300;
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final BlockingQueue<CallerRequest> handled = new LinkedBlockingQueue<>();
+    private PeerNetwork caller;
+    private PeerNetwork callee;
+    private FaultProxy proxy;
+    private PeerTarget target;
+
+    @BeforeEach
+    void start() {
+        PeerHandlers handlers = new PeerHandlers();
+        handlers.register(ForwardRequest.class, (sender, message) -> {
+            handled.add(message.request());
+            return CompletableFuture.completedFuture(
+                    new ForwardAnswer(CallerAnswer.executed(200, List.of(), new byte[0]), Generation.NONE));
+        });
+        handlers.register(CancelRequest.class, (sender, message) -> null);
+        caller = newNetwork(new MemberId("calling"), new PeerHandlers());
+        callee = newNetwork(CALLEE_ID, handlers);
+        proxy = new FaultProxy(callee.address());
+        target = new PeerTarget(CALLEE_ID, proxy.address());
+        proxy.blockBothDirections();
+    }
+
+    @AfterEach
+    void stop() {
+        proxy.close();
+        caller.close();
+        callee.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private PeerNetwork newNetwork(MemberId self, PeerHandlers handlers) {
+        return new PeerNetwork(group, ANY_PORT, () -> self, handlers, PeerOptions.DEFAULTS, new SimpleMeterRegistry());
+    }
+
+    private CompletableFuture<ForwardAnswer> forward(String id) {
+        CallerRequest request = new CallerRequest(
+                new RequestId(id),
+                new ServiceName("desk"),
+                Optional.empty(),
+                "GET",
+                "/tickets",
+                List.of(),
+                new byte[0],
+                REMAINING_MS,
+                Optional.empty(),
+                OptionalLong.empty(),
+                Optional.empty());
+        return caller.call(target, new ForwardRequest(request, Generation.NONE), ForwardAnswer.class, REMAINING_MS);
+    }
+
+    /** The cancellation waited behind its request for the handshake, and both were sent. */
+    @Test
+    @Tag("known-red")
+    void requestCancelledBeforeTheHandshakeIsNotSent() throws Exception {
+        CompletableFuture<ForwardAnswer> cancelled = forward("cancelled");
+        CompletableFuture<ForwardAnswer> kept = forward("kept");
+        caller.send(target, new CancelRequest(new RequestId("cancelled")));
+        proxy.clearFaults();
+        kept.get(5, TimeUnit.SECONDS);
+        assertThat(handled).extracting(request -> request.id().value()).containsExactly("kept");
+        assertThat(cancelled).isCompletedExceptionally();
+    }
+
+    /** The remaining time was that of the moment at which the request was forwarded. */
+    @Test
+    @Tag("known-red")
+    void waitingForTheHandshakeCountsAgainstTheDeadline() throws Exception {
+        CompletableFuture<ForwardAnswer> answer = forward("waiting");
+        Thread.sleep(HANDSHAKE_DELAY_MS);
+        proxy.clearFaults();
+        answer.get(5, TimeUnit.SECONDS);
+        assertThat(handled.remove().remainingMs()).isLessThanOrEqualTo(REMAINING_MS - HANDSHAKE_DELAY_MS);
+    }
+}
