Do not write HTTP requests that were cancelled on the way

Cause: the HTTP client hands a request to the event loop of its connection. A cancellation before that task runs was applied after the request was written, by closing the connection.

Change: the task returns the connection instead of writing a request whose future is done.

Ruled out: the queue for connections and the attempt to connect, which check the future already.

Result: AbandonedRequestTest#requestCancelledBeforeItIsWrittenIsNotSent, red before, passes with the other tests of http and PlatformBackendServerTest.

--- a/org.coriandercrank.http.test/src/test/java/org/coriandercrank/http/AbandonedRequestTest.java
+++ b/org.coriandercrank.http.test/src/test/java/org/coriandercrank/http/AbandonedRequestTest.java
@@ -17,7 +17,6 @@
 import java.util.concurrent.TimeUnit;
 import org.coriandercrank.kernel.id.HostAddress;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -98,7 +97,6 @@
 
     /** A request is handed to the event loop of its connection, where a cancellation can overtake it. */
     @Test
-    @Tag("known-red")
     void requestCancelledBeforeItIsWrittenIsNotSent() throws Exception {
         try (HttpClient client = new HttpClient(clientGroup, server.address(), HttpClientOptions.DEFAULTS)) {
             client.send(get("/first"), 5_000).get(TIMEOUT_S, TimeUnit.SECONDS);
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ClientConnectionHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ClientConnectionHandler.java
@@ -43,7 +43,8 @@
     }
 
     /**
-     * Sends a request. Called on the event loop while no other request is in progress.
+     * Sends a request, unless it was cancelled on the way to the event loop. Called on the event loop while no other
+     * request is in progress.
      *
      * @param response completed with the response, or with an {@link HttpClientException}; cancelling it closes the
      *     connection
@@ -56,6 +57,10 @@
             long timeoutMs,
             CompletableFuture<HttpResponse> response,
             Runnable newReleaseConnection) {
+        if (response.isDone()) {
+            newReleaseConnection.run();
+            return;
+        }
         if (idleTimeout != null) {
             idleTimeout.cancel(false);
             idleTimeout = null;
