--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/FakeBackend.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/FakeBackend.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -54,6 +55,7 @@
     long acknowledgedSequence;
     long lastGrantAtNanos;
     boolean drained;
+    OptionalDouble maxRequestsPerSecond = OptionalDouble.empty();
 
     FakeBackend(MonotonicClock clock) {
         this.clock = clock;
@@ -67,6 +69,11 @@
         return call.answer;
     }
 
+    @Override
+    public OptionalDouble maxRequestsPerSecond() {
+        return maxRequestsPerSecond;
+    }
+
     @Override
     public void cancel(RequestId requestId) {
         cancelledIds.add(requestId);
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/BackendServer.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/BackendServer.java
@@ -1,6 +1,7 @@
 package org.coriandercrank.kernel.backend;
 
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 import org.coriandercrank.kernel.id.RequestId;
 import org.coriandercrank.kernel.ownership.Handover;
@@ -46,6 +47,14 @@
         return false;
     }
 
+    /**
+     * The number of requests per second that the server takes from all daemons together, as stated in its latest
+     * response; empty if that response states no limit.
+     */
+    default OptionalDouble maxRequestsPerSecond() {
+        return OptionalDouble.empty();
+    }
+
     /** Notifies the server that it will receive no new requests. */
     CompletableFuture<Void> drain();
 
