--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
@@ -1,10 +1,7 @@
 package org.coriandercrank.gate.internal;
 
-import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.coriandercrank.gate.internal.Admission.AdmissionContext;
@@ -48,8 +45,7 @@
     private final DrainState drainState;
     private final RequestQueue queue = new RequestQueue();
     private final LoadEstimator estimator;
-    private final Set<Execution> running = new LinkedHashSet<>();
-    private final List<Execution> lostCalls = new ArrayList<>();
+    private final BackendCalls calls = new BackendCalls();
     private final ParkedRequests parked;
     private final Runnable callEndListener;
     private final RecordLossDetector recordLossDetector;
@@ -107,22 +103,20 @@
         return backend == null
                 ? GateLoad.NONE
                 : new GateLoad(
-                        queue.size() + running.size(), concurrency.limit(context.nowNanos()), estimator.meanMs());
+                        queue.size() + calls.running(), concurrency.limit(context.nowNanos()), estimator.meanMs());
     }
 
     int inFlight() {
-        return running.size();
+        return calls.running();
     }
 
     boolean isInUse(AttachedBackend candidate) {
-        return running.stream().anyMatch(call -> call.backend().equals(candidate));
+        return calls.isInUse(candidate);
     }
 
     /** Returns the calls that run or may still run because their answer was lost. */
     List<Execution> unsettledCalls() {
-        List<Execution> unsettled = new ArrayList<>(running);
-        unsettled.addAll(lostCalls);
-        return unsettled;
+        return calls.unsettled();
     }
 
     void advanceUnkeyedHorizons(long sinceNanos) {
@@ -286,7 +280,7 @@
         }
         queue.onStart(execution);
         execution.start(target, nowNanos);
-        running.add(execution);
+        calls.onStart(execution);
         context.metrics().onExecution();
         context.call(() -> target.server().execute(call), (answer, failure) -> onCallEnd(execution, answer, failure));
     }
@@ -294,16 +288,10 @@
     private void onCallEnd(Execution execution, CallerAnswer answer, Throwable failure) {
         long nowNanos = context.nowNanos();
         queue.onEnd(execution);
-        running.remove(execution);
         CallerAnswer finalAnswer = failure == null && answer != null
                 ? answer
                 : failureAnswer(execution, CrankException.of(failure), nowNanos);
-        if (finalAnswer.outcome() == Outcome.UNKNOWN) {
-            execution.end(State.LOST);
-            lostCalls.add(execution);
-        } else {
-            execution.end(State.ENDED);
-        }
+        calls.onEnd(execution, finalAnswer.outcome() == Outcome.UNKNOWN);
         if (finalAnswer.outcome() == Outcome.RUN) {
             estimator.onExecuted(execution.request().rules(), nowNanos - execution.startedAtNanos());
         }
@@ -383,7 +371,7 @@
                 execution.sendCancel();
             }
         }
-        lostCalls.removeIf(call -> call.isSettled(rangeService.releasePolicy(), false, nowNanos));
+        calls.removeSettled(rangeService.releasePolicy(), nowNanos);
         if (!hasRequiredLease(context.serviceConfig())) {
             refuseQueued(ResultCode.LEASE_LAPSED, "the lease is not valid");
         }
@@ -421,16 +409,7 @@
 
     /** Number of running calls at the address of the attached backend server. */
     private int occupiedSlots() {
-        if (backend == null) {
-            return 0;
-        }
-        int occupied = 0;
-        for (Execution execution : running) {
-            if (execution.backend().info().address().equals(backend.info().address())) {
-                occupied++;
-            }
-        }
-        return occupied;
+        return backend == null ? 0 : calls.runningAtAddressOf(backend);
     }
 
     private void answerAll(Execution execution, CallerAnswer answer) {
