Drain servers from the response in which they say they leave

A server that leaves states this in all its responses, and a request that is sent later than the drain time after such a response must not reach it. The daemon waited for the next heartbeat, up to a heartbeat interval (0.87 s) later, and keeps a margin of 0.5 s only.

A heartbeat that may have been sent before the statement does not withdraw it.

Evidence: with the call of the lifecycle in place but without its guard, heartbeatUnderWayDoesNotWithdrawAStatedLeaving failed (the next heartbeat replaced the member); leavingStatedInAResponseStartsTheDrain and leavingStatedInAResponseIsReported need methods that did not exist.

--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/test/MemberLifecycleTest.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/test/MemberLifecycleTest.java
@@ -73,6 +73,29 @@
         assertThat(lifecycle.onDeregister("i-2", NANOS_PER_MS)).isEmpty();
     }
 
+    /** The drain counted from the next heartbeat only, and requests were sent for longer than the drain time. */
+    @Test
+    void leavingStatedInAResponseStartsTheDrain() {
+        lifecycle.onHeartbeat(FIRST, nextSequence++, false, 0);
+        assertThat(lifecycle.onLeavingStated(FIRST, 100 * NANOS_PER_MS)).containsExactly(new Action.Leave(FIRST));
+        assertThat(lifecycle.onLeavingStated(FIRST, 200 * NANOS_PER_MS)).isEmpty();
+        assertThat(lifecycle.onHeartbeat(FIRST, nextSequence++, true, 900 * NANOS_PER_MS))
+                .isEmpty();
+        assertThat(lifecycle.onTick(2_100 * NANOS_PER_MS)).containsExactly(new Action.Drain(FIRST));
+        assertThat(lifecycle.onLeavingStated(OTHER, 2_200 * NANOS_PER_MS)).isEmpty();
+    }
+
+    /** A heartbeat that was sent before the statement must not be taken for its withdrawal. */
+    @Test
+    void heartbeatUnderWayDoesNotWithdrawAStatedLeaving() {
+        lifecycle.onHeartbeat(FIRST, nextSequence++, false, 0);
+        lifecycle.onLeavingStated(FIRST, 100 * NANOS_PER_MS);
+        assertThat(lifecycle.onHeartbeat(FIRST, nextSequence++, false, 900 * NANOS_PER_MS))
+                .isEmpty();
+        assertThat(lifecycle.onHeartbeat(FIRST, nextSequence++, false, 5_100 * NANOS_PER_MS))
+                .containsExactly(new Action.Detach("server-returned", true), new Action.Attach(FIRST, 2, 5_000));
+    }
+
     /**
      * A server that stays after it announced that it was leaving must receive requests again, under a member that can
      * own ranges. It may still hold ranges of its previous member, so the new member must not join and seal the
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/MemberLifecycle.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/MemberLifecycle.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -72,6 +73,10 @@
     private boolean joinedAlone;
     private long lastHeartbeatNanos;
     private long leavingSinceNanos;
+
+    /** Time of the latest response in which the current server stated that it is leaving. */
+    private OptionalLong leavingStatedNanos = OptionalLong.empty();
+
     private long withoutServerSinceNanos;
 
     public MemberLifecycle(Timeouts timeouts, long nowNanos) {
@@ -98,7 +103,7 @@
             return actions;
         }
         lastSequence = sequence;
-        boolean leaveWithdrawn = leaving && !serverLeaving && sameServer;
+        boolean leaveWithdrawn = leaving && !serverLeaving && sameServer && !mayPrecedeStatement(nowNanos);
         if (leaveWithdrawn || (currentServer.isPresent() && !sameServer)) {
             detach(leaveWithdrawn ? "server-returned" : "server-replaced", true, nowNanos, actions);
         }
@@ -121,6 +126,16 @@
         return actions;
     }
 
+    /** Handles a response in which a server states that it is leaving; it may arrive before a heartbeat says so. */
+    public List<Action> onLeavingStated(ServerIncarnation server, long nowNanos) {
+        List<Action> actions = new ArrayList<>();
+        if (currentServer.equals(Optional.of(server))) {
+            leavingStatedNanos = OptionalLong.of(nowNanos);
+            leave(nowNanos, actions);
+        }
+        return actions;
+    }
+
     /** Handles the sealing of the member by another daemon. A server that is not leaving gets a new member. */
     public List<Action> onMemberSealed(long nowNanos) {
         List<Action> actions = new ArrayList<>();
@@ -157,6 +172,12 @@
         return actions;
     }
 
+    /** Whether a heartbeat that arrives now may have been sent before the server stated that it is leaving. */
+    private boolean mayPrecedeStatement(long nowNanos) {
+        return leavingStatedNanos.isPresent()
+                && !hasElapsed(leavingStatedNanos.getAsLong(), timeouts.silenceTimeoutMs(), nowNanos);
+    }
+
     private boolean isOutdated(ServerIncarnation server) {
         Optional<ServerIncarnation> newest = currentServer.isPresent() ? currentServer : previousServer;
         return newest.isPresent() && server.bornMs() < newest.get().bornMs();
@@ -185,6 +206,7 @@
         previousServer = currentServer;
         currentServer = Optional.empty();
         leaving = false;
+        leavingStatedNanos = OptionalLong.empty();
         withoutServerSinceNanos = nowNanos;
         actions.add(new Action.Detach(reason, replaced));
     }
