Do not take interim responses for the response to a request

EndlessResponseTest sends bytes until the client closes, at eleven places of a response: ten were cut by the limits of the decoder and of the body. Endless interim responses were not: the first 100 Continue was returned as the response.

Change: interim responses are skipped, at most 16 for a request; then the connection is closed.

Evidence: the row 'interim responses' of connectionOfAnEndlessResponseIsClosed failed before, and interimResponseIsNotTheResponse covers the skipped one.

Open: a body may still grow to 16 MiB per connection before it is cut.

--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ClientConnectionHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ClientConnectionHandler.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -25,8 +26,12 @@
  * another request.
  */
 final class ClientConnectionHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+    /** Interim responses to one request; a server that sends more is faulty. */
+    private static final int MAX_INTERIM_RESPONSES = 16;
+
     private final HttpClientOptions options;
     private HttpRequest request;
+    private int interimResponses;
     private ChannelFuture requestWritten;
 
     /** Result of the request in progress; null if there is none. */
@@ -79,6 +84,7 @@
             return;
         }
         request = newRequest;
+        interimResponses = 0;
         pendingResponse = response;
         releaseConnection = newReleaseConnection;
         responseTimeout = channel.eventLoop()
@@ -132,6 +138,13 @@
                     nettyResponse.decoderResult().cause());
             return;
         }
+        if (nettyResponse.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            interimResponses++;
+            if (interimResponses > MAX_INTERIM_RESPONSES) {
+                failAndClose(context.channel(), "more than " + MAX_INTERIM_RESPONSES + " interim responses", null);
+            }
+            return;
+        }
         byte[] body = new byte[nettyResponse.content().readableBytes()];
         nettyResponse.content().readBytes(body);
         HttpResponse response = new HttpResponse(
