Count the way to a link's event loop against deadlines

Cause: the wait of a request in a link counted from the task that starts the call, not from the call. On a busy event loop the task runs later.

Evidence: waitingForTheHandshakeCountsAgainstTheDeadline failed once in six runs on a loaded machine: 1714 ms of 2000 were left after 300 ms, 14 ms were spent on the way to the event loop.

Change: the time of the call is taken in the calling thread, and a request is written with what is left of its time, also after the handshake.

HandshakeWaitTest is now WaitingRequestTest, because further waits follow.

--- a/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/HandshakeWaitTest.java
+++ b/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/WaitingRequestTest.java
@@ -30,8 +30,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Tests requests that are forwarded while the other daemon has not yet answered the handshake of the link. */
-class HandshakeWaitTest {
+/** Tests requests that wait in a link, for its handshake or for room in its connection. */
+class WaitingRequestTest {
     private static final HostAddress ANY_PORT = new HostAddress("127.0.0.1", 0);
     private static final MemberId CALLEE_ID = new MemberId("called");
     private static final long REMAINING_MS = 2_000;
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
@@ -120,7 +120,8 @@
     /** Sends a call; the future fails as described in {@link org.coriandercrank.kernel.peer.PeerClient}. */
     public void call(
             Message message, Class<? extends Message> answerType, long timeoutMs, CompletableFuture<Message> result) {
-        loop.execute(() -> startCall(message, answerType, timeoutMs, result));
+        long calledNanos = System.nanoTime();
+        loop.execute(() -> startCall(message, calledNanos, answerType, timeoutMs, result));
     }
 
     /** Sends a message without an answer; the message is dropped if the connection is closed. */
@@ -131,7 +132,7 @@
                 if (!handshakeComplete && message instanceof CancelRequest cancel) {
                     withdraw(cancel.requestId());
                 } else {
-                    write(new Frame(Frame.ONE_WAY, message));
+                    write(new Frame(Frame.ONE_WAY, message), lastUseNanos);
                 }
             }
         });
@@ -188,7 +189,11 @@
     }
 
     private void startCall(
-            Message message, Class<? extends Message> answerType, long timeoutMs, CompletableFuture<Message> result) {
+            Message message,
+            long calledNanos,
+            Class<? extends Message> answerType,
+            long timeoutMs,
+            CompletableFuture<Message> result) {
         if (closed) {
             result.completeExceptionally(exception(ResultCode.PEER_UNREACHABLE, "connection was closed"));
             return;
@@ -214,7 +219,7 @@
             silenceCheck.cancel(false);
             scheduleCheck(SILENCE_CHECK_PERIOD_MS);
         }
-        write(new Frame(correlationId, message));
+        write(new Frame(correlationId, message), calledNanos);
     }
 
     /**
@@ -227,11 +232,11 @@
         silenceCheck = loop.schedule(this::checkSilence, delayMs, TimeUnit.MILLISECONDS);
     }
 
-    private void write(Frame frame) {
+    private void write(Frame frame, long sinceNanos) {
         if (handshakeComplete) {
-            channel.writeAndFlush(frame);
+            channel.writeAndFlush(new WaitingFrame(frame, sinceNanos).toWrite(System.nanoTime()));
         } else {
-            framesAwaitingHandshake.add(new WaitingFrame(frame, System.nanoTime()));
+            framesAwaitingHandshake.add(new WaitingFrame(frame, sinceNanos));
         }
     }
 
