Withdraw cancelled requests that wait for room in a link

Cause: a link hands each message to the connection at once. While the other daemon reads slowly or the line is slow, messages wait in the connection's outbound buffer, from which nothing can be withdrawn: a request and its cancellation are both sent, and the wait does not shorten the remaining time.

Change: messages beyond the connection's high-water mark (64 KiB) wait in the link, in their order, like those that wait for the handshake. A cancellation removes its request there, and the wait counts against the deadline.

--- a/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/WaitingRequestTest.java
+++ b/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/WaitingRequestTest.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.coriandercrank.kernel.id.Generation;
@@ -36,8 +37,13 @@
     private static final MemberId CALLEE_ID = new MemberId("called");
     private static final long REMAINING_MS = 2_000;
     private static final long HANDSHAKE_DELAY_MS = 300;
+    private static final int LARGE_BODY_BYTES = 1_048_576;
+
+    /** More than the socket buffers between the two daemons hold. */
+    private static final int LARGE_REQUESTS = 32;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final EventLoopGroup calleeGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final BlockingQueue<CallerRequest> handled = new LinkedBlockingQueue<>();
     private PeerNetwork caller;
     private PeerNetwork callee;
@@ -53,8 +59,8 @@
                     new ForwardAnswer(CallerAnswer.executed(200, List.of(), new byte[0]), Generation.NONE));
         });
         handlers.register(CancelRequest.class, (sender, message) -> null);
-        caller = newNetwork(new MemberId("calling"), new PeerHandlers());
-        callee = newNetwork(CALLEE_ID, handlers);
+        caller = newNetwork(group, new MemberId("calling"), new PeerHandlers());
+        callee = newNetwork(calleeGroup, CALLEE_ID, handlers);
         proxy = new FaultProxy(callee.address());
         target = new PeerTarget(CALLEE_ID, proxy.address());
         proxy.blockBothDirections();
@@ -66,13 +72,18 @@
         caller.close();
         callee.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        calleeGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
-    private PeerNetwork newNetwork(MemberId self, PeerHandlers handlers) {
+    private static PeerNetwork newNetwork(EventLoopGroup group, MemberId self, PeerHandlers handlers) {
         return new PeerNetwork(group, ANY_PORT, () -> self, handlers, PeerOptions.DEFAULTS, new SimpleMeterRegistry());
     }
 
     private CompletableFuture<ForwardAnswer> forward(String id) {
+        return forward(id, 0);
+    }
+
+    private CompletableFuture<ForwardAnswer> forward(String id, int bodyBytes) {
         CallerRequest request = new CallerRequest(
                 new RequestId(id),
                 new ServiceName("desk"),
@@ -80,7 +91,7 @@
                 "GET",
                 "/tickets",
                 List.of(),
-                new byte[0],
+                new byte[bodyBytes],
                 REMAINING_MS,
                 Optional.empty(),
                 OptionalLong.empty(),
@@ -109,4 +120,39 @@
         answer.get(5, TimeUnit.SECONDS);
         assertThat(handled.remove().remainingMs()).isLessThanOrEqualTo(REMAINING_MS - HANDSHAKE_DELAY_MS);
     }
+
+    /** Keeps the event loop of the callee from reading until the latch is released. */
+    private CountDownLatch occupyCallee() throws InterruptedException {
+        CountDownLatch occupied = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        calleeGroup.next().execute(() -> {
+            occupied.countDown();
+            try {
+                release.await(5, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        assertThat(occupied.await(5, TimeUnit.SECONDS)).isTrue();
+        return release;
+    }
+
+    /** The cancellation waited behind its request for room in the connection, and both were sent. */
+    @Test
+    void requestCancelledWhileTheConnectionIsFullIsNotSent() throws Exception {
+        target = new PeerTarget(CALLEE_ID, callee.address());
+        forward("first").get(5, TimeUnit.SECONDS);
+        CountDownLatch release = occupyCallee();
+        for (int i = 0; i < LARGE_REQUESTS; i++) {
+            forward("large-" + i, LARGE_BODY_BYTES);
+        }
+        forward("cancelled");
+        CompletableFuture<ForwardAnswer> kept = forward("kept");
+        caller.send(target, new CancelRequest(new RequestId("cancelled")));
+        release.countDown();
+        kept.get(5, TimeUnit.SECONDS);
+        assertThat(handled)
+                .hasSize(LARGE_REQUESTS + 2)
+                .noneMatch(request -> request.id().equals(new RequestId("cancelled")));
+    }
 }
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
@@ -47,7 +47,7 @@
     private record OutstandingCall(
             Message message, Class<? extends Message> answerType, CompletableFuture<Message> result) {}
 
-    /** A frame that is written after the handshake. */
+    /** A frame that is written after the handshake, when the connection has room for it. */
     private record WaitingFrame(Frame frame, long sinceNanos) {
         boolean isRequest(RequestId id) {
             return frame.message() instanceof ForwardRequest forward
@@ -78,7 +78,7 @@
     private final long openedNanos = System.nanoTime();
 
     private final Map<Long, OutstandingCall> outstandingCalls = new LinkedHashMap<>();
-    private final Deque<WaitingFrame> framesAwaitingHandshake = new ArrayDeque<>();
+    private final Deque<WaitingFrame> waitingFrames = new ArrayDeque<>();
     private Channel channel;
     private ScheduledFuture<?> silenceCheck;
     private boolean handshakeComplete;
@@ -129,25 +129,24 @@
         loop.execute(() -> {
             if (!closed) {
                 lastUseNanos = System.nanoTime();
-                if (!handshakeComplete && message instanceof CancelRequest cancel) {
-                    withdraw(cancel.requestId());
-                } else {
+                if (!(message instanceof CancelRequest cancel) || !withdraw(cancel.requestId())) {
                     write(new Frame(Frame.ONE_WAY, message), lastUseNanos);
                 }
             }
         });
     }
 
-    /** Removes a request that still waits for the handshake. */
-    private void withdraw(RequestId id) {
-        List<WaitingFrame> withdrawn = framesAwaitingHandshake.stream()
-                .filter(waiting -> waiting.isRequest(id))
-                .toList();
-        framesAwaitingHandshake.removeAll(withdrawn);
+    /** Removes a request that is not written yet; returns whether there was one. */
+    private boolean withdraw(RequestId id) {
+        List<WaitingFrame> withdrawn =
+                waitingFrames.stream().filter(waiting -> waiting.isRequest(id)).toList();
+        waitingFrames.removeAll(withdrawn);
         for (WaitingFrame waiting : withdrawn) {
             OutstandingCall call = outstandingCalls.remove(waiting.frame().correlationId());
-            call.result.completeExceptionally(exception(ResultCode.PEER_UNREACHABLE, "cancelled before the handshake"));
+            call.result.completeExceptionally(
+                    exception(ResultCode.PEER_UNREACHABLE, "cancelled before it was written"));
         }
+        return !withdrawn.isEmpty();
     }
 
     void close() {
@@ -233,11 +232,23 @@
     }
 
     private void write(Frame frame, long sinceNanos) {
-        if (handshakeComplete) {
-            channel.writeAndFlush(new WaitingFrame(frame, sinceNanos).toWrite(System.nanoTime()));
-        } else {
-            framesAwaitingHandshake.add(new WaitingFrame(frame, sinceNanos));
+        waitingFrames.add(new WaitingFrame(frame, sinceNanos));
+        writeWaitingFrames();
+    }
+
+    /**
+     * Writes the waiting frames, in their order, as far as the connection has room. What is written cannot be withdrawn
+     * any more.
+     */
+    private void writeWaitingFrames() {
+        if (!handshakeComplete || waitingFrames.isEmpty() || !channel.isWritable()) {
+            return;
+        }
+        long nowNanos = System.nanoTime();
+        while (!waitingFrames.isEmpty() && channel.isWritable()) {
+            channel.write(waitingFrames.poll().toWrite(nowNanos));
         }
+        channel.flush();
     }
 
     private void timeOutCall(long correlationId) {
@@ -245,8 +256,7 @@
         if (call == null) {
             return;
         }
-        boolean removed =
-                framesAwaitingHandshake.removeIf(waiting -> waiting.frame().correlationId() == correlationId);
+        boolean removed = waitingFrames.removeIf(waiting -> waiting.frame().correlationId() == correlationId);
         ResultCode code = removed ? ResultCode.PEER_UNREACHABLE : ResultCode.CALL_TIMEOUT;
         call.result.completeExceptionally(exception(code, "no answer within the timeout"));
     }
@@ -292,10 +302,7 @@
         }
         handshakeComplete = true;
         unanswered.remove(target);
-        long nowNanos = System.nanoTime();
-        framesAwaitingHandshake.forEach(waiting -> channel.write(waiting.toWrite(nowNanos)));
-        framesAwaitingHandshake.clear();
-        channel.flush();
+        writeWaitingFrames();
     }
 
     private void completeCall(OutstandingCall call, Message answer) {
@@ -348,6 +355,11 @@
             receive(frame);
         }
 
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            writeWaitingFrames();
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             fail(ResultCode.LINK_LOST, "connection closed by the other side");
