See clients close while requests wait for earlier responses

Cause: at 16 concurrent requests of a connection the server stopped reading it, so the end of the connection was not seen: 16 requests were worked on for a client that had left, and more were taken from the input that had been decoded.

Change: reading goes on until 128 decoded messages wait, so the end of a connection that carries no more than that is seen.

Ruled out: reading without a bound; a client could fill the memory.

--- a/org.coriandercrank.http.test/src/test/java/org/coriandercrank/http/AbandonedRequestTest.java
+++ b/org.coriandercrank.http.test/src/test/java/org/coriandercrank/http/AbandonedRequestTest.java
@@ -25,6 +25,9 @@
 class AbandonedRequestTest {
     private static final long TIMEOUT_S = 10;
 
+    /** Requests of one connection that the server handles concurrently. */
+    private static final int MAX_PIPELINED_REQUESTS = 16;
+
     private final EventLoopGroup serverGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoopGroup clientGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final BlockingQueue<String> handledTargets = new LinkedBlockingQueue<>();
@@ -95,6 +98,32 @@
         assertThat(server.pendingResponses()).isZero();
     }
 
+    /** At the limit on concurrent requests the server stopped reading, so it did not see that the client had left. */
+    @Test
+    void closingIsSeenWhileRequestsWaitForEarlierResponses() throws Exception {
+        BlockingQueue<CompletableFuture<Void>> closures = new LinkedBlockingQueue<>();
+        try (HttpServer waiting = HttpServer.listen(
+                        serverGroup,
+                        new HostAddress("127.0.0.1", 0),
+                        HttpServerOptions.DEFAULTS,
+                        (request, connectionClosed) -> {
+                            closures.add(connectionClosed);
+                            return new CompletableFuture<>();
+                        });
+                Socket socket = new Socket(
+                        InetAddress.getLoopbackAddress(), waiting.address().port())) {
+            String request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+            socket.getOutputStream().write(request.repeat(30).getBytes(StandardCharsets.US_ASCII));
+            CompletableFuture<Void> first = closures.poll(TIMEOUT_S, TimeUnit.SECONDS);
+            socket.close();
+            first.get(TIMEOUT_S, TimeUnit.SECONDS);
+            for (CompletableFuture<Void> closure : closures) {
+                closure.get(TIMEOUT_S, TimeUnit.SECONDS);
+            }
+            assertThat(closures).hasSize(MAX_PIPELINED_REQUESTS - 1);
+        }
+    }
+
     /** A request is handed to the event loop of its connection, where a cancellation can overtake it. */
     @Test
     void requestCancelledBeforeItIsWrittenIsNotSent() throws Exception {
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
@@ -35,9 +35,10 @@
 /**
  * One connection of {@link HttpServer}. Confined to the event loop of its channel.
  *
- * <p>Responses are written in the order of the requests. Pipelined requests are handled concurrently up to a limit, at
- * which reading pauses. The connection is closed only after the response to the last request that was passed to the
- * handler, so that each such request gets its response. Input after that request is discarded.
+ * <p>Responses are written in the order of the requests. Pipelined requests are handled concurrently up to a limit.
+ * Beyond it a bounded amount of input waits, and then reading pauses. The connection is closed only after the response
+ * to the last request that was passed to the handler, so that each such request gets its response. Input after that
+ * request is discarded.
  *
  * <p>A request is passed to the handler only after all input that has arrived is read. A client that gave up while the
  * event loop was busy is then known to have closed its connection.
@@ -55,6 +56,9 @@
     /** Largest number of requests of one connection that are handled concurrently. */
     private static final int MAX_PIPELINED_REQUESTS = 16;
 
+    /** Input that may wait for earlier responses. Up to it the connection is read, so that its end is seen. */
+    private static final int MAX_DEFERRED_MESSAGES = 128;
+
     /** A request whose response has not been written yet. */
     private static final class Exchange {
         private final CompletableFuture<Void> connectionClosed = new CompletableFuture<>();
@@ -106,7 +110,9 @@
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
         if (!deferredInput.isEmpty() || isAtPipelineLimit()) {
             deferredInput.add(ReferenceCountUtil.retain(message));
-            context.channel().config().setAutoRead(false);
+            if (deferredInput.size() >= MAX_DEFERRED_MESSAGES) {
+                context.channel().config().setAutoRead(false);
+            }
             return;
         }
         process(context, message);
@@ -293,7 +299,7 @@
                 ReferenceCountUtil.release(message);
             }
         }
-        if (deferredInput.isEmpty()) {
+        if (deferredInput.size() < MAX_DEFERRED_MESSAGES) {
             context.channel().config().setAutoRead(true);
         }
     }
