Bound the unfinished responses of a client together

Each body was cut at 16 MiB, but a daemon has 64 MiB of heap and 32 MiB of direct memory and up to 22 connections to its server, so several responses without end could fill the memory, which closes connections of other requests.

Not measured in a process with the platform's memory limits.

--- a/org.coriandercrank.http.test/src/test/java/org/coriandercrank/http/EndlessResponseTest.java
+++ b/org.coriandercrank.http.test/src/test/java/org/coriandercrank/http/EndlessResponseTest.java
@@ -12,8 +12,10 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.coriandercrank.kernel.id.HostAddress;
 import org.junit.jupiter.api.AfterEach;
@@ -64,6 +66,60 @@
         return text.replace("CRLF", "\r\n");
     }
 
+    /** Each of several responses without end stayed below the limit on one body, and together they filled the memory. */
+    @Test
+    void unfinishedResponsesAreBoundedTogether() throws Exception {
+        int connections = 12;
+        int bodyBytes = 3 * 1_048_576;
+        int limitBytes = 8 * 1_048_576;
+        HttpClientOptions options =
+                new HttpClientOptions(connections + 1, 1, 1_000, limitBytes, 6_000, ResponseMatcher.ACCEPT_ALL);
+        CountDownLatch end = new CountDownLatch(1);
+        try (ServerSocket listener = new ServerSocket(0, connections, InetAddress.getLoopbackAddress());
+                HttpClient client =
+                        new HttpClient(group, new HostAddress("127.0.0.1", listener.getLocalPort()), options)) {
+            String start = "HTTP/1.1 200 OK\r\n\r\n" + "a".repeat(bodyBytes);
+            List<CompletableFuture<HttpResponse>> responses = new ArrayList<>();
+            for (int i = 0; i < connections; i++) {
+                startWriter(listener, start, end);
+                responses.add(client.send(new HttpRequest("GET", "/", List.of(), new byte[0]), RESPONSE_TIMEOUT_MS));
+            }
+            long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(MAX_DETECTION_S);
+            while (unfinished(responses) * bodyBytes > limitBytes && System.nanoTime() < deadlineNanos) {
+                Thread.sleep(10);
+            }
+            assertThat(unfinished(responses) * bodyBytes).isLessThanOrEqualTo(limitBytes);
+            startWriter(listener, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nend", end);
+            assertThat(client.send(new HttpRequest("GET", "/", List.of(), new byte[0]), RESPONSE_TIMEOUT_MS)
+                            .get(MAX_DETECTION_S, TimeUnit.SECONDS)
+                            .bodyText())
+                    .isEqualTo("end");
+        } finally {
+            end.countDown();
+        }
+    }
+
+    private static long unfinished(List<CompletableFuture<HttpResponse>> responses) {
+        return responses.stream().filter(response -> !response.isDone()).count();
+    }
+
+    /** Accepts one connection, sends the start of a response and keeps the connection open until the latch is released. */
+    private static void startWriter(ServerSocket listener, String start, CountDownLatch end) {
+        Thread writer = new Thread(() -> {
+            try (Socket socket = listener.accept()) {
+                socket.getInputStream().read(new byte[1_024]);
+                socket.getOutputStream().write(start.getBytes(StandardCharsets.US_ASCII));
+                end.await(RESPONSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            } catch (IOException e) {
+                // The client closed the connection.
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        writer.setDaemon(true);
+        writer.start();
+    }
+
     /** An interim response was taken for the response to the request. */
     @Test
     void interimResponseIsNotTheResponse() throws Exception {
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClient.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClient.java
@@ -15,6 +15,7 @@
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.coriandercrank.http.HttpClientException.Stage;
 import org.coriandercrank.kernel.id.HostAddress;
 
@@ -29,6 +30,10 @@
 public final class HttpClient implements AutoCloseable {
     private record QueuedRequest(HttpRequest request, long deadlineNanos, CompletableFuture<HttpResponse> result) {}
 
+    /** Limit on the unfinished responses of all connections together, unless a single body may be larger. */
+    private static final long MIN_UNFINISHED_BYTES_LIMIT = 8_388_608;
+
+    private final AtomicLong unfinishedBytes = new AtomicLong();
     private final HostAddress target;
     private final HttpClientOptions options;
     private final Bootstrap bootstrap;
@@ -58,6 +63,8 @@
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
                                 .addLast(new HttpClientCodec())
+                                .addLast(new UnfinishedResponseLimit(
+                                        unfinishedBytes, Math.max(MIN_UNFINISHED_BYTES_LIMIT, options.maxBodyBytes())))
                                 .addLast(new HttpObjectAggregator(options.maxBodyBytes()))
                                 .addLast(new ClientConnectionHandler(options));
                     }
