--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
@@ -39,6 +39,9 @@
  * <p>Thread safe: all state is confined to one event loop. Messages are written only after the handshake, in which the
  * other daemon must identify itself as the expected member. A failure before that therefore means that the message was
  * not handled. A closed connection is never reused.
+ *
+ * <p>Messages wait in the link for the handshake and for room in the connection, in the order in which they are sent. A
+ * request that is cancelled meanwhile is not written, and its remaining time is shorter by the wait.
  */
 public final class PeerLink {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
