Count the wait for a read turn against deadlines

Since requests are handed over after the turn in which they were read, the ingress counted their deadline from that moment, later than before by the rest of the turn and by the requests handled before them.

Change: the HTTP server tells the handler how long a request has waited since it was decoded, and the ingress counts the deadline from there.

--- a/org.coriandercrank.http.test/src/test/java/org/coriandercrank/http/AbandonedRequestTest.java
+++ b/org.coriandercrank.http.test/src/test/java/org/coriandercrank/http/AbandonedRequestTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.coriandercrank.kernel.id.HostAddress;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -98,6 +99,38 @@
         assertThat(server.pendingResponses()).isZero();
     }
 
+    /** A deadline counted from the start of the handling, which other requests of the same read turn delay. */
+    @Test
+    void waitForOtherRequestsOfTheTurnIsReported() throws Exception {
+        long handlingMs = 200;
+        BlockingQueue<Long> waitsNanos = new LinkedBlockingQueue<>();
+        HttpHandler slow = new HttpHandler() {
+            @Override
+            public CompletableFuture<HttpResponse> handle(HttpRequest request, CompletableFuture<Void> closed) {
+                return handle(request, closed, 0);
+            }
+
+            @Override
+            public CompletableFuture<HttpResponse> handle(
+                    HttpRequest request, CompletableFuture<Void> closed, long waitedNanos) {
+                waitsNanos.add(waitedNanos);
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(handlingMs));
+                return CompletableFuture.completedFuture(HttpResponse.text(200, "ok"));
+            }
+        };
+        try (HttpServer slowServer = HttpServer.listen(
+                        serverGroup, new HostAddress("127.0.0.1", 0), HttpServerOptions.DEFAULTS, slow);
+                Socket socket = new Socket(
+                        InetAddress.getLoopbackAddress(), slowServer.address().port())) {
+            String request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+            socket.getOutputStream().write(request.repeat(3).getBytes(StandardCharsets.US_ASCII));
+            waitsNanos.poll(TIMEOUT_S, TimeUnit.SECONDS);
+            waitsNanos.poll(TIMEOUT_S, TimeUnit.SECONDS);
+            assertThat(waitsNanos.poll(TIMEOUT_S, TimeUnit.SECONDS))
+                    .isGreaterThanOrEqualTo(TimeUnit.MILLISECONDS.toNanos(handlingMs));
+        }
+    }
+
     /** At the limit on concurrent requests the server stopped reading, so it did not see that the client had left. */
     @Test
     void closingIsSeenWhileRequestsWaitForEarlierResponses() throws Exception {
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpHandler.java
@@ -14,6 +14,17 @@
      */
     CompletableFuture<HttpResponse> handle(HttpRequest request, CompletableFuture<Void> connectionClosed);
 
+    /**
+     * Starts handling a request that has waited in the server. Deadlines that the request states count from its
+     * arrival.
+     *
+     * @param waitedNanos time since the server decoded the request
+     */
+    default CompletableFuture<HttpResponse> handle(
+            HttpRequest request, CompletableFuture<Void> connectionClosed, long waitedNanos) {
+        return handle(request, connectionClosed);
+    }
+
     /**
      * Whether a request is handled although its client closed the connection before the server got to it. Suits
      * requests that inform the handler rather than ask for work.
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
@@ -62,6 +62,7 @@
     /** A request whose response has not been written yet. */
     private static final class Exchange {
         private final CompletableFuture<Void> connectionClosed = new CompletableFuture<>();
+        private final long decodedAtNanos = System.nanoTime();
         private final boolean clientKeepsAlive;
         private final boolean headOnly;
         private HttpResponse response;
@@ -190,7 +191,7 @@
             abandonedRequests.increment();
             return;
         }
-        invokeHandler(request, exchange.connectionClosed)
+        invokeHandler(request, exchange)
                 .whenComplete((response, failure) -> context.executor().execute(() -> {
                     exchange.response = response;
                     exchange.failure = failure;
@@ -242,10 +243,9 @@
                 .addListener(ChannelFutureListener.CLOSE);
     }
 
-    private CompletableFuture<HttpResponse> invokeHandler(
-            HttpRequest request, CompletableFuture<Void> connectionClosed) {
+    private CompletableFuture<HttpResponse> invokeHandler(HttpRequest request, Exchange exchange) {
         try {
-            return handler.handle(request, connectionClosed);
+            return handler.handle(request, exchange.connectionClosed, System.nanoTime() - exchange.decodedAtNanos);
         } catch (RuntimeException e) {
             return CompletableFuture.failedFuture(e);
         }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
@@ -5,6 +5,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.coriandercrank.http.HttpHandler;
 import org.coriandercrank.http.HttpRequest;
 import org.coriandercrank.http.HttpResponse;
 import org.coriandercrank.http.HttpServer;
@@ -99,7 +100,7 @@
                         limits.maxHeaderBytes(),
                         limits.maxBodyBytes(),
                         status -> httpRejection(status, limits)),
-                this::handle);
+                new CallerHandler());
         return server.address();
     }
 
@@ -157,8 +158,22 @@
         executor.close();
     }
 
-    private CompletableFuture<HttpResponse> handle(HttpRequest request, CompletableFuture<Void> connectionClosed) {
-        long receivedAtNanos = dependencies.timers().clock().nowNanos();
+    private final class CallerHandler implements HttpHandler {
+        @Override
+        public CompletableFuture<HttpResponse> handle(HttpRequest request, CompletableFuture<Void> connectionClosed) {
+            return handle(request, connectionClosed, 0);
+        }
+
+        @Override
+        public CompletableFuture<HttpResponse> handle(
+                HttpRequest request, CompletableFuture<Void> connectionClosed, long waitedNanos) {
+            return Ingress.this.handle(
+                    request, connectionClosed, dependencies.timers().clock().nowNanos() - waitedNanos);
+        }
+    }
+
+    private CompletableFuture<HttpResponse> handle(
+            HttpRequest request, CompletableFuture<Void> connectionClosed, long receivedAtNanos) {
         ParsedRequest parsed =
                 protocol.parse(request, dependencies.routingView().current());
         if (parsed.refusal().isPresent()) {
