Count the overhead of chunks in unfinished responses

Only the bytes of a body counted, so 6 MiB of chunks and a million objects were handled before 1 MiB of body was reached.

Change: each chunk counts 128 bytes more towards the bound on unfinished responses.

--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/UnfinishedResponseLimit.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/UnfinishedResponseLimit.java
@@ -18,6 +18,9 @@
 final class UnfinishedResponseLimit extends ChannelInboundHandlerAdapter {
     private static final long SMALL_RESPONSE_BYTES = 65_536;
 
+    /** Memory that a chunk takes beside its bytes, so that chunks of a few bytes reach the bound soon. */
+    private static final int CHUNK_OVERHEAD_BYTES = 128;
+
     private final AtomicLong bytesOfAllConnections;
     private final long maxBytes;
     private long bytes;
@@ -31,7 +34,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (message instanceof HttpContent content) {
-            int length = content.content().readableBytes();
+            int length = content.content().readableBytes() + CHUNK_OVERHEAD_BYTES;
             bytes += length;
             long totalBytes = bytesOfAllConnections.addAndGet(length);
             if (message instanceof LastHttpContent) {
