Let the stand-ins handle requests whose client has closed

Cause: since requests of closed connections are dropped, the stand-ins of the store and of the backend server dropped them too. A stand-in store then never did a write whose client had given up, and a stand-in server that was frozen no longer applied the grants that it found in its sockets: both are weaker than what they stand for.

Change: both stand-ins handle abandoned requests, as they did before.

--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendService.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendService.java
@@ -63,6 +63,12 @@
         peakConnections = peak;
     }
 
+    /** A frozen server applies what it finds in its sockets when it returns, also calls that were given up. */
+    @Override
+    public boolean handlesAbandonedRequests() {
+        return true;
+    }
+
     @Override
     public CompletableFuture<HttpResponse> handle(HttpRequest request, CompletableFuture<Void> closed) {
         CompletableFuture<HttpResponse> response = new CompletableFuture<>();
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/StoreService.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/StoreService.java
@@ -52,6 +52,12 @@
         this.faults = faults;
     }
 
+    /** A write may take effect although its client no longer waits for the response. */
+    @Override
+    public boolean handlesAbandonedRequests() {
+        return true;
+    }
+
     @Override
     public CompletableFuture<HttpResponse> handle(HttpRequest request, CompletableFuture<Void> closed) {
         CompletableFuture<HttpResponse> response = new CompletableFuture<>();
