--- a/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/MoveTest.java
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/MoveTest.java
@@ -101,6 +101,7 @@
         }
     }
 
+    @Tag("known-red")
     @Test
     void serverThatJoinsAndLeavesFailsNoCall() {
         try (TestCluster cluster = TestCluster.start(
