Admit requests that need not wait, whatever they are expected to take

Cause: a server that starts takes several times as long for a request. The estimate of a request class grows with that. From then on the class counts as arriving faster than the server can execute it, and a request of it as late before it has started, so all are refused; the estimate changes only when one is executed. The service stays refused when the server is long fast again, with free slots. Class of fault: a decision that takes away the measurements on which it rests.

Change: overload is a reason to refuse only a request that would wait. With a free slot the request is admitted, and its execution corrects the estimate. The check of the deadline already had this condition.

Ruled out: keys without an owner (no NOT_OWNER or NO_OWNER in the logs after second 38), servers that refuse (no OVERLOADED of their own).

--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/Admission.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/Admission.java
@@ -112,9 +112,12 @@
         if (!slotFree && context.queued() >= context.maxQueueLength()) {
             return retryLater(ResultCode.OVERLOADED, "the queue is full", retryAfterMs.getAsLong());
         }
-        if (context.expectedWaitMs() > 0
-                && context.expectedWaitMs() + MIN_SERVICE_TIME_SHARE * context.expectedServiceMs()
-                        > context.remainingMs()) {
+        // A request that need not wait is admitted whatever its expected execution time is, because only executions
+        // correct an expectation from a time at which the server was slow.
+        if (context.expectedWaitMs() <= 0) {
+            return Optional.empty();
+        }
+        if (context.expectedWaitMs() + MIN_SERVICE_TIME_SHARE * context.expectedServiceMs() > context.remainingMs()) {
             return retryLater(
                     ResultCode.OVERLOADED, "the deadline would expire before the answer", retryAfterMs.getAsLong());
         }
