Take the keys of a faulty server when its fault begins

The test takes the keys that a server owns, injects a fault, and requires that calls for all other keys succeed. It took them as soon as the server owned any, while the planner still moved keys to it, so keys that moved later counted as those of other servers.

Change: the test waits until each key has an owner and none moves for 1.5 s, and takes the keys right before the fault begins. All checks and bounds stay; they now also hold the server to keys that it got late.

--- a/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/BackendFaultTest.java
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/BackendFaultTest.java
@@ -33,6 +33,7 @@
     private static final long BEFORE_FAULT_MS = 1_000;
     private static final long AFTER_FAULT_MS = 2_500;
     private static final long SERVED_AGAIN_LIMIT_MS = 5_000;
+    private static final long WITHOUT_MOVES_MS = 1_500;
 
     /** A fault of the backend server of a host, from {@link #begin} to {@link #end}. */
     enum Fault {
@@ -128,11 +129,13 @@
 
     private void verifyFault(Fault fault) {
         ClusterHost faulty = cluster.host(0);
-        cluster.waitUntil("the server owns keys", () -> !ownedKeys(faulty).isEmpty());
-        Set<String> keysOfFaulty = ownedKeys(faulty);
+        cluster.waitUntil(
+                "the server owns keys, and no key moves",
+                () -> !ownedKeys(faulty).isEmpty() && noKeyMoves());
         BackgroundTraffic traffic = BackgroundTraffic.start(
                 cluster, cluster.callerAddresses(), BEFORE_FAULT_MS + FAULT_MS + AFTER_FAULT_MS, 0);
         TestCluster.sleep(BEFORE_FAULT_MS);
+        Set<String> keysOfFaulty = ownedKeys(faulty);
         fault.begin(cluster, faulty);
         TestCluster.sleep(FAULT_MS);
         fault.end(cluster, faulty);
@@ -153,6 +156,14 @@
         }
     }
 
+    /** Whether each key has an owner, and the same one for a while. */
+    private boolean noKeyMoves() {
+        List<Set<String>> before = cluster.hosts().stream().map(this::ownedKeys).toList();
+        TestCluster.sleep(WITHOUT_MOVES_MS);
+        return before.stream().mapToInt(Set::size).sum() == BackgroundTraffic.KEY_COUNT
+                && before.equals(cluster.hosts().stream().map(this::ownedKeys).toList());
+    }
+
     private Set<String> ownedKeys(ClusterHost host) {
         List<ServingRange> serving = cluster.status(host).serving();
         return IntStream.range(0, BackgroundTraffic.KEY_COUNT)
