List a deadline test that failed once on an idle machine as known red

Its deadline is 50 ms of real time, and 207 is the answer if that expires before the first attempt. No run shows that this was the cause, so the test is listed with its deadline unchanged.

--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/RoutingTest.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/RoutingTest.java
@@ -18,6 +18,7 @@
 import org.coriandercrank.kernel.request.Header;
 import org.coriandercrank.kernel.table.Member;
 import org.coriandercrank.kernel.table.MemberState;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -234,6 +235,8 @@
         }
     }
 
+    /** See KNOWN-RED.txt: the deadline of 50 ms expired once before the attempt. */
+    @Tag("known-red")
     @Test
     void answersAtTheDeadlineIfAnAttemptIsOutstanding() {
         try (IngressFixture fixture = newFixture(IngressFixture.snapshotOwnedBy("b", 1, MEMBER_B))) {
