Explain the lowest rate and the training server's grants, log its failures

From reading the diff as a newcomer: two comments of the rate limiter needed two readings, and a heartbeat of the training run that failed left no trace. No change of behaviour in daemons. ArchiveTrainingRunTest, the tests of the platform's server and of limits in the gate pass.

--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestRateLimiter.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestRateLimiter.java
@@ -13,7 +13,7 @@
 final class RequestRateLimiter {
     private static final double BURST_S = 0.25;
 
-    /** The responses to these requests show when the server no longer states a limit, even one of 0. */
+    /** Lowest rate, also under a stated limit of 0, because only a response shows that the limit has ended. */
     private static final double MIN_REQUESTS_PER_SECOND = 0.5;
 
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
@@ -48,7 +48,7 @@
         }
     }
 
-    /** Time in milliseconds until a request may be sent before which others are sent. */
+    /** Time in milliseconds until a request may be sent that has a number of requests before it. */
     long waitMs(long requestsAhead) {
         return requestsPerSecond.isEmpty()
                 ? 0
