Answer requests that an HTTP server has read when it is closed

What callers saw: a connection that was cut after its request had been read, during a planned stop. Cause: close() closed all connections at once, also those with a request at the handler; a connection that was registered after close() had visited them was served and then cut. Change: close() stops reading, closes each connection after the responses to what the handler got, for 500 ms at most; a connection that is registered later is closed unread.

--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpServer.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpServer.java
@@ -28,12 +28,17 @@
     private static final int ACCEPT_BACKLOG = 1_024;
     private static final int MAX_CHUNK_BYTES = 8_192;
     private static final int MAX_READS_PER_TURN = 16;
+    /** A program that is being stopped has about this time left after its own drain. */
+    private static final long CLOSE_TIMEOUT_MS = 500;
 
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final AtomicInteger pendingResponses = new AtomicInteger();
     private final LongAdder abandonedRequests = new LongAdder();
     private final Channel listenChannel;
 
+    /** Set before {@link #close} visits the connections. */
+    private volatile boolean closing;
+
     private final AtomicInteger openConnections = new AtomicInteger();
     private final AtomicInteger peakConnections = new AtomicInteger();
 
@@ -67,6 +72,11 @@
                         }
                         peakConnections.accumulateAndGet(openCount, Math::max);
                         connections.add(channel);
+                        if (closing) {
+                            // Accepted before the close and registered after it, so the close may not have seen it.
+                            channel.close();
+                            return;
+                        }
                         channel.pipeline()
                                 .addLast(new HttpServerCodec(
                                         options.maxInitialLineBytes(), options.maxHeaderBytes(), MAX_CHUNK_BYTES))
@@ -130,10 +140,17 @@
         listenChannel.close().syncUninterruptibly();
     }
 
-    /** Stops accepting connections and closes the open ones. */
+    /**
+     * Stops accepting connections and reading requests, and closes each connection after the responses to the requests
+     * that the handler got. Blocks for half a second at most; responses that are not there by then are not sent. Must not
+     * be called on a thread of the event loop group.
+     */
     @Override
     public void close() {
+        closing = true;
         stopAccepting();
+        connections.forEach(channel -> channel.pipeline().fireUserEventTriggered(ServerConnectionHandler.CLOSE));
+        connections.newCloseFuture().awaitUninterruptibly(CLOSE_TIMEOUT_MS);
         connections.close().awaitUninterruptibly();
     }
 }
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
@@ -44,6 +44,9 @@
  * event loop was busy is then known to have closed its connection.
  */
 final class ServerConnectionHandler extends SimpleChannelInboundHandler<HttpObject> {
+    /** User event that closes the connection after the responses to the requests that the handler got. */
+    static final Object CLOSE = new Object();
+
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int STATUS_BAD_REQUEST = 400;
     private static final int STATUS_BODY_TOO_LARGE = 413;
@@ -85,6 +88,10 @@
     private io.netty.handler.codec.http.HttpRequest requestHead;
     private ByteArrayOutputStream requestBody;
     private boolean discardsInput;
+    private boolean closing;
+
+    /** The write of the latest response; null before the first. */
+    private ChannelFuture latestWrite;
 
     /** Requests without a written response, in the order of their arrival. */
     private final Deque<Exchange> exchanges = new ArrayDeque<>();
@@ -203,7 +210,7 @@
     private void writeReadyResponses(ChannelHandlerContext context) {
         while (!exchanges.isEmpty() && exchanges.peekFirst().hasResult()) {
             Exchange exchange = exchanges.pollFirst();
-            writeResponse(context, exchange).addListener(done -> pendingResponses.decrementAndGet());
+            latestWrite = writeResponse(context, exchange).addListener(done -> pendingResponses.decrementAndGet());
         }
         processDeferredInput(context);
     }
@@ -215,7 +222,7 @@
         }
         HttpResponse response = responseOrInternalError(exchange.response, exchange.failure);
         boolean last = exchanges.isEmpty();
-        boolean keepAlive = !last || (exchange.clientKeepsAlive && !response.closesConnection());
+        boolean keepAlive = !last || (exchange.clientKeepsAlive && !response.closesConnection() && !closing);
         return writeFullResponse(context, response, keepAlive, exchange.headOnly);
     }
 
@@ -320,6 +327,21 @@
         return tooLong ? STATUS_HEADER_TOO_LARGE : STATUS_BAD_REQUEST;
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event != CLOSE) {
+            context.fireUserEventTriggered(event);
+            return;
+        }
+        closing = true;
+        discardsInput = true;
+        if (exchanges.isEmpty() && latestWrite != null) {
+            latestWrite.addListener(ChannelFutureListener.CLOSE);
+        } else if (exchanges.isEmpty()) {
+            context.close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         deferredInput.forEach(ReferenceCountUtil::release);
