Do not take a second copy of a refusal for that of a later request

What callers saw: "not executed" for a request that ran. Cause: a server of the users' platform that sends a refusal twice answers the next request on that connection, because a refusal needs no id, and one with an id matches the same request sent again. Change: a connection is closed after a refusal that would match a later request (ResponseMatcher.isConnectionReusable). Not affected: answers of executed requests, which must carry the id of their request.

--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ClientConnectionHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ClientConnectionHandler.java
@@ -158,7 +158,9 @@
         releaseConnection = null;
         // The server may respond before it has read the whole request body. It would then read the rest of that body
         // as the start of the next request, so the connection cannot be reused.
-        if (HttpUtil.isKeepAlive(nettyResponse) && requestWritten.isSuccess()) {
+        if (HttpUtil.isKeepAlive(nettyResponse)
+                && requestWritten.isSuccess()
+                && options.responseMatcher().isConnectionReusable(response)) {
             idleTimeout = context.executor()
                     .schedule(() -> closeIfIdle(context), options.idleTimeoutMs(), TimeUnit.MILLISECONDS);
             release.run();
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ResponseMatcher.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ResponseMatcher.java
@@ -13,4 +13,12 @@
      * {@link HttpClientException.Stage#SENT}.
      */
     boolean matches(HttpRequest request, HttpResponse response);
+
+    /**
+     * Whether the connection can be used again after a response. It must not be if a second copy of the response, which
+     * may arrive late, would match a later request.
+     */
+    default boolean isConnectionReusable(HttpResponse response) {
+        return true;
+    }
 }
