Tell late second copies of responses from responses in our own protocol

What callers saw: the answer to an earlier request, or "not run" for a request that had run. Cause: a response of a server bore no id of its request, so a second copy that arrived when the connection was in use again was taken for the response to the next request. Change: servers should repeat Crank-Request-Id; a response with another id fails the call as unknown and closes the connection. After a refusal for its range, after which a request is sent again under its id, the connection is closed.

--- a/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpBackendServer.java
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpBackendServer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.coriandercrank.adapters.internal.BackendResponses;
+import org.coriandercrank.adapters.internal.RequestIdMatcher;
 import org.coriandercrank.adapters.internal.ServerClockEstimate;
 import org.coriandercrank.adapters.internal.UrlEncoding;
 import org.coriandercrank.http.HttpClient;
@@ -89,7 +90,12 @@
 
     private static HttpClientOptions options(int maxConnections, int maxQueuedRequests) {
         return new HttpClientOptions(
-                maxConnections, maxQueuedRequests, CONNECT_TIMEOUT_MS, MAX_BODY_BYTES, IDLE_TIMEOUT_MS);
+                maxConnections,
+                maxQueuedRequests,
+                CONNECT_TIMEOUT_MS,
+                MAX_BODY_BYTES,
+                IDLE_TIMEOUT_MS,
+                new RequestIdMatcher());
     }
 
     @Override
--- a/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/BackendResponses.java
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/BackendResponses.java
@@ -1,6 +1,7 @@
 package org.coriandercrank.adapters.internal;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.coriandercrank.http.HttpClientException;
@@ -9,6 +10,7 @@
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.id.RequestId;
 import org.coriandercrank.kernel.request.CallerAnswer;
+import org.coriandercrank.kernel.request.Header;
 import org.coriandercrank.kernel.store.JsonCodec;
 
 /**
@@ -28,6 +30,10 @@
 
     private static final String NOT_RUN = "crank-not-run";
     private static final String REASON = "crank-reason";
+    private static final String FENCE_REASON = "fence";
+    private static final String RANGE_REASON = "range";
+    private static final String VALIDITY_REASON = "validity";
+    private static final Set<String> RANGE_REASONS = Set.of(FENCE_REASON, RANGE_REASON, VALIDITY_REASON);
 
     /** Statuses with which a server or a proxy in front of it reports that it has no result of the call. */
     private static final Set<Integer> GATEWAY_ERROR_STATUSES = Set.of(502, 503, 504);
@@ -46,7 +52,7 @@
             if (failure != null) {
                 throw failure(id.value(), failure);
             }
-            if (response.header(NOT_RUN).filter("true"::equals).isPresent()) {
+            if (isNotRun(response)) {
                 throw rejection(id, response);
             }
             if (response.status() < MIN_FINAL_STATUS
@@ -55,14 +61,27 @@
                 throw new CrankException(
                         ResultCode.OUTCOME_UNKNOWN, id + ": backend server responded with status " + response.status());
             }
-            return CallerAnswer.executed(response.status(), response.headers(), response.body());
+            List<Header> headers = response.headers().stream()
+                    .filter(header -> !header.name().equals(REQUEST_ID))
+                    .toList();
+            return CallerAnswer.executed(response.status(), headers, response.body());
         });
     }
 
+    private static boolean isNotRun(HttpResponse response) {
+        return response.header(NOT_RUN).filter("true"::equals).isPresent();
+    }
+
+    /** Whether the server refused a request because it does not hold the range of the key. */
+    static boolean isRangeRefusal(HttpResponse response) {
+        return isNotRun(response)
+                && response.header(REASON).filter(RANGE_REASONS::contains).isPresent();
+    }
+
     private static CrankException rejection(RequestId id, HttpResponse response) {
         String reason = response.header(REASON).orElse("none");
         ResultCode code = switch (reason) {
-            case "fence", "range", "validity" -> ResultCode.FENCE_REJECTED;
+            case FENCE_REASON, RANGE_REASON, VALIDITY_REASON -> ResultCode.FENCE_REJECTED;
             case "overload" -> ResultCode.OVERLOADED;
             case "deadline" -> ResultCode.DEADLINE_EXPIRED;
             default -> ResultCode.BACKEND_UNAVAILABLE;
@@ -103,9 +122,8 @@
     /** Throws unless the server accepted a control call. */
     public static void requireOk(HttpResponse response) {
         if (response.status() != STATUS_OK) {
-            boolean notRun = response.header(NOT_RUN).filter("true"::equals).isPresent();
             throw new CrankException(
-                    notRun ? ResultCode.BACKEND_UNAVAILABLE : ResultCode.OUTCOME_UNKNOWN,
+                    isNotRun(response) ? ResultCode.BACKEND_UNAVAILABLE : ResultCode.OUTCOME_UNKNOWN,
                     "response to a control call has status " + response.status());
         }
     }
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendService.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendService.java
@@ -27,6 +27,7 @@
  * path, so that a caller cannot reach those endpoints through the router.
  */
 public final class BackendService implements HttpHandler, AutoCloseable {
+    private static final String REQUEST_ID_HEADER = "crank-request-id";
     private static final String CANCEL_PATH = "/control/cancel/";
 
     private final SingleThreadExecutor executor;
@@ -75,12 +76,15 @@
         if (!executor.offer(() -> dispatch(request, response))) {
             response.complete(Responses.notRun(503, "overload"));
         }
-        return response;
+        Optional<String> requestId = request.header(REQUEST_ID_HEADER);
+        return requestId.isEmpty()
+                ? response
+                : response.thenApply(result -> withHeader(result, new Header(REQUEST_ID_HEADER, requestId.get())));
     }
 
     private void dispatch(HttpRequest request, CompletableFuture<HttpResponse> response) {
         try {
-            if (request.header("crank-request-id").isPresent()) {
+            if (request.header(REQUEST_ID_HEADER).isPresent()) {
                 engine.submit(request, response);
             } else if (request.path().startsWith("/control/")) {
                 response.complete(withClock(handleControl(request)));
@@ -93,9 +97,14 @@
     }
 
     private HttpResponse withClock(HttpResponse response) {
-        List<Header> headers = new ArrayList<>(response.headers());
-        headers.add(
+        return withHeader(
+                response,
                 new Header("crank-clock", clockInstanceId + ":" + timers.clock().nowNanos()));
+    }
+
+    private static HttpResponse withHeader(HttpResponse response, Header header) {
+        List<Header> headers = new ArrayList<>(response.headers());
+        headers.add(header);
         return new HttpResponse(response.status(), headers, response.body());
     }
 
