End programs that cannot start, for example without their port

What operators saw: a program that could not bind a port neither served nor ended. Cause: the exception ended the main thread only, other threads kept the process alive. Change: ProgramStart logs start-failed and ends with exit code 1. Refused settings are another path, which ended before. Result: PortInUseTest passes; that it failed before is not on record.

--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/StandInLauncher.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/StandInLauncher.java
@@ -4,6 +4,7 @@
 import java.util.logging.Level;
 import org.coriandercrank.kernel.log.LogSetup;
 import org.coriandercrank.kernel.settings.CommandLine;
+import org.coriandercrank.kernel.settings.ProgramStart;
 import org.coriandercrank.kernel.settings.Settings;
 
 /** Common entry point of the stand-in programs. Stateless. */
@@ -15,7 +16,7 @@
             String program, T defaults, String[] arguments, Function<T, AutoCloseable> start) {
         LogSetup.configure(Level.INFO);
         T settings = CommandLine.loadOrExit(program, defaults, arguments);
-        AutoCloseable running = start.apply(settings);
+        AutoCloseable running = ProgramStart.startOrExit(program, () -> start.apply(settings));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> closeQuietly(running), "shutdown"));
     }
 
