--- a/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/GracefulShutdownLogTest.java
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/GracefulShutdownLogTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.file.Path;
+import org.coriandercrank.kernel.log.LogSetup;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -11,6 +12,16 @@
     @TempDir
     Path directory;
 
+    /** The log manager of the Java platform closes all handlers when the shutdown begins. */
+    @Test
+    void daemonUsesTheLogManagerThatLogsItsShutdown() {
+        try (TestCluster cluster = TestCluster.start(directory, "r1/a")) {
+            assertThat(cluster.host(0).daemon().output())
+                    .contains("event=started")
+                    .doesNotContain(LogSetup.WRONG_MANAGER_WARNING);
+        }
+    }
+
     @Test
     void gracefulShutdownIsLoggedCompletely() {
         try (TestCluster cluster = TestCluster.start(directory, "r1/a", "r1/a")) {
