Do not report requests of an earlier process as not run

What callers saw: a payment that ran twice. Cause: a daemon that is killed may resume its member under the same id. Its new gate has no record of what the earlier process sent to the server, and barred it when the outcome was queried; the sender then ran it again. Change: a query states how long ago the attempt was sent, on the clock that counts suspensions; a gate that started later answers UNKNOWN. A query without that time counts as old. Ruled out: a new member id at each start, which costs the keys of a server with each restart of its daemon.

--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
@@ -330,6 +330,7 @@
                 options.identity().region(),
                 options.identity().failureDomain(),
                 options.protocol(),
-                services.executors());
+                services.executors(),
+                services.leaseClock());
     }
 }
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateFixture.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateFixture.java
@@ -125,9 +125,14 @@
         return result;
     }
 
+    /** Queries the outcome of a request that was sent just now. */
     OutcomeAnswer.State resolve(CallerRequest request) {
+        return resolve(request, OptionalLong.of(0));
+    }
+
+    OutcomeAnswer.State resolve(CallerRequest request, OptionalLong sentAgoMs) {
         return core.resolve(
-                        new OutcomeQuery(request.id(), SERVICE, request.key().map(Key::hash)))
+                        new OutcomeQuery(request.id(), SERVICE, request.key().map(Key::hash), sentAgoMs))
                 .state();
     }
 
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateRequestTest.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateRequestTest.java
@@ -22,6 +22,19 @@
 
 /** Tests the answers to requests and outcome queries: failed calls, retries, deadlines and cancellation. */
 class GateRequestTest {
+    /**
+     * A daemon that was killed resumed its member without records, barred a payment that its previous process had sent to
+     * the server, and the sender ran it again.
+     */
+    @ParameterizedTest
+    @CsvSource({"100, 500, UNKNOWN", "500, 100, BARRED", "500, , UNKNOWN"})
+    void requestSentBeforeTheGateStartedIsNotReportedAsNotRun(int gateAgeMs, Long sentAgoMs, State expected) {
+        GateFixture resumed = new GateFixture().startServing(2);
+        resumed.timers.advanceMs(gateAgeMs);
+        OptionalLong sentAgo = sentAgoMs == null ? OptionalLong.empty() : OptionalLong.of(sentAgoMs);
+        assertThat(resumed.resolve(resumed.newPost("k"), sentAgo)).isEqualTo(expected);
+    }
+
     private static final OptionalLong FIRST_ATTEMPT_AGE = OptionalLong.of(0);
 
     private final GateFixture gate = new GateFixture().startServing(2);
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateCore.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateCore.java
@@ -95,12 +95,17 @@
     /**
      * Returns what this gate knows about executions that a query can refer to.
      *
-     * <p>A query reaches only the member that the request was sent to, and a gate does not outlive its member.
-     * Therefore only executions can be missing that another gate began after this one released the range. The query
-     * cannot refer to one of them any more once the range has been served again for the maximum deadline.
+     * <p>A query reaches only the member that the request was sent to. A daemon that restarts may resume its member, so
+     * an earlier process may have handled a request that was sent before this gate started. For a request that was sent
+     * later, the gate lacks only executions that another gate began after this one released the range. The query cannot
+     * refer to one of them any more once the range has been served again for the maximum deadline.
      */
     private RangeHistory rangeHistory(OutcomeQuery query, long nowNanos) {
         ServiceConfig config = context.serviceConfig();
+        long sentAgoMs = query.sentAgoMs().orElse(config.maxDeadlineMs());
+        if (TimeUnit.MILLISECONDS.toNanos(sentAgoMs) > nowNanos - startedAtNanos) {
+            return RangeHistory.INCOMPLETE;
+        }
         if (!config.keyed()) {
             return RangeHistory.COMPLETE;
         }
--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/IngressFixture.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/IngressFixture.java
@@ -77,7 +77,8 @@
                         new Region("east"),
                         new FailureDomain("east-a"),
                         Optional.empty(),
-                        SingleThreadExecutor::new),
+                        SingleThreadExecutor::new,
+                        timers.clock()),
                 options);
         address = ingress.start(LOOPBACK);
         client = new HttpClient(eventLoopGroup, address, HttpClientOptions.DEFAULTS);
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/IngressDependencies.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/IngressDependencies.java
@@ -12,6 +12,7 @@
 import org.coriandercrank.kernel.peer.PeerClient;
 import org.coriandercrank.kernel.peer.PeerHandlers;
 import org.coriandercrank.kernel.plugin.PluginRegistry;
+import org.coriandercrank.kernel.time.MonotonicClock;
 import org.coriandercrank.kernel.time.TimerService;
 
 /**
@@ -23,6 +24,7 @@
  * @param ownerGate the gate of the backend server beside this daemon
  * @param protocol the caller protocol; empty for the native protocol of this project
  * @param executorFactory creates the executor that routes requests
+ * @param suspensionAwareClock measures the age of attempts; it should include the time in which the host is suspended
  */
 public record IngressDependencies(
         EventLoopGroup ioGroup,
@@ -37,4 +39,5 @@
         Region region,
         FailureDomain failureDomain,
         Optional<CallerProtocol> protocol,
-        SerialExecutor.Factory executorFactory) {}
+        SerialExecutor.Factory executorFactory,
+        MonotonicClock suspensionAwareClock) {}
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
@@ -38,9 +38,16 @@
      * @param generation generation of the service's table in that snapshot
      * @param number number of the send, from 1 on
      * @param reason why the request was sent, for the decision log
+     * @param sentAtNanos time of the send on the clock that includes suspensions of the host
      */
     record Attempt(
-            Target target, RequestId id, RoutingSnapshot snapshot, Generation generation, int number, String reason) {}
+            Target target,
+            RequestId id,
+            RoutingSnapshot snapshot,
+            Generation generation,
+            int number,
+            String reason,
+            long sentAtNanos) {}
 
     AttemptSender(DispatchContext context, RequestDispatch dispatch, AttemptHistory history) {
         this.context = context;
@@ -52,7 +59,14 @@
     void send(Target target, CallerRequest request, RoutingSnapshot snapshot, String reason) {
         history.recordSend();
         Generation generation = dispatch.generationIn(snapshot);
-        Attempt attempt = new Attempt(target, request.id(), snapshot, generation, history.sendCount(), reason);
+        Attempt attempt = new Attempt(
+                target,
+                request.id(),
+                snapshot,
+                generation,
+                history.sendCount(),
+                reason,
+                context.suspensionAwareNanos());
         outstanding = Optional.of(attempt);
         if (isLoadBalanced()) {
             context.balancer().recordSend(target.member(), context.nowNanos());
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/DispatchContext.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/DispatchContext.java
@@ -38,6 +38,11 @@
         return dependencies.timers().clock().nowNanos();
     }
 
+    /** Time of the clock that includes the time in which the host is suspended. */
+    long suspensionAwareNanos() {
+        return dependencies.suspensionAwareClock().nowNanos();
+    }
+
     /** Time until a deadline, rounded down to milliseconds; 0 if it has passed. */
     long msUntil(long deadlineNanos) {
         return Math.max(0, TimeUnit.NANOSECONDS.toMillis(deadlineNanos - nowNanos()));
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/OutcomeResolver.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/OutcomeResolver.java
@@ -1,5 +1,7 @@
 package org.coriandercrank.ingress.internal.routing;
 
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import org.coriandercrank.ingress.internal.routing.AttemptSender.Attempt;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
@@ -17,6 +19,9 @@
  * caller gets {@code OUTCOME_UNKNOWN} as soon as that member can no longer answer, and at the deadline at the latest.
  */
 final class OutcomeResolver {
+    /** Covers the rounding of the clocks; the age of the attempt must not be stated too low. */
+    private static final long SENT_AGO_MARGIN_MS = 50;
+
     private final DispatchContext context;
     private final RequestDispatch dispatch;
     private final AttemptHistory history;
@@ -47,7 +52,10 @@
             return;
         }
         context.metrics().countOutcomeQuery();
-        OutcomeQuery query = new OutcomeQuery(attempt.id(), dispatch.request().service(), dispatch.keyHash());
+        long sentAgoMs = TimeUnit.NANOSECONDS.toMillis(context.suspensionAwareNanos() - attempt.sentAtNanos())
+                + SENT_AGO_MARGIN_MS;
+        OutcomeQuery query = new OutcomeQuery(
+                attempt.id(), dispatch.request().service(), dispatch.keyHash(), OptionalLong.of(sentAgoMs));
         context.dependencies()
                 .peerClient()
                 .call(
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/message/OutcomeQuery.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/message/OutcomeQuery.java
@@ -1,6 +1,7 @@
 package org.coriandercrank.kernel.message;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.coriandercrank.kernel.id.KeyHash;
 import org.coriandercrank.kernel.id.RequestId;
 import org.coriandercrank.kernel.id.ServiceName;
@@ -10,5 +11,8 @@
  * Immutable.
  *
  * @param keyHash empty for an unkeyed service
+ * @param sentAgoMs time in milliseconds since the request was sent to the gate, including time in which the sender was
+ *     suspended; empty if the sender does not state it
  */
-public record OutcomeQuery(RequestId requestId, ServiceName service, Optional<KeyHash> keyHash) implements Message {}
+public record OutcomeQuery(RequestId requestId, ServiceName service, Optional<KeyHash> keyHash, OptionalLong sentAgoMs)
+        implements Message {}
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/FieldReader.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/FieldReader.java
@@ -63,6 +63,11 @@
         return result;
     }
 
+    /** Whether fields follow that the sender's version has and earlier versions lack. */
+    boolean hasMore() throws IOException {
+        return unpacker.hasNext();
+    }
+
     /** Rejects a frame that declares more content than it has, before memory is allocated for that content. */
     private int checkLength(int length) throws IOException {
         if (length > frameBytes) {
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/MessageCodec.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/MessageCodec.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.message.CallFailure;
@@ -164,11 +165,19 @@
         register(
                 23,
                 OutcomeQuery.class,
-                (out, m) -> out.string(m.requestId())
-                        .string(m.service())
-                        .optional(m.keyHash(), (o, hash) -> o.int64(hash.value())),
+                (out, m) -> {
+                    out.string(m.requestId())
+                            .string(m.service())
+                            .optional(m.keyHash(), (o, hash) -> o.int64(hash.value()));
+                    if (m.sentAgoMs().isPresent()) {
+                        out.int64(m.sentAgoMs().getAsLong());
+                    }
+                },
                 in -> new OutcomeQuery(
-                        ValueFields.requestId(in), ValueFields.serviceName(in), in.optional(ValueFields::keyHash)));
+                        ValueFields.requestId(in),
+                        ValueFields.serviceName(in),
+                        in.optional(ValueFields::keyHash),
+                        in.hasMore() ? OptionalLong.of(in.int64()) : OptionalLong.empty()));
         register(
                 24,
                 OutcomeAnswer.class,
