Ignore heartbeats that are older than the end of their server

What operators saw: a server that had deregistered or ended was in use again. Cause: a heartbeat that was under way at the deregistration counted as its withdrawal, and one that arrived after the detach attached the server anew, because sequence numbers were compared only while attached. Change: a deregistration counts as a statement like those in responses, and sequence numbers of the last server are kept. Ruled out: new incarnations, which have a later birth time.

--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/test/MemberLifecycleTest.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/test/MemberLifecycleTest.java
@@ -85,6 +85,27 @@
         assertThat(lifecycle.onLeavingStated(OTHER, 2_200 * NANOS_PER_MS)).isEmpty();
     }
 
+    /** A heartbeat that was sent before the deregistration arrived after it, and the server received requests again. */
+    @Test
+    void heartbeatUnderWayDoesNotWithdrawADeregistration() {
+        lifecycle.onHeartbeat(FIRST, nextSequence++, false, 0);
+        lifecycle.onDeregister("i-1", 100 * NANOS_PER_MS);
+        assertThat(lifecycle.onHeartbeat(FIRST, nextSequence++, false, 900 * NANOS_PER_MS))
+                .isEmpty();
+        assertThat(lifecycle.onTick(2_100 * NANOS_PER_MS)).containsExactly(new Action.Drain(FIRST));
+    }
+
+    /** An old heartbeat that arrived after its server had ended brought the server back until it was silent again. */
+    @Test
+    void outdatedHeartbeatDoesNotBringBackAServerThatEnded() {
+        lifecycle.onHeartbeat(FIRST, 5, false, 0);
+        lifecycle.onHeartbeat(FIRST, 7, true, 100 * NANOS_PER_MS);
+        lifecycle.onTick(5_100 * NANOS_PER_MS);
+        assertThat(lifecycle.currentServer()).isEmpty();
+        assertThat(lifecycle.onHeartbeat(FIRST, 6, false, 5_200 * NANOS_PER_MS)).isEmpty();
+        assertThat(lifecycle.onHeartbeat(FIRST, 8, false, 5_300 * NANOS_PER_MS)).isNotEmpty();
+    }
+
     /** A heartbeat that was sent before the statement must not be taken for its withdrawal. */
     @Test
     void heartbeatUnderWayDoesNotWithdrawAStatedLeaving() {
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/MemberLifecycle.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/MemberLifecycle.java
@@ -62,7 +62,7 @@
     private Optional<ServerIncarnation> currentServer = Optional.empty();
     private Optional<ServerIncarnation> previousServer = Optional.empty();
 
-    /** Sequence of the latest heartbeat of the current server. */
+    /** Sequence of the latest heartbeat of the current server, or of the previous one if there is none. */
     private long lastSequence;
 
     /** Number of successive members of the current server. */
@@ -74,7 +74,7 @@
     private long lastHeartbeatNanos;
     private long leavingSinceNanos;
 
-    /** Time of the latest response in which the current server stated that it is leaving. */
+    /** Time at which the current server last stated, other than by a heartbeat, that it is leaving. */
     private OptionalLong leavingStatedNanos = OptionalLong.empty();
 
     private long withoutServerSinceNanos;
@@ -99,7 +99,8 @@
     public List<Action> onHeartbeat(ServerIncarnation server, long sequence, boolean serverLeaving, long nowNanos) {
         List<Action> actions = new ArrayList<>();
         boolean sameServer = currentServer.equals(Optional.of(server));
-        if (isOutdated(server) || (sameServer && sequence <= lastSequence)) {
+        boolean sameIncarnation = newestServer().equals(Optional.of(server));
+        if (isOutdated(server) || (sameIncarnation && sequence <= lastSequence)) {
             return actions;
         }
         lastSequence = sequence;
@@ -121,6 +122,7 @@
     public List<Action> onDeregister(String id, long nowNanos) {
         List<Action> actions = new ArrayList<>();
         if (currentServer.isPresent() && currentServer.get().id().equals(id)) {
+            leavingStatedNanos = OptionalLong.of(nowNanos);
             leave(nowNanos, actions);
         }
         return actions;
@@ -178,8 +180,12 @@
                 && !hasElapsed(leavingStatedNanos.getAsLong(), timeouts.silenceTimeoutMs(), nowNanos);
     }
 
+    private Optional<ServerIncarnation> newestServer() {
+        return currentServer.isPresent() ? currentServer : previousServer;
+    }
+
     private boolean isOutdated(ServerIncarnation server) {
-        Optional<ServerIncarnation> newest = currentServer.isPresent() ? currentServer : previousServer;
+        Optional<ServerIncarnation> newest = newestServer();
         return newest.isPresent() && server.bornMs() < newest.get().bornMs();
     }
 
