--- a/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/MembershipTest.java
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/MembershipTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.coriandercrank.control.ControlStatus;
+import org.coriandercrank.control.JoinParameters;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.table.MemberState;
 import org.junit.jupiter.api.Test;
@@ -42,6 +43,27 @@
         }
     }
 
+    /** A daemon that was killed while its server was leaving announced the server as active when it resumed its member. */
+    @Test
+    void resumedMemberOfALeavingServerStaysLeaving() {
+        FakeCluster cluster = new FakeCluster(EIGHT_HOSTS);
+        FakeHost leaving = cluster.host(0);
+        MemberId id = leaving.control().self();
+        leaving.control().leave();
+        cluster.time().runFor(1_000);
+        leaving.kill();
+
+        FakeHost restarted = cluster.add("r/a");
+        restarted.control().sealSelf();
+        cluster.time().runFor(1_000);
+        restarted.control().rejoin(new JoinParameters(id, true));
+        cluster.time().runFor(1_000);
+        restarted.control().backendAnnounced(FakeCluster.backend(1));
+        cluster.time().runFor(1_000);
+        assertThat(restarted.control().self()).isEqualTo(id);
+        assertThat(cluster.record(id).orElseThrow().state()).isEqualTo(MemberState.LEAVING);
+    }
+
     @Test
     void singleMemberRenewsThroughTheStore() {
         FakeCluster cluster = new FakeCluster("r/a");
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
@@ -218,6 +218,9 @@
 
     private void join(long nowNanos) {
         desired = desired.withWitnesses(witnessReview.select(desired, false));
+        if (mayResume && isLeavingInView()) {
+            desired = desired.withState(MemberState.LEAVING);
+        }
         holder = Optional.of(new LeaseHolder(context.options().leaseTiming(), desired, nowNanos, mayResume));
         witnessReview.witnessesChanged(desired.witnesses(), nowNanos);
         context.log(
@@ -225,6 +228,13 @@
         perform(holder.get().tick(nowNanos));
     }
 
+    /** Whether an earlier process has announced that the server of this member will end. */
+    private boolean isLeavingInView() {
+        return view.member(id)
+                .map(record -> record.member().state() == MemberState.LEAVING)
+                .orElse(false);
+    }
+
     private void updateDesired(Member record) {
         if (record.equals(desired)) {
             return;
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
@@ -217,6 +217,12 @@
         return control.leave();
     }
 
+    /** Whether a member is the current one and leaving, as of at most one tick ago. */
+    public boolean isLeaving(MemberId member) {
+        ControlStatus status = control.status();
+        return status.memberId().equals(member) && status.state() == MemberState.LEAVING;
+    }
+
     /** Stops sending requests to the backend server, which is about to end. */
     public void stopSending() {
         gate.stopSending();
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/MemberLifecycle.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/MemberLifecycle.java
@@ -89,6 +89,11 @@
         return currentServer;
     }
 
+    /** Whether the attached server has announced that it will end. */
+    public boolean isLeaving() {
+        return leaving;
+    }
+
     /**
      * Handles a heartbeat.
      *
