Log a fingerprint that stays the same when a request comes again

Cause: a request comes again with a new id each time, and log lines name only ids, so no line tells that two ids are the same request. Daemons of an earlier version ignore the field at the end. Ruled out: all headers (finer than what stays the same); the path alone (an answer to another query would clear it).

--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/protocol/RequestParser.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/protocol/RequestParser.java
@@ -12,6 +12,7 @@
 import org.coriandercrank.kernel.config.ServiceConfig;
 import org.coriandercrank.kernel.id.IdempotencyKey;
 import org.coriandercrank.kernel.id.Key;
+import org.coriandercrank.kernel.id.RequestFingerprint;
 import org.coriandercrank.kernel.id.RequestId;
 import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.id.ServiceName;
@@ -105,10 +106,23 @@
                 deadlineMs,
                 idempotencyKey,
                 keyAgeMs,
-                Optional.empty());
+                Optional.empty(),
+                Optional.of(fingerprint(httpRequest, service, key)));
         return ParsedRequest.accepted(request, service);
     }
 
+    /** Covers the service and key too, which a caller may state in headers. Callers have no identity in this protocol. */
+    private static RequestFingerprint fingerprint(HttpRequest httpRequest, ServiceConfig service, Optional<Key> key) {
+        return RequestFingerprint.of(
+                "",
+                List.of(
+                        httpRequest.method(),
+                        httpRequest.target(),
+                        service.name().value(),
+                        key.map(Key::value).orElse("")),
+                httpRequest.body());
+    }
+
     private static Address parseAddress(HttpRequest httpRequest) {
         if (!httpRequest.target().startsWith("/")) {
             throw new CrankException(ResultCode.BAD_REQUEST, "path: must start with a slash");
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
@@ -365,6 +365,8 @@
                             + " keyHash=" + keyHash.map(Object::toString).orElse("-")
                             + " owner=" + lastTarget.map(Object::toString).orElse("-")
                             + " request=" + request.id()
+                            + " fingerprint="
+                            + request.fingerprint().map(Object::toString).orElse("-")
                             + " attempt=" + history.sendCount()
                             + " result=" + code
                             + " latencyMs=" + latencyMs);
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/request/CallerRequest.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/request/CallerRequest.java
@@ -7,6 +7,7 @@
 import org.coriandercrank.kernel.config.ServiceConfig;
 import org.coriandercrank.kernel.id.IdempotencyKey;
 import org.coriandercrank.kernel.id.Key;
+import org.coriandercrank.kernel.id.RequestFingerprint;
 import org.coriandercrank.kernel.id.RequestId;
 import org.coriandercrank.kernel.id.ServiceName;
 
@@ -20,6 +21,7 @@
  * @param remainingMs time in milliseconds until the deadline, measured when the request was passed on
  * @param idempotencyKeyAgeMs time in milliseconds since the first attempt of the caller with the key, if stated
  * @param rules rules of the route of the request; empty if the configuration of its service applies
+ * @param fingerprint empty if the daemon that received the request does not compute it
  */
 public record CallerRequest(
         RequestId id,
@@ -32,7 +34,8 @@
         long remainingMs,
         Optional<IdempotencyKey> idempotencyKey,
         OptionalLong idempotencyKeyAgeMs,
-        Optional<RequestRules> rules) {
+        Optional<RequestRules> rules,
+        Optional<RequestFingerprint> fingerprint) {
     public CallerRequest {
         headers = List.copyOf(headers);
         if (remainingMs < 0) {
@@ -40,6 +43,34 @@
         }
     }
 
+    /** Creates a request without a fingerprint. */
+    public CallerRequest(
+            RequestId id,
+            ServiceName service,
+            Optional<Key> key,
+            String method,
+            String path,
+            List<Header> headers,
+            byte[] body,
+            long remainingMs,
+            Optional<IdempotencyKey> idempotencyKey,
+            OptionalLong idempotencyKeyAgeMs,
+            Optional<RequestRules> rules) {
+        this(
+                id,
+                service,
+                key,
+                method,
+                path,
+                headers,
+                body,
+                remainingMs,
+                idempotencyKey,
+                idempotencyKeyAgeMs,
+                rules,
+                Optional.empty());
+    }
+
     /** Whether the request may be executed more than once. */
     public boolean isRepeatable(ServiceConfig config) {
         return rules.map(RequestRules::repeatable).orElseGet(() -> config.isRepeatable(method));
@@ -57,7 +88,8 @@
                 remainingMs,
                 idempotencyKey,
                 idempotencyKeyAgeMs,
-                rules);
+                rules,
+                fingerprint);
     }
 
     public CallerRequest withRemainingMs(long newRemainingMs) {
@@ -72,6 +104,23 @@
                 newRemainingMs,
                 idempotencyKey,
                 idempotencyKeyAgeMs,
-                rules);
+                rules,
+                fingerprint);
+    }
+
+    public CallerRequest withFingerprint(Optional<RequestFingerprint> newFingerprint) {
+        return new CallerRequest(
+                id,
+                service,
+                key,
+                method,
+                path,
+                headers,
+                body,
+                remainingMs,
+                idempotencyKey,
+                idempotencyKeyAgeMs,
+                rules,
+                newFingerprint);
     }
 }
--- a/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/internal/MessageCodecTest.java
+++ b/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/internal/MessageCodecTest.java
@@ -17,6 +17,7 @@
 import org.coriandercrank.kernel.id.Key;
 import org.coriandercrank.kernel.id.KeyHash;
 import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.RequestFingerprint;
 import org.coriandercrank.kernel.id.RequestId;
 import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.id.ServiceName;
@@ -92,6 +93,9 @@
                 new RefusalAnswer(MEMBER, false, 120),
                 new RefusalNotice(MEMBER, new Revision(8)),
                 new ForwardRequest(REQUEST, new Generation(5)),
+                new ForwardRequest(
+                        REQUEST.withFingerprint(Optional.of(new RequestFingerprint(0x9e3779b97f4a7c15L))),
+                        new Generation(5)),
                 new ForwardAnswer(ANSWER, new Generation(6), new GateLoad(5, 18, 210.5)),
                 new CancelRequest(new RequestId("r-1")),
                 new OutcomeQuery(new RequestId("r-1"), SERVICE, Optional.of(KeyHash.MAX), OptionalLong.of(1_000_000)),
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/MessageCodec.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/MessageCodec.java
@@ -3,9 +3,12 @@
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.RequestFingerprint;
 import org.coriandercrank.kernel.message.CallFailure;
 import org.coriandercrank.kernel.message.CancelRequest;
 import org.coriandercrank.kernel.message.FetchObject;
@@ -27,6 +30,7 @@
 import org.coriandercrank.kernel.message.RefusalRequest;
 import org.coriandercrank.kernel.message.ReleaseAnswer;
 import org.coriandercrank.kernel.message.ReleaseRequest;
+import org.coriandercrank.kernel.request.CallerRequest;
 import org.msgpack.core.MessagePackException;
 
 /**
@@ -146,8 +150,11 @@
                 (out, m) -> {
                     ValueFields.writeRequest(out, m.request());
                     out.int64(m.tableGeneration().value());
+                    if (m.request().fingerprint().isPresent()) {
+                        out.int64(m.request().fingerprint().get().value());
+                    }
                 },
-                in -> new ForwardRequest(ValueFields.request(in), ValueFields.generation(in)));
+                MessageCodec::forwardRequest);
         register(
                 21,
                 ForwardAnswer.class,
@@ -185,6 +192,15 @@
                 in -> new OutcomeAnswer(OutcomeAnswer.State.valueOf(in.string()), in.optional(ValueFields::answer)));
     }
 
+    /** Reads a forwarded request. The fingerprint comes last, because daemons of an earlier version do not know it. */
+    private static ForwardRequest forwardRequest(FieldReader in) throws IOException {
+        CallerRequest request = ValueFields.request(in);
+        Generation generation = ValueFields.generation(in);
+        Optional<RequestFingerprint> fingerprint =
+                in.hasMore() ? Optional.of(new RequestFingerprint(in.int64())) : Optional.empty();
+        return new ForwardRequest(request.withFingerprint(fingerprint), generation);
+    }
+
     private static void registerControlMessages() {
         register(
                 30,
