--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/BackendSettings.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/BackendSettings.java
@@ -55,6 +55,9 @@
     @Option(name = "--health-lag-ms", usage = "age of the state that the health and load endpoints report")
     long healthLagMs = 0;
 
+    @Option(name = "--crash-path", usage = "path prefix of requests that end the process; empty: none")
+    String crashPath = "";
+
     @Option(name = "--ledger-file", usage = "file to which each execution is appended as a JSON line; empty: none")
     String ledgerFile = "";
 
@@ -106,6 +109,7 @@
                 coldStartFactor,
                 healthLagMs,
                 faultSeed,
-                ledgerFile);
+                ledgerFile,
+                crashPath);
     }
 }
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendEngine.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendEngine.java
@@ -28,6 +28,9 @@
  * twice.
  */
 final class BackendEngine {
+    /** Exit code of a process that a request ended. */
+    private static final int CRASH_EXIT_CODE = 70;
+
     private static final int STATUS_REJECTED = 409;
     private static final int STATUS_CANCELLED = 499;
     private static final int STATUS_UNAVAILABLE = 503;
@@ -163,6 +166,9 @@
         if (request.done || rejectIfNotAllowed(request)) {
             return;
         }
+        if (options.isCrashing(request.httpRequest.path())) {
+            Runtime.getRuntime().halt(CRASH_EXIT_CODE);
+        }
         HttpResponse response = values.apply(request.valueName(), request.httpRequest);
         ledger.append(new LedgerEntry(
                 request.startOrder,
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendOptions.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendOptions.java
@@ -13,6 +13,7 @@
  * @param healthLagMs age of the state that the health and load endpoints report
  * @param faultSeed seed of the faults that occur with a probability
  * @param ledgerFile file to which each execution is appended as a JSON line; empty for none
+ * @param crashPath path prefix of requests that end the process at the end of their service time; empty for none
  */
 public record BackendOptions(
         BackendInfo info,
@@ -22,4 +23,10 @@
         double coldStartFactor,
         long healthLagMs,
         long faultSeed,
-        String ledgerFile) {}
+        String ledgerFile,
+        String crashPath) {
+    /** Whether a request with this path ends the process. */
+    boolean isCrashing(String path) {
+        return !crashPath.isEmpty() && path.startsWith(crashPath);
+    }
+}
--- a/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/TestCluster.java
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/TestCluster.java
@@ -77,8 +77,12 @@
 
     /** Starts all hosts, submits a release note and waits until every host of the keyed service serves ranges. */
     static TestCluster start(Path directory, List<HostSpec> specs, String note) {
+        return start(directory, specs, note, DEFAULT_BACKEND_FLAGS);
+    }
+
+    static TestCluster start(Path directory, List<HostSpec> specs, String note, List<String> backendFlags) {
         TestCluster cluster = new TestCluster(directory, specs);
-        cluster.startHosts(specs.size(), List.of(DEFAULT_BACKEND_FLAGS), note);
+        cluster.startHosts(specs.size(), List.of(backendFlags), note);
         return cluster;
     }
 
