Spread crashes of servers with the requests that ran in member records

What a request did to a server was forgotten with its answer. Change: a daemon writes crashes of its server, with the fingerprints of what ran, and retractions by later answers into its member record, which all daemons get already, and sends new ones to 128 members itself. Ruled out: an object of its own kind (a watch more in each region), heartbeats alone (a daemon that starts learns nothing).

--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlPlane.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlPlane.java
@@ -10,6 +10,7 @@
 import org.coriandercrank.kernel.concurrent.SerialExecutor;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.ownership.LeaseView;
+import org.coriandercrank.kernel.ownership.RequestQuarantine;
 import org.coriandercrank.kernel.ownership.RoutingView;
 import org.coriandercrank.kernel.table.BackendInfo;
 
@@ -96,6 +97,11 @@
         return loop.lease();
     }
 
+    /** Returns what the daemons know about requests that crash backend servers. */
+    public RequestQuarantine quarantine() {
+        return loop.quarantine();
+    }
+
     /** Adds a listener that is notified when others end an incarnation of this daemon. */
     public void addIncarnationListener(IncarnationListener listener) {
         loop.addIncarnationListener(listener);
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
@@ -50,6 +50,7 @@
     private final Map<ServiceName, AssignmentTable> tables = new HashMap<>();
     private final Map<MemberId, VersionedMember> members = new HashMap<>();
     private final Map<MemberId, Long> revisionSeenNanos = new HashMap<>();
+    private final Consumer<Member> memberListener;
     private final List<Consumer<RoutingSnapshot>> listeners = new CopyOnWriteArrayList<>();
     private final List<Waiter> waiters = new ArrayList<>();
     private Configuration configuration = Configuration.EMPTY;
@@ -57,8 +58,10 @@
     private long snapshotVersion;
     private volatile RoutingSnapshot snapshot;
 
-    public ClusterView(ControlContext context, MemberId self) {
+    /** @param memberListener called on the control thread with each member record that is new or has changed */
+    public ClusterView(ControlContext context, MemberId self, Consumer<Member> memberListener) {
         this.context = context;
+        this.memberListener = memberListener;
         this.snapshot = RoutingSnapshot.empty(self);
         for (FetchObject.Kind kind : FetchObject.Kind.values()) {
             caches.put(kind, new ObjectCache(kind));
@@ -203,6 +206,7 @@
         }
         members.put(id, new VersionedMember(member, change.revision()));
         revisionSeenNanos.put(id, context.nowNanos());
+        memberListener.accept(member);
     }
 
     private void decodeTable(StoredObject change) {
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
@@ -19,6 +19,7 @@
 import org.coriandercrank.kernel.message.RefusalNotice;
 import org.coriandercrank.kernel.message.RefusalRequest;
 import org.coriandercrank.kernel.ownership.LeaseView;
+import org.coriandercrank.kernel.ownership.RequestQuarantine;
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
 import org.coriandercrank.kernel.ownership.RoutingView;
 import org.coriandercrank.kernel.peer.PeerHandlers;
@@ -47,6 +48,7 @@
     private final ClusterView view;
     private final Dissemination dissemination;
     private final ControlMetrics metrics;
+    private final QuarantineLedger quarantine;
     private final TakeoverCoordinator takeovers;
     private final PredecessorSealer predecessors;
     private final List<IncarnationListener> incarnationListeners = new CopyOnWriteArrayList<>();
@@ -66,11 +68,16 @@
         joinRequested = initial.isPresent();
         JoinParameters parameters = initial.orElseGet(() -> new JoinParameters(newMemberId(context), false));
         MemberId self = parameters.id();
-        view = new ClusterView(context, self);
+        quarantine = new QuarantineLedger(
+                context.dependencies().timers().clock(),
+                context.identity().peerAddress(),
+                () -> context.execute(this::publishCrashReports));
+        view = new ClusterView(context, self, quarantine::adopt);
         metrics = new ControlMetrics(
                 context.dependencies().meterRegistry(),
                 () -> status.leaseRemainingMs(),
-                () -> status.takeovers().size());
+                () -> status.takeovers().size(),
+                quarantine::quarantinedRequests);
         dissemination = new Dissemination(context, view, metrics);
         takeovers = new TakeoverCoordinator(context, view, metrics, self);
         predecessors = new PredecessorSealer(context, view);
@@ -99,6 +106,11 @@
         return () -> context.nowNanos() + membership.validUntilNanos() - context.leaseNowNanos();
     }
 
+    /** Returns what the daemons know about requests that crash backend servers. */
+    public RequestQuarantine quarantine() {
+        return quarantine;
+    }
+
     public void addIncarnationListener(IncarnationListener listener) {
         incarnationListeners.add(listener);
     }
@@ -158,7 +170,12 @@
     }
 
     private Membership newMembership(JoinParameters parameters) {
-        return new Membership(context, parameters, view, dissemination, metrics, this::incarnationEnded);
+        return new Membership(
+                context, parameters, view, dissemination, metrics, quarantine::ownReports, this::incarnationEnded);
+    }
+
+    private void publishCrashReports() {
+        membership.crashReportsChanged();
     }
 
     private void registerHandlers(PeerHandlers handlers) {
@@ -212,6 +229,7 @@
                 predecessors.tick(membership.id());
             }
         }
+        quarantine.expire();
         dissemination.tick(membership.desired(), joinRequested, membership.suspects(), nowNanos);
         status = buildStatus();
     }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlMetrics.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlMetrics.java
@@ -14,7 +14,11 @@
     private final Counter fetches;
     private final Counter recordWrites;
 
-    public ControlMetrics(MeterRegistry registry, Supplier<Number> leaseRemainingMs, Supplier<Number> takeovers) {
+    public ControlMetrics(
+            MeterRegistry registry,
+            Supplier<Number> leaseRemainingMs,
+            Supplier<Number> takeovers,
+            Supplier<Number> quarantinedRequests) {
         heartbeats = registry.counter("crank.control.heartbeats.sent");
         refusals = registry.counter("crank.control.refusals");
         seals = registry.counter("crank.control.seals");
@@ -23,6 +27,7 @@
         recordWrites = registry.counter("crank.control.record.writes");
         Gauge.builder("crank.lease.remaining.ms", leaseRemainingMs).register(registry);
         Gauge.builder("crank.control.takeovers.running", takeovers).register(registry);
+        Gauge.builder("crank.control.quarantined.requests", quarantinedRequests).register(registry);
     }
 
     public void heartbeatSent() {
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
@@ -7,14 +7,17 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.coriandercrank.control.IncarnationListener;
 import org.coriandercrank.control.JoinParameters;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.message.FetchObject;
 import org.coriandercrank.kernel.message.Heartbeat;
 import org.coriandercrank.kernel.message.HeartbeatAck;
+import org.coriandercrank.kernel.message.ObjectData;
 import org.coriandercrank.kernel.ownership.LeaseView;
 import org.coriandercrank.kernel.ownership.VersionedMember;
 import org.coriandercrank.kernel.peer.PeerTarget;
@@ -22,6 +25,7 @@
 import org.coriandercrank.kernel.store.ObjectNames;
 import org.coriandercrank.kernel.store.StoredObject;
 import org.coriandercrank.kernel.table.BackendInfo;
+import org.coriandercrank.kernel.table.CrashReports;
 import org.coriandercrank.kernel.table.Member;
 import org.coriandercrank.kernel.table.MemberState;
 import org.coriandercrank.lease.HolderAction;
@@ -41,10 +45,17 @@
     private static final long NANOS_PER_MS = 1_000_000;
     private static final long WITNESS_REVIEW_INTERVAL_NANOS = 200 * NANOS_PER_MS;
 
+    /** After an outage of the store, all daemons must learn within seconds which requests crash servers. */
+    private static final long MAX_CRASH_REPORT_RETRY_NANOS = 500 * NANOS_PER_MS;
+
+    /** Bounds the bytes that one crash costs the daemon that reports it. */
+    private static final int MAX_CRASH_REPORT_RECEIVERS = 128;
+
     private final ControlContext context;
     private final ClusterView view;
     private final Dissemination dissemination;
     private final ControlMetrics metrics;
+    private final Supplier<Optional<CrashReports>> crashReports;
     private final IncarnationListener incarnationListener;
     private final MemberId id;
     private final boolean mayResume;
@@ -57,14 +68,17 @@
     private long lastReviewNanos;
     private long lastHeartbeatNanos;
     private boolean abandoned;
+    private Optional<CrashReports> pushedReports = Optional.empty();
     private volatile long validUntilNanos;
 
+    /** @param crashReports supplies the crash reports that the record must have */
     public Membership(
             ControlContext context,
             JoinParameters parameters,
             ClusterView view,
             Dissemination dissemination,
             ControlMetrics metrics,
+            Supplier<Optional<CrashReports>> crashReports,
             IncarnationListener incarnationListener) {
         this.context = context;
         this.id = parameters.id();
@@ -72,6 +86,7 @@
         this.view = view;
         this.dissemination = dissemination;
         this.metrics = metrics;
+        this.crashReports = crashReports;
         this.incarnationListener = incarnationListener;
         long nowNanos = context.leaseNowNanos();
         this.startedNanos = nowNanos;
@@ -87,7 +102,8 @@
                 context.identity().failureDomain(),
                 MemberState.JOINING,
                 Optional.empty(),
-                List.of());
+                List.of(),
+                crashReports.get());
     }
 
     @Override
@@ -153,6 +169,9 @@
             return;
         }
         LeaseHolder lease = holder.get();
+        if (areCrashReportsUnpublished()) {
+            lease.limitBackoff(MAX_CRASH_REPORT_RETRY_NANOS, nowNanos);
+        }
         perform(lease.tick(nowNanos));
         if (nowNanos - lastReviewNanos >= WITNESS_REVIEW_INTERVAL_NANOS && !lease.isEnded()) {
             lastReviewNanos = nowNanos;
@@ -164,6 +183,12 @@
         }
     }
 
+    private boolean areCrashReportsUnpublished() {
+        return confirmed()
+                .map(record -> !record.member().crashReports().equals(desired.crashReports()))
+                .orElse(desired.crashReports().isPresent());
+    }
+
     /** Handles the announcement of a backend server; an unchanged announcement has no effect. */
     public void backendAnnounced(BackendInfo backend) {
         if (desired.state() == MemberState.JOINING || desired.state() == MemberState.ACTIVE) {
@@ -171,6 +196,13 @@
         }
     }
 
+    /** Writes the crash reports to the record if they have changed. */
+    public void crashReportsChanged() {
+        if (desired.state() != MemberState.SEALED && !isEnded()) {
+            updateDesired(desired.withCrashReports(crashReports.get()));
+        }
+    }
+
     /**
      * Sets the state to leaving; the future completes when the record has that state. Before the join, it prevents the
      * join.
@@ -217,7 +249,7 @@
     }
 
     private void join(long nowNanos) {
-        desired = desired.withWitnesses(witnessReview.select(desired, false));
+        desired = desired.withWitnesses(witnessReview.select(desired, false)).withCrashReports(crashReports.get());
         if (mayResume && isLeavingInView()) {
             desired = desired.withState(MemberState.LEAVING);
         }
@@ -307,15 +339,38 @@
                 (revision, failure) -> {
                     long nowNanos = context.leaseNowNanos();
                     if (failure == null) {
+                        VersionedMember written = new VersionedMember(write.record(), revision);
                         perform(lease.writeSucceeded(write.operation(), revision, nowNanos));
-                        view.applyMember(new VersionedMember(write.record(), revision));
+                        view.applyMember(written);
                         recordConfirmed();
+                        pushNewCrashReports(written);
                     } else {
                         writeFailed(lease, write, failure, nowNanos);
                     }
                 });
     }
 
+    /**
+     * Sends a record with new crash reports to the other members, which must learn of them within seconds even if the
+     * relay of their region has just failed. In a larger cluster the rest learn of them as of every change.
+     */
+    private void pushNewCrashReports(VersionedMember written) {
+        Optional<CrashReports> writtenReports = written.member().crashReports();
+        if (writtenReports.isEmpty() || writtenReports.equals(pushedReports)) {
+            return;
+        }
+        pushedReports = writtenReports;
+        StoredObject object =
+                StoredObject.of(ObjectNames.member(id), written.revision(), JsonCodec.encode(written.member()));
+        ObjectData push = new ObjectData(FetchObject.Kind.MEMBERS, Revision.NONE, false, List.of(object));
+        view.current().members().values().stream()
+                .map(VersionedMember::member)
+                .filter(other ->
+                        other.state() != MemberState.SEALED && !other.id().equals(id))
+                .limit(MAX_CRASH_REPORT_RECEIVERS)
+                .forEach(other -> context.dependencies().peerClient().send(PeerTarget.of(other), push));
+    }
+
     private void writeFailed(LeaseHolder lease, HolderAction.WriteRecord write, CrankException failure, long nowNanos) {
         context.log(() ->
                 "event=record-write-failed member=" + id + " expected=" + write.expected() + " code=" + failure.code());
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/store/OptionalModule.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/store/OptionalModule.java
@@ -24,6 +24,11 @@
     }
 
     private static final class Writer extends JsonSerializer<Optional<?>> {
+        @Override
+        public boolean isEmpty(SerializerProvider provider, Optional<?> value) {
+            return value.isEmpty();
+        }
+
         @Override
         public void serialize(Optional<?> value, JsonGenerator out, SerializerProvider provider) throws IOException {
             provider.defaultSerializeValue(value.orElse(null), out);
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/table/Member.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/table/Member.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.kernel.table;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import java.util.List;
 import java.util.Optional;
 import org.coriandercrank.kernel.id.FailureDomain;
@@ -17,6 +18,7 @@
  * @param adminAddress address for operators and metrics
  * @param backend the backend server; empty while the state is {@link MemberState#JOINING}
  * @param witnesses members that vote on the lease of this member
+ * @param crashReports crashes of its backend servers that the daemon reports; empty if there are none
  */
 public record Member(
         MemberId id,
@@ -27,19 +29,62 @@
         FailureDomain failureDomain,
         MemberState state,
         Optional<BackendInfo> backend,
-        List<MemberId> witnesses) {
+        List<MemberId> witnesses,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) Optional<CrashReports> crashReports) {
     public Member {
         witnesses = List.copyOf(witnesses);
     }
 
+    /** Creates a record without crash reports. */
+    public Member(
+            MemberId id,
+            HostAddress peerAddress,
+            HostAddress callerAddress,
+            HostAddress adminAddress,
+            Region region,
+            FailureDomain failureDomain,
+            MemberState state,
+            Optional<BackendInfo> backend,
+            List<MemberId> witnesses) {
+        this(
+                id,
+                peerAddress,
+                callerAddress,
+                adminAddress,
+                region,
+                failureDomain,
+                state,
+                backend,
+                witnesses,
+                Optional.empty());
+    }
+
     public Member withState(MemberState newState) {
         return new Member(
-                id, peerAddress, callerAddress, adminAddress, region, failureDomain, newState, backend, witnesses);
+                id,
+                peerAddress,
+                callerAddress,
+                adminAddress,
+                region,
+                failureDomain,
+                newState,
+                backend,
+                witnesses,
+                crashReports);
     }
 
     public Member withWitnesses(List<MemberId> newWitnesses) {
         return new Member(
-                id, peerAddress, callerAddress, adminAddress, region, failureDomain, state, backend, newWitnesses);
+                id,
+                peerAddress,
+                callerAddress,
+                adminAddress,
+                region,
+                failureDomain,
+                state,
+                backend,
+                newWitnesses,
+                crashReports);
     }
 
     public Member withBackend(BackendInfo newBackend) {
@@ -52,6 +97,21 @@
                 failureDomain,
                 state,
                 Optional.of(newBackend),
-                witnesses);
+                witnesses,
+                crashReports);
+    }
+
+    public Member withCrashReports(Optional<CrashReports> newReports) {
+        return new Member(
+                id,
+                peerAddress,
+                callerAddress,
+                adminAddress,
+                region,
+                failureDomain,
+                state,
+                backend,
+                witnesses,
+                newReports);
     }
 }
--- a/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/LeaseHolder.java
+++ b/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/LeaseHolder.java
@@ -130,6 +130,11 @@
         desired = newDesired;
     }
 
+    /** Repeats a failed store operation after the given delay at the latest, for content that others wait for. */
+    public void limitBackoff(long maxDelayNanos, long nowNanos) {
+        backoff.limitDelay(maxDelayNanos, nowNanos);
+    }
+
     /** Sends heartbeats and starts a store operation if they are due. */
     public List<HolderAction> tick(long nowNanos) {
         List<HolderAction> actions = new ArrayList<>();
--- a/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/StoreBackoff.java
+++ b/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/StoreBackoff.java
@@ -36,6 +36,11 @@
         delayNanos = Math.min(2 * delayNanos, timing.ttlNanos());
     }
 
+    /** Brings the next operation forward, so that it is due after the given delay at the latest. */
+    void limitDelay(long maxDelayNanos, long nowNanos) {
+        dueNanos = Nanos.earlier(dueNanos, nowNanos + maxDelayNanos);
+    }
+
     void succeeded(long nowNanos) {
         dueNanos = nowNanos;
         delayNanos = timing.ttlNanos() / INITIAL_DELAYS_PER_TTL;
