Detect crashes of servers, and hold back requests that cause them

A lost answer may mean a cut, a reset, a freeze, a planned stop or a crash. Change: after it the gate probes the server; only a refused connection, or another server at its place within 2 s, is a crash, and never one that was announced. What ran is reported, what was answered in the last 10 s is not. A gate refuses quarantined requests, also queued ones, and runs one suspect at a time. LoadForecast holds what RequestService had for expected times. Ruled out: to count lost answers (a cut would quarantine).

--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/test/MemberLifecycleTest.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/test/MemberLifecycleTest.java
@@ -32,7 +32,10 @@
     void serverRestartedUnderSameIdGetsNewMember() {
         lifecycle.onHeartbeat(FIRST, nextSequence++, false, 0);
         assertThat(lifecycle.onHeartbeat(RESTARTED, nextSequence++, false, 900 * NANOS_PER_MS))
-                .containsExactly(new Action.Detach("server-replaced", true), new Action.Attach(RESTARTED, 1, 0));
+                .containsExactly(
+                        new Action.ServerEnded(FIRST),
+                        new Action.Detach("server-replaced", true),
+                        new Action.Attach(RESTARTED, 1, 0));
     }
 
     /** A network partition can delay a heartbeat until after its sender was replaced. */
@@ -170,6 +173,9 @@
     void firstHeartbeatOfNewIncarnationIsAcceptedWithAnySequence() {
         lifecycle.onHeartbeat(FIRST, 500, false, 0);
         assertThat(lifecycle.onHeartbeat(OTHER, 1, false, 900 * NANOS_PER_MS))
-                .containsExactly(new Action.Detach("server-replaced", true), new Action.Attach(OTHER, 1, 0));
+                .containsExactly(
+                        new Action.ServerEnded(FIRST),
+                        new Action.Detach("server-replaced", true),
+                        new Action.Attach(OTHER, 1, 0));
     }
 }
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
@@ -217,6 +217,16 @@
         return control.leave();
     }
 
+    /** Notes that the process of the backend server has ended; called before {@link #detach()}. */
+    public void onServerEnded() {
+        gate.onServerEnded();
+    }
+
+    /** Notes that the backend server announced its end; it still receives requests. */
+    public void onServerLeaving() {
+        gate.onServerLeaving();
+    }
+
     /** Whether a member is the current one and leaving, as of at most one tick ago. */
     public boolean isLeaving(MemberId member) {
         ControlStatus status = control.status();
@@ -293,7 +303,8 @@
                         services.timers(),
                         services.routingLog(),
                         services.metrics(),
-                        services.executors()),
+                        services.executors(),
+                        control.quarantine()),
                 options.gate());
     }
 
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/MemberLifecycle.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/MemberLifecycle.java
@@ -39,6 +39,9 @@
          */
         record Detach(String reason, boolean replaced) implements Action {}
 
+        /** Note that the process of the server has ended, because another one has started in its place. */
+        record ServerEnded(ServerIncarnation server) implements Action {}
+
         /** Mark the member as leaving, so that the planner moves its ranges; the server still receives requests. */
         record Leave(ServerIncarnation server) implements Action {}
 
@@ -110,6 +113,9 @@
         }
         lastSequence = sequence;
         boolean leaveWithdrawn = leaving && !serverLeaving && sameServer && !mayPrecedeStatement(nowNanos);
+        if (currentServer.isPresent() && !sameServer) {
+            actions.add(new Action.ServerEnded(currentServer.get()));
+        }
         if (leaveWithdrawn || (currentServer.isPresent() && !sameServer)) {
             detach(leaveWithdrawn ? "server-returned" : "server-replaced", true, nowNanos, actions);
         }
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/LocalGate.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/LocalGate.java
@@ -74,6 +74,16 @@
         currentGate().ifPresent(Gate::detach);
     }
 
+    @Override
+    public void onServerEnded() {
+        currentGate().ifPresent(Gate::onServerEnded);
+    }
+
+    @Override
+    public void onServerLeaving() {
+        currentGate().ifPresent(Gate::onServerLeaving);
+    }
+
     @Override
     public void stopSending() {
         currentGate().ifPresent(Gate::stopSending);
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/CancelledSubmissionTest.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/CancelledSubmissionTest.java
@@ -15,6 +15,7 @@
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.HostAddress;
 import org.coriandercrank.kernel.log.DecisionLog;
+import org.coriandercrank.kernel.ownership.RequestQuarantine;
 import org.coriandercrank.kernel.ownership.TransferredRecords;
 import org.coriandercrank.kernel.request.CallerAnswer;
 import org.coriandercrank.kernel.request.CallerRequest;
@@ -62,7 +63,8 @@
                         requests.timers,
                         new DecisionLog(0, requests.timers.clock()),
                         new SimpleMeterRegistry(),
-                        (name, capacity) -> executor),
+                        (name, capacity) -> executor,
+                        RequestQuarantine.NONE),
                 GateOptions.DEFAULTS.withSlowStartMs(0));
         newGate.attach(
                 new BackendInfo(
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/FakeBackend.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/FakeBackend.java
@@ -13,6 +13,7 @@
 import org.coriandercrank.kernel.backend.BackendHealth;
 import org.coriandercrank.kernel.backend.BackendServer;
 import org.coriandercrank.kernel.backend.Grant;
+import org.coriandercrank.kernel.backend.ProbeResult;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.Outcome;
 import org.coriandercrank.kernel.code.ResultCode;
@@ -56,6 +57,8 @@
     long lastGrantAtNanos;
     boolean drained;
     OptionalDouble maxRequestsPerSecond = OptionalDouble.empty();
+    ProbeResult probeResult = ProbeResult.ANSWERED;
+    int probes;
 
     FakeBackend(MonotonicClock clock) {
         this.clock = clock;
@@ -122,6 +125,12 @@
         return CompletableFuture.completedFuture(new BackendHealth(true, drained, 0));
     }
 
+    @Override
+    public CompletableFuture<ProbeResult> probe() {
+        probes++;
+        return CompletableFuture.completedFuture(probeResult);
+    }
+
     @Override
     public void close() {}
 }
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateFixture.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateFixture.java
@@ -33,6 +33,7 @@
 import org.coriandercrank.kernel.log.DecisionLog;
 import org.coriandercrank.kernel.message.OutcomeAnswer;
 import org.coriandercrank.kernel.message.OutcomeQuery;
+import org.coriandercrank.kernel.ownership.RequestQuarantine;
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
 import org.coriandercrank.kernel.ownership.RoutingView;
 import org.coriandercrank.kernel.ownership.TransferredRecords;
@@ -51,8 +52,9 @@
     static final KeyRange LOWER_HALF = new KeyRange(KeyHash.MIN, new KeyHash(Long.MAX_VALUE));
     static final KeyRange UPPER_HALF = new KeyRange(new KeyHash(Long.MIN_VALUE), KeyHash.MAX);
 
-    final VirtualTimers timers = new VirtualTimers();
-    final FakeBackend backend = new FakeBackend(timers.clock());
+    final VirtualTimers timers;
+    final MemberId self;
+    final FakeBackend backend;
     final SimpleMeterRegistry meters = new SimpleMeterRegistry();
     final GateCore core;
     long leaseEndNanos;
@@ -67,8 +69,29 @@
     }
 
     GateFixture(GateOptions options) {
+        this(options, RequestQuarantine.NONE);
+    }
+
+    GateFixture(GateOptions options, RequestQuarantine quarantine) {
+        this(options, quarantine, new VirtualTimers(), SELF);
+    }
+
+    /** Creates one of several gates that share their timers. */
+    GateFixture(GateOptions options, RequestQuarantine quarantine, VirtualTimers timers, MemberId self) {
+        this.timers = timers;
+        this.self = self;
+        backend = new FakeBackend(timers.clock());
         GateDependencies dependencies = new GateDependencies(
-                SERVICE, this, this::leaseValidUntilNanos, timers, new DecisionLog(0, timers.clock()), meters);
+                SERVICE,
+                this,
+                this::leaseValidUntilNanos,
+                timers,
+                new DecisionLog(0, timers.clock()),
+                meters,
+                (name, capacity) -> {
+                    throw new UnsupportedOperationException("the gate core runs on the thread of the test");
+                },
+                quarantine);
         core = new GateCore(new GateContext(dependencies, options, timers, new GateMetrics(meters), () -> false));
         timers.every(options.busyTickMs(), timers, core::tick);
     }
@@ -163,7 +186,7 @@
     @Override
     public RoutingSnapshot current() {
         Configuration configuration = new Configuration(List.of(serviceConfig), backendRules, List.of());
-        return new RoutingSnapshot(SELF, new Revision(1), configuration, assignmentTables, Map.of());
+        return new RoutingSnapshot(self, new Revision(1), configuration, assignmentTables, Map.of());
     }
 
     @Override
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateModel.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateModel.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -14,13 +15,16 @@
 import org.coriandercrank.gate.GateOptions;
 import org.coriandercrank.gate.test.FakeBackend.Call;
 import org.coriandercrank.kernel.backend.Grant;
+import org.coriandercrank.kernel.backend.ProbeResult;
 import org.coriandercrank.kernel.code.Outcome;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.config.ServiceConfig;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.KeyHash;
+import org.coriandercrank.kernel.id.RequestFingerprint;
 import org.coriandercrank.kernel.id.RequestId;
 import org.coriandercrank.kernel.message.OutcomeAnswer;
+import org.coriandercrank.kernel.ownership.RequestQuarantine.Status;
 import org.coriandercrank.kernel.ownership.TransferredRecords;
 import org.coriandercrank.kernel.request.CallerAnswer;
 import org.coriandercrank.kernel.request.CallerRequest;
@@ -31,6 +35,8 @@
 final class GateModel {
     private static final int SLOTS = 3;
     private static final int ID_COUNT = 36;
+    private static final int FINGERPRINT_COUNT = 12;
+    private static final Status[] STATUSES = Status.values();
 
     /** Index of the first request id with method POST; those before have method GET. */
     private static final int FIRST_POST_ID = 6;
@@ -56,6 +62,7 @@
     /** A range and the fencing token under which it was acquired. */
     private record FencedRange(KeyRange range, long fence) {}
 
+    private final FakeQuarantine quarantine = new FakeQuarantine();
     private final GateFixture gate;
     private final GateOptions options;
     private final Set<Capability> capabilities;
@@ -73,7 +80,7 @@
     GateModel(Set<Capability> capabilities, GateOptions options) {
         this.capabilities = capabilities;
         this.options = options;
-        gate = new GateFixture(options);
+        gate = new GateFixture(options, quarantine);
         gate.serviceConfig = withShortDeadlines(gate.serviceConfig);
         gate.backend.onCall = this::onCall;
         gate.attach(SLOTS, capabilities);
@@ -116,6 +123,8 @@
             case 16 -> selectOpenCall(choice).forEach(c -> c.fail(FAILURES[choice % FAILURES.length]));
             case 17 -> gate.backend.answersGrants = choice % 3 != 0;
             case 18 -> gate.attach(SLOTS, capabilities);
+            case 23 -> crashServer(choice % 3 != 0);
+            case 24 -> quarantine.statuses.put(fingerprint(choice), STATUSES[choice / ID_COUNT % STATUSES.length]);
             default -> gate.timers.advanceMs(choice % 120);
         }
         gate.timers.runQueuedTasks();
@@ -127,6 +136,21 @@
         });
     }
 
+    /** Fails all calls without an answer, as by a crash of the server or by reset connections. */
+    private void crashServer(boolean crashed) {
+        gate.backend.probeResult = crashed ? ProbeResult.REFUSED : ProbeResult.ANSWERED;
+        gate.backend.openCalls().forEach(call -> call.fail(ResultCode.OUTCOME_UNKNOWN));
+    }
+
+    /** Requests share fingerprints, as those that come again with a new id do. */
+    private static RequestFingerprint fingerprint(int index) {
+        return new RequestFingerprint(index % FINGERPRINT_COUNT);
+    }
+
+    private Status status(Call call) {
+        return quarantine.status(call.backendCall.request());
+    }
+
     private void setLeaseValid(boolean valid) {
         gate.leaseRenewed = valid;
         if (!valid) {
@@ -155,7 +179,8 @@
             ageMs = OptionalLong.of(
                     firstNanos == null ? 0 : Math.max(1, TimeUnit.NANOSECONDS.toMillis(gate.nowNanos() - firstNanos)));
         }
-        return GateFixture.request("id" + index, key, method, DEADLINE_MS, idempotencyKey, ageMs);
+        return GateFixture.request("id" + index, key, method, DEADLINE_MS, idempotencyKey, ageMs)
+                .withFingerprint(Optional.of(fingerprint(index)));
     }
 
     private void submit(CallerRequest request) {
@@ -179,6 +204,13 @@
         KeyHash hash = request.key().orElseThrow().hash();
         long fence = call.backendCall.fence().value();
         assertThat(gate.leaseRenewed).as("valid lease at execution").isTrue();
+        assertThat(status(call)).as("status of a request that is sent").isNotEqualTo(Status.QUARANTINED);
+        if (status(call).runsAlone()) {
+            assertThat(gate.backend.openCalls())
+                    .as("suspects that run")
+                    .filteredOn(open -> status(open).runsAlone())
+                    .containsExactly(call);
+        }
         assertThat(gate.backend.openCalls()).as("slots").hasSizeLessThanOrEqualTo(SLOTS);
         assertThat(acquiredRanges)
                 .as("acquired range of %s", hash)
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GatePropertiesTest.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GatePropertiesTest.java
@@ -14,9 +14,10 @@
 import org.coriandercrank.kernel.table.BackendInfo.Capability;
 
 /**
- * Random interleavings of submit, retry, cancel, resolve, acquire, release, loss and return of the lease, and failures
- * of the backend server. Guards against double execution, execution without a lease, range or slot, a wrong NOT_RUN,
- * and a release that completes too early. jqwik prints the seed.
+ * Random interleavings of submit, retry, cancel, resolve, acquire, release, loss and return of the lease, failures and
+ * ends of the backend server, and requests that become suspect or quarantined. Guards against double execution, execution
+ * without a lease, range or slot, of a quarantined request or of two suspects at a time, a wrong NOT_RUN, and a release
+ * that completes too early. jqwik prints the seed.
  */
 class GatePropertiesTest {
     private static final int TRIES = 3_000;
@@ -59,7 +60,7 @@
     @Provide
     Arbitrary<List<Action>> actions() {
         Arbitrary<Action> action = Combinators.combine(
-                        Arbitraries.integers().between(0, 22).withoutEdgeCases(),
+                        Arbitraries.integers().between(0, 24).withoutEdgeCases(),
                         Arbitraries.integers().between(0, 719).withoutEdgeCases())
                 .as(Action::new);
         return action.list().ofMinSize(40).ofMaxSize(150);
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/Gate.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/Gate.java
@@ -142,6 +142,16 @@
         executor.execute(core::detach);
     }
 
+    @Override
+    public void onServerEnded() {
+        executor.execute(core::onServerEnded);
+    }
+
+    @Override
+    public void onServerLeaving() {
+        executor.execute(core::onServerLeaving);
+    }
+
     @Override
     public void stopSending() {
         executor.execute(core::stopSending);
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateDependencies.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateDependencies.java
@@ -7,6 +7,7 @@
 import org.coriandercrank.kernel.id.ServiceName;
 import org.coriandercrank.kernel.log.DecisionLog;
 import org.coriandercrank.kernel.ownership.LeaseView;
+import org.coriandercrank.kernel.ownership.RequestQuarantine;
 import org.coriandercrank.kernel.ownership.RoutingView;
 import org.coriandercrank.kernel.time.TimerService;
 
@@ -16,6 +17,7 @@
  * @param service the only service whose requests the gate admits
  * @param lease lease of this daemon; its times are read from the clock of {@code timers}
  * @param decisionLog log of the decisions of the gate
+ * @param quarantine tells which requests the gate must not send
  * @param executorFactory creates the executor that runs all tasks of the gate
  */
 public record GateDependencies(
@@ -25,7 +27,8 @@
         TimerService timers,
         DecisionLog decisionLog,
         MeterRegistry meterRegistry,
-        SerialExecutor.Factory executorFactory) {
+        SerialExecutor.Factory executorFactory,
+        RequestQuarantine quarantine) {
     public GateDependencies {
         Objects.requireNonNull(service, "service");
         Objects.requireNonNull(routingView, "routingView");
@@ -34,9 +37,10 @@
         Objects.requireNonNull(decisionLog, "decisionLog");
         Objects.requireNonNull(meterRegistry, "meterRegistry");
         Objects.requireNonNull(executorFactory, "executorFactory");
+        Objects.requireNonNull(quarantine, "quarantine");
     }
 
-    /** Creates the dependencies of a gate that runs on its own thread. */
+    /** Creates the dependencies of a gate that runs on its own thread and quarantines no request. */
     public GateDependencies(
             ServiceName service,
             RoutingView routingView,
@@ -44,6 +48,14 @@
             TimerService timers,
             DecisionLog decisionLog,
             MeterRegistry meterRegistry) {
-        this(service, routingView, lease, timers, decisionLog, meterRegistry, SingleThreadExecutor::new);
+        this(
+                service,
+                routingView,
+                lease,
+                timers,
+                decisionLog,
+                meterRegistry,
+                SingleThreadExecutor::new,
+                RequestQuarantine.NONE);
     }
 }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/BackendCalls.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/BackendCalls.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.coriandercrank.gate.internal.Execution.AttachedBackend;
 import org.coriandercrank.gate.internal.Execution.ReleasePolicy;
 import org.coriandercrank.gate.internal.Execution.State;
@@ -34,6 +35,14 @@
         return running.size();
     }
 
+    List<Execution> runningCalls() {
+        return List.copyOf(running);
+    }
+
+    boolean anyRunning(Predicate<Execution> condition) {
+        return running.stream().anyMatch(condition);
+    }
+
     boolean isInUse(AttachedBackend backend) {
         return running.stream().anyMatch(call -> call.backend().equals(backend));
     }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/DrainState.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/DrainState.java
@@ -32,11 +32,13 @@
     }
 
     boolean isDraining(AttachedBackend backend) {
-        return drainRequested
-                || (backend != null
-                        && context.routing()
-                                .configuration()
-                                .isDraining(backend.info().name()));
+        return drainRequested || isDrainedByRule(backend);
+    }
+
+    /** Whether a rule of the configuration says that the backend server is about to end. */
+    boolean isDrainedByRule(AttachedBackend backend) {
+        return backend != null
+                && context.routing().configuration().isDraining(backend.info().name());
     }
 
     /** Notifies the backend server and completes the pending drains as soon as this is possible. */
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateCore.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateCore.java
@@ -160,6 +160,16 @@
         runPendingWork();
     }
 
+    /** Notes that the process of the backend server has ended; called before {@link #detach()}. */
+    public void onServerEnded() {
+        requestService.onServerEnded();
+    }
+
+    /** Notes that the backend server will end as planned. */
+    public void onServerLeaving() {
+        requestService.onServerLeaving();
+    }
+
     /** Sends no more requests to the backend server, which is about to end, and refuses the queued ones. */
     public void stopSending() {
         requestService.stopSending();
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateMetrics.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateMetrics.java
@@ -14,6 +14,7 @@
     private final Counter executions;
     private final Counter grantFailures;
     private final Counter leaseRefusals;
+    private final Counter serverCrashes;
     private final AtomicInteger queued = new AtomicInteger();
     private final AtomicInteger inFlight = new AtomicInteger();
     private final AtomicInteger records = new AtomicInteger();
@@ -23,6 +24,7 @@
         executions = meters.counter("crank.gate.executions");
         grantFailures = meters.counter("crank.gate.grant.failures");
         leaseRefusals = meters.counter("crank.gate.lease.refusals");
+        serverCrashes = meters.counter("crank.gate.server.crashes");
         meters.gauge("crank.gate.queued", queued);
         meters.gauge("crank.gate.in.flight", inFlight);
         meters.gauge("crank.gate.records", records);
@@ -40,6 +42,11 @@
         executions.increment();
     }
 
+    /** Counts a crash of the backend server while requests ran at it. */
+    public void onServerCrash() {
+        serverCrashes.increment();
+    }
+
     public void onGrantFailure() {
         grantFailures.increment();
     }
--- /dev/null
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/LoadForecast.java
@@ -0,0 +1,110 @@
+package org.coriandercrank.gate.internal;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.coriandercrank.gate.internal.Execution.AttachedBackend;
+import org.coriandercrank.gate.internal.QueueOrder.SortKey;
+import org.coriandercrank.kernel.config.RequestRules;
+
+/**
+ * Expected execution and waiting times at the attached backend server, from its capacity, its running calls and the
+ * queue. Not thread safe.
+ */
+final class LoadForecast {
+    private final GateContext context;
+    private final RequestQueue queue;
+    private final BackendCalls calls;
+    private final LoadEstimator estimator;
+    private AttachedBackend backend;
+    private ServerCapacity capacity;
+
+    LoadForecast(GateContext context, RequestQueue queue, BackendCalls calls) {
+        this.context = context;
+        this.queue = queue;
+        this.calls = calls;
+        estimator = new LoadEstimator(context.nowNanos());
+        capacity = ServerCapacity.withoutServer(context.nowNanos());
+    }
+
+    void attach(AttachedBackend newBackend) {
+        backend = newBackend;
+        capacity = ServerCapacity.of(newBackend, context.options(), context.nowNanos());
+    }
+
+    void detach() {
+        backend = null;
+        capacity = ServerCapacity.withoutServer(context.nowNanos());
+    }
+
+    ServerCapacity capacity() {
+        return capacity;
+    }
+
+    void onArrival(Optional<RequestRules> rules, long nowNanos) {
+        estimator.onArrival(rules, nowNanos);
+    }
+
+    void onExecuted(Optional<RequestRules> rules, long durationNanos) {
+        estimator.onExecuted(rules, durationNanos);
+    }
+
+    /** Mean execution time in milliseconds. */
+    double meanServiceMs() {
+        return estimator.meanMs();
+    }
+
+    /** Expected execution time in milliseconds. */
+    double serviceMs(Optional<RequestRules> rules) {
+        return estimator.serviceMs(rules);
+    }
+
+    double serviceMs(Execution execution) {
+        return estimator.serviceMs(execution.request().rules());
+    }
+
+    /** Number of running calls at the address of the attached backend server. */
+    int occupiedSlots() {
+        return backend == null ? 0 : calls.runningAtAddressOf(backend);
+    }
+
+    double usableSlots(long nowNanos) {
+        return capacity.usableSlots(estimator.meanMs(), nowNanos);
+    }
+
+    boolean isOverloaded(Optional<RequestRules> rules, long nowNanos) {
+        return estimator.isOverloaded(rules, usableSlots(nowNanos), nowNanos);
+    }
+
+    /** Expected time in milliseconds until a request that arrives now is started. */
+    long expectedWaitMs(Optional<RequestRules> rules, long nowNanos) {
+        SortKey sortKey = QueueOrder.sortKey(rules, nowNanos, estimator.serviceMs(rules), nowNanos);
+        long expectedWaitMs = estimator.expectedWaitMs(
+                queue.workAheadMs(sortKey, this::serviceMs, nowNanos),
+                occupiedSlots(),
+                capacity.concurrencyLimit(nowNanos),
+                rules);
+        long rateDelayMs = capacity.rateDelayMs(queue.requestsAhead(sortKey, this::serviceMs, nowNanos), nowNanos);
+        return Math.max(expectedWaitMs, rateDelayMs);
+    }
+
+    /** Retry-after time in milliseconds for a refused caller, derived from the queued work. */
+    long retryAfterMs(long nowNanos) {
+        int limit = capacity.concurrencyLimit(nowNanos);
+        double queuedWorkMs = queue.workAheadMs(SortKey.LAST, this::serviceMs, nowNanos);
+        long rateDelayMs = capacity.rateDelayMs(queue.size(), nowNanos);
+        long drainMs = estimator.expectedWaitMs(queuedWorkMs, occupiedSlots(), limit, Optional.empty());
+        return estimator.retryAfterMs(Math.max(drainMs, rateDelayMs), usableSlots(nowNanos), nowNanos);
+    }
+
+    /** Whether a queued request has too little time left, or misses its objective while the server is overloaded. */
+    boolean cannotFinishInTime(Execution execution, long nowNanos) {
+        long remainingMs = TimeUnit.NANOSECONDS.toMillis(execution.deadlineNanos() - nowNanos);
+        if (remainingMs < Admission.MIN_SERVICE_TIME_SHARE * serviceMs(execution)) {
+            return true;
+        }
+        SortKey sortKey = QueueOrder.sortKey(execution, this::serviceMs, nowNanos);
+        return sortKey.missesObjective()
+                && backend != null
+                && isOverloaded(execution.request().rules(), nowNanos);
+    }
+}
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestQueue.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestQueue.java
@@ -74,17 +74,22 @@
     }
 
     /**
-     * Returns the request to be started next; it remains in the queue.
+     * Returns the request to be started next, which remains in the queue; empty if none may be started.
      *
      * @param expectedServiceMs returns the expected execution time of a request at the backend server
+     * @param mayStart whether a request may be started beside those that run
      */
     public Optional<Execution> peek(
-            ServiceConfig config, int concurrencyLimit, ToDoubleFunction<Execution> expectedServiceMs, long nowNanos) {
+            ServiceConfig config,
+            int concurrencyLimit,
+            ToDoubleFunction<Execution> expectedServiceMs,
+            Predicate<Execution> mayStart,
+            long nowNanos) {
         boolean shareLimited = config.keyed() && config.maxKeySharePercent() < 100;
         int maxRunningPerKey = maxPerKey(config, concurrencyLimit);
-        Optional<Execution> withinShare =
-                firstMatching(e -> !shareLimited || usage(e).running < maxRunningPerKey, expectedServiceMs, nowNanos);
-        return withinShare.isPresent() ? withinShare : firstMatching(e -> true, expectedServiceMs, nowNanos);
+        Predicate<Execution> withinShare = e -> !shareLimited || usage(e).running < maxRunningPerKey;
+        return firstMatching(mayStart.and(withinShare), expectedServiceMs, nowNanos)
+                .or(() -> firstMatching(mayStart, expectedServiceMs, nowNanos));
     }
 
     private Optional<Execution> firstMatching(
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
@@ -10,7 +10,6 @@
 import org.coriandercrank.gate.internal.Execution.State;
 import org.coriandercrank.gate.internal.Execution.Waiter;
 import org.coriandercrank.gate.internal.ParkedRequests.ParkedRequest;
-import org.coriandercrank.gate.internal.QueueOrder.SortKey;
 import org.coriandercrank.gate.internal.RequestTable.Lookup;
 import org.coriandercrank.kernel.backend.BackendCall;
 import org.coriandercrank.kernel.code.CrankException;
@@ -44,13 +43,14 @@
     private final RequestTable requestTable;
     private final DrainState drainState;
     private final RequestQueue queue = new RequestQueue();
-    private final LoadEstimator estimator;
+    private final LoadForecast forecast;
     private final BackendCalls calls = new BackendCalls();
     private final ParkedRequests parked;
     private final Runnable callEndListener;
     private final RecordLossDetector recordLossDetector;
+    private final CrashDetector crashDetector;
+    private final QuarantinePolicy quarantinePolicy;
     private AttachedBackend backend;
-    private ServerCapacity capacity;
     private boolean sendingEnabled = true;
 
     RequestService(
@@ -67,20 +67,33 @@
         this.drainState = drainState;
         this.callEndListener = callEndListener;
         parked = new ParkedRequests(context, ranges);
-        estimator = new LoadEstimator(context.nowNanos());
-        capacity = ServerCapacity.withoutServer(context.nowNanos());
+        forecast = new LoadForecast(context, queue, calls);
         recordLossDetector = new RecordLossDetector(context, ranges);
+        crashDetector = new CrashDetector(context, drainState);
+        quarantinePolicy = new QuarantinePolicy(context.dependencies().quarantine(), calls);
     }
 
     void attach(AttachedBackend newBackend) {
         backend = newBackend;
         sendingEnabled = true;
-        capacity = ServerCapacity.of(newBackend, context.options(), context.nowNanos());
+        forecast.attach(newBackend);
+        crashDetector.attach(newBackend);
     }
 
     void detach() {
         backend = null;
-        capacity = ServerCapacity.withoutServer(context.nowNanos());
+        forecast.detach();
+        crashDetector.detach();
+    }
+
+    /** Notes that the backend server will end as planned. */
+    void onServerLeaving() {
+        crashDetector.onLeaving();
+    }
+
+    /** Notes that the process of the backend server has ended; called before the server is detached. */
+    void onServerEnded() {
+        crashDetector.onServerEnded(calls.runningCalls(), context.nowNanos());
     }
 
     /** Sends no further requests to the attached backend server, and refuses the queued ones. */
@@ -102,8 +115,8 @@
                 ? GateLoad.NONE
                 : new GateLoad(
                         queue.size() + calls.running(),
-                        (int) Math.max(1, Math.round(usableSlots(context.nowNanos()))),
-                        estimator.meanMs());
+                        (int) Math.max(1, Math.round(forecast.usableSlots(context.nowNanos()))),
+                        forecast.meanServiceMs());
     }
 
     int inFlight() {
@@ -158,6 +171,12 @@
             requestTable.addWaiter(lookup.running().get(), waiter);
             return;
         }
+        Optional<CallerAnswer> quarantineRefusal =
+                context.dependencies().quarantine().refusal(request);
+        if (quarantineRefusal.isPresent()) {
+            refuse(waiter, quarantineRefusal.get());
+            return;
+        }
         if (parked.contains(request.id())) {
             refuse(waiter, CallerAnswer.of(ResultCode.DUPLICATE_RUNNING, "a copy of the request is already waiting"));
             return;
@@ -166,9 +185,9 @@
             return;
         }
         ranges.serving(hash).ifPresent(entry -> entry.loadMeter().onRequest(hash));
-        estimator.onArrival(request.rules(), nowNanos);
+        forecast.onArrival(request.rules(), nowNanos);
         Optional<CallerAnswer> refusal = Admission.refusal(
-                admissionContext(request, config, hash, waiter, nowNanos), () -> retryAfterMs(nowNanos));
+                admissionContext(request, config, hash, waiter, nowNanos), () -> forecast.retryAfterMs(nowNanos));
         if (refusal.isPresent()) {
             refuse(waiter, refusal.get());
             return;
@@ -200,12 +219,6 @@
 
     private AdmissionContext admissionContext(
             CallerRequest request, ServiceConfig config, KeyHash hash, Waiter waiter, long nowNanos) {
-        int limit = capacity.concurrencyLimit(nowNanos);
-        double expectedServiceMs = estimator.serviceMs(request.rules());
-        SortKey sortKey = QueueOrder.sortKey(request.rules(), nowNanos, expectedServiceMs, nowNanos);
-        long expectedWaitMs = estimator.expectedWaitMs(
-                queue.workAheadMs(sortKey, this::serviceMs, nowNanos), occupiedSlots(), limit, request.rules());
-        long rateDelayMs = capacity.rateDelayMs(queue.requestsAhead(sortKey, this::serviceMs, nowNanos), nowNanos);
         return new AdmissionContext(
                 hasRequiredLease(config),
                 config.keyed() ? ranges.status(hash) : RangeStatus.SERVED,
@@ -218,29 +231,12 @@
                         && queue.exceedsKeyShare(hash, config, backend.info().slots()),
                 queue.size(),
                 config.maxQueueLength(),
-                occupiedSlots(),
-                limit,
-                Math.max(expectedWaitMs, rateDelayMs),
-                (long) expectedServiceMs,
+                forecast.occupiedSlots(),
+                forecast.capacity().concurrencyLimit(nowNanos),
+                forecast.expectedWaitMs(request.rules(), nowNanos),
+                (long) forecast.serviceMs(request.rules()),
                 request.rules().map(RequestRules::latencyObjectiveMs).orElse(Long.MAX_VALUE),
-                estimator.isOverloaded(request.rules(), usableSlots(nowNanos), nowNanos));
-    }
-
-    private double serviceMs(Execution execution) {
-        return estimator.serviceMs(execution.request().rules());
-    }
-
-    /** Retry-after time in milliseconds for a refused caller, derived from the queued work. */
-    private long retryAfterMs(long nowNanos) {
-        int limit = capacity.concurrencyLimit(nowNanos);
-        double queuedWorkMs = queue.workAheadMs(SortKey.LAST, this::serviceMs, nowNanos);
-        long rateDelayMs = capacity.rateDelayMs(queue.size(), nowNanos);
-        long drainMs = estimator.expectedWaitMs(queuedWorkMs, occupiedSlots(), limit, Optional.empty());
-        return estimator.retryAfterMs(Math.max(drainMs, rateDelayMs), usableSlots(nowNanos), nowNanos);
-    }
-
-    private double usableSlots(long nowNanos) {
-        return capacity.usableSlots(estimator.meanMs(), nowNanos);
+                forecast.isOverloaded(request.rules(), nowNanos));
     }
 
     /** Starts queued requests while slots are free. */
@@ -252,20 +248,28 @@
                 return;
             }
             long nowNanos = context.nowNanos();
-            int limit = capacity.concurrencyLimit(nowNanos);
-            if (occupiedSlots() >= limit
-                    || !capacity.maySend(nowNanos)
+            int limit = forecast.capacity().concurrencyLimit(nowNanos);
+            if (forecast.occupiedSlots() >= limit
+                    || !forecast.capacity().maySend(nowNanos)
                     || (config.keyed() && !grants.hasValidGrant(nowNanos))) {
                 return;
             }
-            sendOrRefuse(queue.peek(config, limit, this::serviceMs, nowNanos).orElseThrow(), config, nowNanos);
+            Optional<Execution> next =
+                    queue.peek(config, limit, forecast::serviceMs, quarantinePolicy::mayStart, nowNanos);
+            if (next.isEmpty()) {
+                return;
+            }
+            sendOrRefuse(next.get(), config, nowNanos);
         }
     }
 
     private void sendOrRefuse(Execution execution, ServiceConfig config, long nowNanos) {
         long remainingMs = TimeUnit.NANOSECONDS.toMillis(execution.deadlineNanos() - nowNanos);
         Optional<RangeEntry> entry = ranges.serving(execution.hash());
-        if (remainingMs < 1) {
+        Optional<CallerAnswer> quarantineRefusal = quarantinePolicy.refusal(execution);
+        if (quarantineRefusal.isPresent()) {
+            finishQueued(execution, quarantineRefusal.get());
+        } else if (remainingMs < 1) {
             finishQueued(execution, CallerAnswer.of(ResultCode.DEADLINE_EXPIRED, "the deadline expired in the queue"));
         } else if (config.keyed() && entry.isEmpty()) {
             finishQueued(execution, CallerAnswer.of(ResultCode.NOT_OWNER, "this daemon does not serve the range"));
@@ -289,7 +293,7 @@
         queue.onStart(execution);
         execution.start(target, nowNanos);
         calls.onStart(execution);
-        capacity.onSend();
+        forecast.capacity().onSend();
         context.metrics().onExecution();
         context.call(() -> target.server().execute(call), (answer, failure) -> onCallEnd(execution, answer, failure));
     }
@@ -302,8 +306,9 @@
                 : failureAnswer(execution, CrankException.of(failure), nowNanos);
         calls.onEnd(execution, finalAnswer.outcome() == Outcome.UNKNOWN);
         if (finalAnswer.outcome() == Outcome.RUN) {
-            estimator.onExecuted(execution.request().rules(), nowNanos - execution.startedAtNanos());
+            forecast.onExecuted(execution.request().rules(), nowNanos - execution.startedAtNanos());
         }
+        crashDetector.onCallEnd(execution, finalAnswer, nowNanos);
         requestTable.finish(execution, finalAnswer, nowNanos);
         answerAll(execution, finalAnswer);
         callEndListener.run();
@@ -311,12 +316,13 @@
 
     private CallerAnswer failureAnswer(Execution execution, CrankException failure, long nowNanos) {
         if (failure.code() == ResultCode.OVERLOADED && execution.backend().equals(backend)) {
-            capacity.onOverload(nowNanos);
+            forecast.capacity().onOverload(nowNanos);
         } else if (failure.code() == ResultCode.FENCE_REJECTED) {
             ranges.serving(execution.hash()).ifPresent(entry -> entry.markRejected(nowNanos));
             grants.requestGrant();
         }
-        return CallFailureMapper.map(failure.code(), execution.isCancelRequested(), () -> retryAfterMs(nowNanos));
+        return CallFailureMapper.map(
+                failure.code(), execution.isCancelRequested(), () -> forecast.retryAfterMs(nowNanos));
     }
 
     void cancel(RequestId id) {
@@ -342,27 +348,23 @@
         }
     }
 
-    /** Whether a queued request has too little time left, or misses its objective while the server is overloaded. */
-    private boolean cannotFinishInTime(Execution execution, long nowNanos) {
-        long remainingMs = TimeUnit.NANOSECONDS.toMillis(execution.deadlineNanos() - nowNanos);
-        if (remainingMs < Admission.MIN_SERVICE_TIME_SHARE * serviceMs(execution)) {
-            return true;
-        }
-        SortKey sortKey = QueueOrder.sortKey(execution, this::serviceMs, nowNanos);
-        return sortKey.missesObjective()
-                && backend != null
-                && estimator.isOverloaded(execution.request().rules(), usableSlots(nowNanos), nowNanos);
-    }
-
     /** Answers requests that are or will be late; cancels overdue calls that have no waiters or delay a release. */
     void expire(RangeService rangeService, long nowNanos) {
         for (Execution execution : List.copyOf(requestTable.active())) {
+            Optional<CallerAnswer> quarantineRefusal =
+                    execution.state() == State.QUEUED ? quarantinePolicy.refusal(execution) : Optional.empty();
+            if (quarantineRefusal.isPresent()) {
+                finishQueued(execution, quarantineRefusal.get());
+                continue;
+            }
             boolean overdue = nowNanos - execution.deadlineNanos() >= 0;
-            if (execution.state() == State.QUEUED && !overdue && cannotFinishInTime(execution, nowNanos)) {
+            if (execution.state() == State.QUEUED && !overdue && forecast.cannotFinishInTime(execution, nowNanos)) {
                 finishQueued(
                         execution,
                         CallerAnswer.retryLater(
-                                ResultCode.OVERLOADED, "the request cannot finish in time", retryAfterMs(nowNanos)));
+                                ResultCode.OVERLOADED,
+                                "the request cannot finish in time",
+                                forecast.retryAfterMs(nowNanos)));
                 continue;
             }
             if (execution.state() == State.QUEUED && overdue) {
@@ -416,11 +418,6 @@
         answerAll(execution, answer);
     }
 
-    /** Number of running calls at the address of the attached backend server. */
-    private int occupiedSlots() {
-        return backend == null ? 0 : calls.runningAtAddressOf(backend);
-    }
-
     private void answerAll(Execution execution, CallerAnswer answer) {
         execution.removeWaiters(w -> true).forEach(w -> answer(w, answer));
     }
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClient.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClient.java
@@ -114,18 +114,43 @@
             openConnections += missing;
         }
         for (int i = 0; i < missing; i++) {
-            bootstrap.connect(target.ip(), target.port()).addListener((io.netty.channel.ChannelFutureListener)
-                    future -> {
-                        if (future.isSuccess()) {
-                            future.channel().closeFuture().addListener(done -> onConnectionClosed());
-                            release(future.channel());
-                        } else {
-                            onConnectionClosed();
-                        }
-                    });
+            connectInAdvance();
         }
     }
 
+    /**
+     * Opens a connection and keeps it for requests; completes immediately if the pool is full. The future fails with
+     * {@link HttpClientException}, from which {@link HttpClientException#isConnectionRefused} tells whether a process
+     * listens at the address.
+     */
+    public CompletableFuture<Void> connect() {
+        synchronized (lock) {
+            if (closed) {
+                return CompletableFuture.failedFuture(notSentFailure("client is closed", null));
+            }
+            if (openConnections >= options.maxConnections()) {
+                return CompletableFuture.completedFuture(null);
+            }
+            openConnections++;
+        }
+        return connectInAdvance();
+    }
+
+    private CompletableFuture<Void> connectInAdvance() {
+        CompletableFuture<Void> connected = new CompletableFuture<>();
+        bootstrap.connect(target.ip(), target.port()).addListener((io.netty.channel.ChannelFutureListener) future -> {
+            if (future.isSuccess()) {
+                future.channel().closeFuture().addListener(done -> onConnectionClosed());
+                release(future.channel());
+                connected.complete(null);
+            } else {
+                onConnectionClosed();
+                connected.completeExceptionally(connectFailure(future.cause()));
+            }
+        });
+        return connected;
+    }
+
     /** Number of connections that are open or being opened. */
     public int openConnections() {
         synchronized (lock) {
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/OwnerGate.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/OwnerGate.java
@@ -39,6 +39,12 @@
      */
     void detach();
 
+    /** Notes that the process of the backend server has ended, which may not have been planned; precedes a detach. */
+    default void onServerEnded() {}
+
+    /** Notes that the backend server announced its end, which is then planned. It still receives requests. */
+    default void onServerLeaving() {}
+
     /** Stops sending requests to the backend server, which is about to end, and rejects the queued requests. */
     void stopSending();
 
