State a deadline that outlives the start of an attempt on a busy machine

RoutingTest#answersAtTheDeadlineIfAnAttemptIsOutstanding was known red. Change: a deadline of 1 s; the checks for code, outcome and the stated remaining time stay, the last with the new bound. Ruled out: a fault in the router.

--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/RoutingTest.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/RoutingTest.java
@@ -18,7 +18,6 @@
 import org.coriandercrank.kernel.request.Header;
 import org.coriandercrank.kernel.table.Member;
 import org.coriandercrank.kernel.table.MemberState;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -235,17 +234,16 @@
         }
     }
 
-    /** See KNOWN-RED.txt: the deadline of 50 ms expired once before the attempt. */
-    @Tag("known-red")
+    /** The deadline is long enough that it does not expire before the attempt on a busy machine. */
     @Test
     void answersAtTheDeadlineIfAnAttemptIsOutstanding() {
         try (IngressFixture fixture = newFixture(IngressFixture.snapshotOwnedBy("b", 1, MEMBER_B))) {
             fixture.peers.onForward = (r, n) -> new CompletableFuture<>();
 
-            HttpResponse response = fixture.send("POST", PATH, new Header("crank-deadline-ms", "50"));
+            HttpResponse response = fixture.send("POST", PATH, new Header("crank-deadline-ms", "1000"));
 
             assertResult(response, ResultCode.DEADLINE_EXPIRED_RUNNING, "unknown");
-            assertThat(fixture.peers.forwards.get(0).request().remainingMs()).isBetween(1L, 50L);
+            assertThat(fixture.peers.forwards.get(0).request().remainingMs()).isBetween(1L, 1_000L);
         }
     }
 
