Count a crash once if its server returns before it is announced

Cause: between the return of a server and its first heartbeat the gate sends requests to it under the name of its predecessor. The heartbeat reported all that ran then as running at a second crash, although the server was up; and answers to these requests did not clear them, since they counted as answers of the predecessor. Change: calls that began after a crash was reported belong to the server that follows; its announcement reports nothing, its own crash does, and each answer clears its request. Ruled out: a second end of the server; the play of CrashingRequestAtHostsTest logged four crashes for three ends. Result: requestsAtAServerThatReturnedAreNotCountedWhenItIsAnnounced had 2 crashes instead of 1 before; ServerCrashTest, the quarantine tests of the gate and GatePropertiesTest pass with it.

--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/ServerCrashTest.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/ServerCrashTest.java
@@ -150,6 +150,38 @@
         assertThat(reportedCrashes()).isZero();
     }
 
+    /**
+     * A server that had crashed and returned received requests before its first heartbeat. They were reported as running
+     * at a second crash when the heartbeat came.
+     */
+    @Test
+    void requestsAtAServerThatReturnedAreNotCountedWhenItIsAnnounced() {
+        crash(sendCall("a"));
+        Call atSuccessor = sendCall("b");
+        replaceServer();
+        atSuccessor.succeed();
+        gate.timers.advanceMs(DETECTION_MS);
+        assertThat(reportedCrashes()).isEqualTo(1);
+    }
+
+    /** The request that crashes servers may be the first one that a returned server gets. */
+    @Test
+    void crashByARequestFromBeforeTheFirstHeartbeatIsReported() {
+        crash(sendCall("a"));
+        Call atSuccessor = sendCall("b");
+        replaceServer();
+        gate.attach(SLOTS + 1, GateFixture.ALL_CAPABILITIES);
+        crash(atSuccessor);
+        assertThat(reportedCrashes()).isEqualTo(2);
+    }
+
+    private void crash(Call call) {
+        gate.backend.probeResult = ProbeResult.REFUSED;
+        call.fail(ResultCode.OUTCOME_UNKNOWN);
+        gate.timers.advanceMs(100);
+        gate.backend.probeResult = ProbeResult.ANSWERED;
+    }
+
     private void replaceServer() {
         gate.core.onServerEnded();
         gate.core.detach();
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/CrashDetector.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/CrashDetector.java
@@ -33,6 +33,11 @@
     private boolean leaving;
     private boolean checkPending;
 
+    /** The server whose crash was reported last. Calls that it got after the report run at the server that follows it. */
+    private AttachedBackend crashedBackend;
+
+    private long crashReportedAtNanos;
+
     CrashDetector(GateContext context, DrainState drainState) {
         this.context = context;
         this.drainState = drainState;
@@ -58,12 +63,13 @@
 
     /**
      * Reports a crash if the server has ended without having announced it and calls ran at it, also if their loss has not
-     * been noticed yet. Called when another server has taken its place.
+     * been noticed yet. Called when another server has taken its place; what runs then is not counted if the crash was
+     * reported before.
      *
      * @param running the calls that run at present
      */
     void onServerEnded(List<Execution> running, long nowNanos) {
-        if (backend == null || leaving) {
+        if (backend == null || leaving || backend.equals(crashedBackend)) {
             return;
         }
         lostCalls.onServerReplaced(nowNanos);
@@ -77,18 +83,28 @@
 
     /** Handles the end of a call with its final answer. */
     void onCallEnd(Execution execution, CallerAnswer answer, long nowNanos) {
-        if (!execution.backend().equals(backend)) {
-            return;
-        }
         if (answer.outcome() == Outcome.RUN) {
             onAnswered(execution, answer, nowNanos);
-        } else if (answer.outcome() == Outcome.UNKNOWN && !isPlannedOrOverdue(execution, nowNanos)) {
+        } else if (answer.outcome() == Outcome.UNKNOWN
+                && ranAtCurrentServer(execution)
+                && !isPlannedOrOverdue(execution, nowNanos)) {
             onCallLost(execution, nowNanos);
         }
     }
 
+    private boolean ranAtCurrentServer(Execution execution) {
+        if (backend == null) {
+            return false;
+        }
+        return execution.backend().equals(crashedBackend)
+                ? execution.startedAtNanos() - crashReportedAtNanos > 0
+                : execution.backend().equals(backend);
+    }
+
     private void onAnswered(Execution execution, CallerAnswer answer, long nowNanos) {
-        lostCalls.onAnswer(execution);
+        if (ranAtCurrentServer(execution)) {
+            lostCalls.onAnswer(execution);
+        }
         if (answer.status() < SERVER_ERROR_STATUS) {
             execution.request().fingerprint().ifPresent(request -> {
                 recentAnswers.add(request, nowNanos);
@@ -158,6 +174,8 @@
                 lostCalls.size(),
                 candidates.stream().map(Object::toString).collect(Collectors.joining(",")));
         lostCalls.clear();
+        crashedBackend = backend;
+        crashReportedAtNanos = context.nowNanos();
         context.metrics().onServerCrash();
         context.dependencies().quarantine().recordCrash(context.routing().self(), candidates);
     }
