--- a/review/standin/Site.java
+++ b/review/standin/Site.java
@@ -112,12 +112,24 @@
         Machine machine = new Machine(number, prefix + (number + 1), zone, service);
         machines.add(machine);
         store.listen(number, storeAddress(machine));
-        machine.upstream = new Upstream(
-                number, service, app(machine), admin(machine), HEARTBEAT_MS, workMs, record, ledger);
+        startUpstream(machine, workMs);
         Files.writeString(settingsFile(machine), settings(machine).toString());
         return machine;
     }
 
+    /** Starts the upstream of a machine, for the first time or again under the id that it had. */
+    void startUpstream(Machine machine, long workMs) throws IOException {
+        machine.upstream = new Upstream(
+                machine.number,
+                machine.service,
+                app(machine),
+                admin(machine),
+                HEARTBEAT_MS,
+                workMs,
+                record,
+                ledger);
+    }
+
     private Path settingsFile(Machine machine) {
         return folder.resolve("settings-" + machine.number + ".json");
     }
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -30,6 +30,12 @@
     /** Whether the store turns the machine with this number away (503, nothing is done). */
     final boolean[] turnedAway = new boolean[64];
 
+    /** Share of the writes that are done and not answered. */
+    volatile double lost;
+
+    /** Whether these writes are done 1 to 6 s later, if their condition still holds. */
+    volatile boolean late;
+
     void listen(int machine, InetSocketAddress address) throws IOException {
         HttpServer server = HttpServer.create(address, 64);
         server.setExecutor(Executors.newCachedThreadPool(task -> {
@@ -103,6 +109,10 @@
             answer(exchange, turnedAway[machine] ? 503 : 200, turnedAway[machine] ? null : changes);
             return;
         }
+        boolean isLost = !exchange.getRequestMethod().equals("GET") && Math.random() < lost;
+        if (isLost && late) {
+            Thread.sleep(1_000 + (long) (Math.random() * 5_000));
+        }
         int status;
         JsonNode result;
         synchronized (this) {
@@ -149,6 +159,10 @@
                 }
             }
         }
+        if (isLost) {
+            exchange.close();
+            return;
+        }
         answer(exchange, status, result);
     }
 
--- a/review/standin/Upstream.java
+++ b/review/standin/Upstream.java
@@ -10,6 +10,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A sound application upstream: it pings its daemon, holds the keys that it is given and runs requests on them. */
@@ -37,10 +39,14 @@
     private long holdUntilNanos;
     private long sequence;
     private volatile boolean closed;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
     /** Pings are not sent before this time; a ping may be late. */
     volatile long pingNotBeforeNanos = System.nanoTime();
 
+    /** Share of the requests that are run and never answered. */
+    volatile double lostAnswers;
+
     final AtomicInteger requestsRun = new AtomicInteger();
     final AtomicInteger answeredPings = new AtomicInteger();
 
@@ -75,13 +81,26 @@
         thread.start();
     }
 
+    /** Ends without notice. */
     void close() {
         closed = true;
         try {
             listener.close();
+            for (Socket socket : sockets) {
+                socket.close();
+            }
         } catch (IOException e) {
             record.line("close: " + e);
         }
+        synchronized (this) {
+            long now = System.nanoTime();
+            for (int key = 0; key < KEYS; key++) {
+                if (heldFence[key] != 0) {
+                    heldFence[key] = 0;
+                    ledger.given(number, key, now);
+                }
+            }
+        }
     }
 
     private void pingLoop() {
@@ -164,7 +183,7 @@
         answeredPings.incrementAndGet();
         synchronized (this) {
             freed.removeAll(reportedFreed);
-            return answer.has("holds") && adopt(answer, sentNanos);
+            return !closed && answer.has("holds") && adopt(answer, sentNanos);
         }
     }
 
@@ -239,6 +258,7 @@
     }
 
     private void serve(Socket socket) {
+        sockets.add(socket);
         try (socket) {
             BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
@@ -248,6 +268,8 @@
             }
         } catch (IOException | RuntimeException e) {
             // The daemon closed the connection.
+        } finally {
+            sockets.remove(socket);
         }
     }
 
@@ -270,9 +292,16 @@
                 ledger.begun(number, key, requestId);
             }
         }
+        if (closed) {
+            return "";
+        }
         requestsRun.incrementAndGet();
         record.run(id, request.startLine(), requestId, key, request.body().length);
+        boolean lost = Math.random() < lostAnswers;
         sleep(workMs);
+        while (lost && !closed) {
+            sleep(50);
+        }
         boolean stillHeld = true;
         if (key >= 0) {
             synchronized (this) {
