--- a/review/standin/DeepPipeline.java
+++ b/review/standin/DeepPipeline.java
@@ -32,7 +32,7 @@
         int exit = 2;
         try (Site site = new Site(Path.of(arguments[0]), Path.of(arguments[1]), record)) {
             exit = run(site, record, trouble);
-        } catch (Exception e) {
+        } catch (Exception | Error e) {
             record.line("could not run: " + e);
             e.printStackTrace();
         }
--- a/review/standin/LostMachines.java
+++ b/review/standin/LostMachines.java
@@ -26,7 +26,7 @@
         int exit = 2;
         try (Site site = new Site(repository, Path.of(arguments[1]), record)) {
             exit = run(site, record, trouble);
-        } catch (Exception e) {
+        } catch (Exception | Error e) {
             record.line("could not run: " + e);
             e.printStackTrace();
         }
