--- a/review/standin/Upstream.java
+++ b/review/standin/Upstream.java
@@ -7,12 +7,14 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 
 /** A sound application upstream: it pings its daemon, holds the keys that it is given and runs requests on them. */
 final class Upstream {
@@ -263,7 +265,11 @@
             BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
             for (Http.Message request = Http.read(in); request != null; request = Http.read(in)) {
-                out.write(answer(request).getBytes(StandardCharsets.US_ASCII));
+                String answer = answer(request, () -> isClosedByPeer(socket, in));
+                if (answer.isEmpty()) {
+                    return;
+                }
+                out.write(answer.getBytes(StandardCharsets.US_ASCII));
                 out.flush();
             }
         } catch (IOException | RuntimeException e) {
@@ -273,7 +279,29 @@
         }
     }
 
-    private String answer(Http.Message request) {
+    /** Whether the daemon has closed a connection on which it waits for an answer; takes some milliseconds. */
+    private static boolean isClosedByPeer(Socket socket, BufferedInputStream in) {
+        try {
+            socket.setSoTimeout(10);
+            in.mark(1);
+            int next = in.read();
+            in.reset();
+            return next < 0;
+        } catch (SocketTimeoutException e) {
+            return false;
+        } catch (IOException e) {
+            return true;
+        } finally {
+            try {
+                socket.setSoTimeout(0);
+            } catch (IOException e) {
+                // The next read fails.
+            }
+        }
+    }
+
+    /** Runs a request; returns its answer, or an empty text if it was dropped because its connection closed. */
+    private String answer(Http.Message request, BooleanSupplier isClosed) {
         String requestId = request.header("coriandercrank-request-id");
         String common = "Coriandercrank-Request-Id: " + requestId + "\r\nCoriandercrank-Instance-Id: " + id + "\r\n";
         String expected = request.header("coriandercrank-expected-instance");
@@ -298,10 +326,12 @@
         requestsRun.incrementAndGet();
         record.run(id, request.startLine(), requestId, key, request.body().length);
         boolean lost = Math.random() < lostAnswers;
-        sleep(workMs);
-        while (lost && !closed) {
-            sleep(50);
+        long doneNanos = System.nanoTime() + workMs * 1_000_000;
+        boolean dropped = false;
+        while (!dropped && !closed && (lost || System.nanoTime() - doneNanos < 0)) {
+            dropped = isClosed.getAsBoolean();
         }
+        record.line("end upstream=" + id + " request=" + requestId + (dropped ? " dropped" : " done"));
         boolean stillHeld = true;
         if (key >= 0) {
             synchronized (this) {
@@ -310,6 +340,9 @@
             }
         }
         String text = stillHeld ? id + " ran " + requestId : "the lease ended";
+        if (dropped) {
+            return "";
+        }
         return "HTTP/1.1 " + (stillHeld ? "200 OK" : "500 Lease Ended") + "\r\n" + common
                 + "Coriandercrank-Response-Seal: " + id + "." + requestId + "\r\nContent-Length: " + text.length()
                 + "\r\n\r\n" + text;
