Keep the votes of restarted witnesses true

A daemon that restarts beside a living server resumes its member under the same id, so its new process counted as the same witness without knowing what the earlier one had acknowledged and refused.

A witness now refuses nobody for the expiry time after its start, and it acknowledges only heartbeats that name its process. The member names a process once no earlier one can have refused its record: the process started less than the TTL after the latest heartbeat that was acknowledged, or after the write of the record, by the clock of the member; otherwise it rewrites the record. For that, a taker requests refusals only when it has known the revision for the expiry time, and the witness checks it. A herd kill with the store away costs members that were not killed neither their lease nor a write, if the witnesses are back within the TTL.

--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
@@ -199,9 +199,9 @@
     }
 
     private HeartbeatAck handleHeartbeat(MemberId sender, Heartbeat heartbeat) {
-        boolean granted = takeovers.witnessService().acceptHeartbeat(heartbeat.member(), heartbeat.recordRevision());
+        HeartbeatAck answer = takeovers.witnessService().handleHeartbeat(membership.id(), heartbeat);
         dissemination.digestReceived(sender, heartbeat.digest());
-        return new HeartbeatAck(membership.id(), heartbeat.sequence(), granted, view.digest());
+        return answer;
     }
 
     private void handleRefusalNotice(RefusalNotice notice) {
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
@@ -18,6 +18,7 @@
 import org.coriandercrank.kernel.message.Heartbeat;
 import org.coriandercrank.kernel.message.HeartbeatAck;
 import org.coriandercrank.kernel.message.ObjectData;
+import org.coriandercrank.kernel.message.WitnessBoot;
 import org.coriandercrank.kernel.ownership.LeaseView;
 import org.coriandercrank.kernel.ownership.VersionedMember;
 import org.coriandercrank.kernel.peer.PeerTarget;
@@ -308,7 +309,8 @@
         view.member(action.witness()).ifPresent(record -> {
             metrics.heartbeatSent();
             PeerTarget target = PeerTarget.of(record.member());
-            Heartbeat heartbeat = new Heartbeat(id, action.recordRevision(), action.sequence(), view.digest());
+            Heartbeat heartbeat =
+                    new Heartbeat(id, action.recordRevision(), action.sequence(), view.digest(), action.witnessBoot());
             long timeoutMs = context.options().ttlMs();
             context.callWithTimeout(
                     () -> context.dependencies().peerClient().call(target, heartbeat, HeartbeatAck.class, timeoutMs),
@@ -323,11 +325,26 @@
 
     private void heartbeatAnswered(HeartbeatAck ack) {
         witnessReview.answered(ack.witness());
-        perform(holder.orElseThrow()
-                .heartbeatAnswered(ack.witness(), ack.sequence(), ack.granted(), context.leaseNowNanos()));
+        long nowNanos = context.leaseNowNanos();
+        LeaseHolder lease = holder.orElseThrow();
+        if (ack.otherBoot().isPresent()) {
+            otherBootAnswered(lease, ack, ack.otherBoot().get(), nowNanos);
+        } else {
+            perform(lease.heartbeatAnswered(ack.witness(), ack.sequence(), ack.granted(), nowNanos));
+        }
         dissemination.digestReceived(ack.witness(), ack.digest());
     }
 
+    private void otherBootAnswered(LeaseHolder lease, HeartbeatAck ack, WitnessBoot boot, long nowNanos) {
+        long uptimeNanos = TimeUnit.MILLISECONDS.toNanos(boot.uptimeMs());
+        List<HolderAction> actions =
+                lease.otherBootAnswered(ack.witness(), ack.sequence(), boot.boot(), uptimeNanos, nowNanos);
+        context.log(() -> "event=witness-boot member=" + id + " witness=" + ack.witness() + " boot=" + boot.boot()
+                + " uptimeMs=" + boot.uptimeMs() + " cleared="
+                + lease.clearedBoot(ack.witness()).equals(boot.boot()));
+        perform(actions);
+    }
+
     private void writeRecord(HolderAction.WriteRecord write) {
         LeaseHolder lease = holder.orElseThrow();
         metrics.recordWritten();
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/TakeoverCoordinator.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/TakeoverCoordinator.java
@@ -204,7 +204,8 @@
     }
 
     private void sendRefusalRequest(Takeover takeover, TakeoverAction.RequestRefusal action) {
-        RefusalRequest request = new RefusalRequest(takeover.target().member().id(), action.recordRevision());
+        RefusalRequest request = new RefusalRequest(
+                takeover.target().member().id(), action.recordRevision(), action.knownForNanos() / NANOS_PER_MS);
         if (action.witness().equals(self)) {
             refusalAnswered(takeover, action, witnessService.handleRefusalRequest(self, self, request));
             return;
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/WitnessService.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/WitnessService.java
@@ -1,20 +1,24 @@
 package org.coriandercrank.control.internal;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import org.coriandercrank.kernel.id.BootId;
 import org.coriandercrank.kernel.id.MemberId;
-import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.message.Heartbeat;
+import org.coriandercrank.kernel.message.HeartbeatAck;
 import org.coriandercrank.kernel.message.RefusalAnswer;
 import org.coriandercrank.kernel.message.RefusalNotice;
 import org.coriandercrank.kernel.message.RefusalRequest;
+import org.coriandercrank.kernel.message.WitnessBoot;
 import org.coriandercrank.kernel.peer.PeerTarget;
 import org.coriandercrank.lease.Witness;
 
 /**
  * Answers heartbeats and refusal requests of other members as their witness.
  *
- * <p>The votes are kept across incarnations of this daemon, because refusals that the process granted stay binding.
- * Control thread only.
+ * <p>The votes are kept across incarnations of this daemon, because refusals that the process granted stay binding. They
+ * are lost when the process ends, see {@link Witness}. Control thread only.
  */
 public final class WitnessService {
     private static final long NANOS_PER_MS = 1_000_000;
@@ -22,6 +26,7 @@
     private final ControlContext context;
     private final ClusterView view;
     private final ControlMetrics metrics;
+    private final long startNanos;
     private final Witness witness;
     private final Consumer<MemberId> heartbeatListener;
 
@@ -36,19 +41,36 @@
         this.view = view;
         this.metrics = metrics;
         this.heartbeatListener = heartbeatListener;
-        this.witness =
-                new Witness(context.options().leaseTiming(), context.options().maxWitnessedMembers());
+        this.startNanos = context.nowNanos();
+        this.witness = new Witness(
+                context.options().leaseTiming(),
+                context.options().maxWitnessedMembers(),
+                newBootId(context),
+                startNanos);
     }
 
-    /** Records a heartbeat and returns whether it is acknowledged. */
-    public boolean acceptHeartbeat(MemberId member, Revision recordRevision) {
-        boolean granted = witness.acceptHeartbeat(member, recordRevision, context.nowNanos());
+    private static BootId newBootId(ControlContext context) {
+        BootId boot = new BootId(context.random().nextInt());
+        return boot.equals(BootId.NONE) ? newBootId(context) : boot;
+    }
+
+    /** Records a heartbeat and returns the answer to it. */
+    public HeartbeatAck handleHeartbeat(MemberId self, Heartbeat heartbeat) {
+        long nowNanos = context.nowNanos();
+        Witness.HeartbeatDecision decision = witness.acceptHeartbeat(
+                heartbeat.member(), heartbeat.recordRevision(), heartbeat.witnessBoot(), nowNanos);
+        boolean granted = decision == Witness.HeartbeatDecision.ACKNOWLEDGED;
         if (granted) {
-            heartbeatListener.accept(member);
+            heartbeatListener.accept(heartbeat.member());
         } else {
-            context.log(() -> "event=heartbeat-refused member=" + member + " revision=" + recordRevision);
+            context.log(() -> "event=heartbeat-refused member=" + heartbeat.member() + " revision="
+                    + heartbeat.recordRevision() + " reason=" + decision + " boot=" + witness.boot() + " named="
+                    + heartbeat.witnessBoot());
         }
-        return granted;
+        Optional<WitnessBoot> otherBoot = decision == Witness.HeartbeatDecision.OTHER_BOOT
+                ? Optional.of(new WitnessBoot(witness.boot(), (nowNanos - startNanos) / NANOS_PER_MS))
+                : Optional.empty();
+        return new HeartbeatAck(self, heartbeat.sequence(), granted, view.digest(), otherBoot);
     }
 
     /**
@@ -56,8 +78,8 @@
      * rewrite its record if it is alive.
      */
     public RefusalAnswer handleRefusalRequest(MemberId self, MemberId taker, RefusalRequest request) {
-        Witness.RefusalDecision decision =
-                witness.requestRefusal(request.member(), request.recordRevision(), context.nowNanos());
+        Witness.RefusalDecision decision = witness.requestRefusal(
+                request.member(), request.recordRevision(), request.knownForMs() * NANOS_PER_MS, context.nowNanos());
         if (decision.granted()) {
             metrics.refusalGranted();
             context.log(() -> "event=refusal member=" + request.member() + " revision=" + request.recordRevision()
--- a/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/LeaseSafetyTest.java
+++ b/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/LeaseSafetyTest.java
@@ -47,7 +47,7 @@
     }
 
     private void check(long seed, int witnesses) {
-        LeaseSimulation simulation = new LeaseSimulation(seed, witnesses);
+        LeaseSimulation simulation = new LeaseSimulation(seed, witnesses, false);
         Optional<String> violation = simulation.run();
         assertThat(violation).as("seed %d, %d witnesses", seed, witnesses).isEmpty();
         seals += simulation.sealed() ? 1 : 0;
--- a/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/LeaseSimulation.java
+++ b/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/LeaseSimulation.java
@@ -7,6 +7,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.function.Consumer;
+import org.coriandercrank.kernel.id.BootId;
 import org.coriandercrank.kernel.id.FailureDomain;
 import org.coriandercrank.kernel.id.HostAddress;
 import org.coriandercrank.kernel.id.MemberId;
@@ -26,8 +27,10 @@
  * Deterministic event simulation of one holder, six witnesses and two takers that wrongly suspect the holder.
  *
  * <p>The takers run on the processes of the first two witnesses. Processes have drifting clocks and pause, messages are
- * lost, delayed and duplicated, the store has outages, and the holder is disconnected at times. The seed determines the
- * whole run. Not thread safe.
+ * lost, delayed and duplicated, the store has outages, and the holder is disconnected at times. With restarts, the
+ * witnesses are killed in series, most of them at once, and start again under their ids without their memory; a taker
+ * ends with its process, and the holder resumes its record after a restart. The seed determines the whole run. Not
+ * thread safe.
  */
 final class LeaseSimulation {
     private static final long NANOS_PER_MS = 1_000_000;
@@ -44,6 +47,7 @@
     private static final long MAX_DUPLICATE_DELAY_NANOS = 4_000 * NANOS_PER_MS;
     private static final int WITNESS_PROCESSES = 6;
     private static final int TAKERS = 2;
+    private static final MemberId HOLDER = new MemberId("holder");
     private static final LeaseTiming TIMING = LeaseTiming.ofMs(2_000, 500, 105);
 
     private record Event(long atNanos, long order, SimulatedProcess process, Runnable task) {}
@@ -59,18 +63,22 @@
     private final SimulatedProcess storeProcess;
     private final List<SimulatedProcess> processes = new ArrayList<>();
     private final List<Witness> witnesses = new ArrayList<>();
+    private final List<Long> startedNanos = new ArrayList<>();
     private final List<MemberId> ids = new ArrayList<>();
     private final List<Optional<Takeover>> takeovers = new ArrayList<>();
     private final List<Interval> outages;
     private final List<Interval> holderPartitions;
     private final SimulatedStore store = new SimulatedStore();
-    private final LeaseHolder holder;
+    private LeaseHolder holder;
+    private long leaseNanos;
+    private int lastBoot;
     private long lastOrder;
     private long nowNanos;
     private boolean sealed;
     private Optional<String> violation = Optional.empty();
 
-    LeaseSimulation(long seed, int witnessCount) {
+    /** @param restarts whether witnesses and, more rarely, the holder restart under their ids */
+    LeaseSimulation(long seed, int witnessCount, boolean restarts) {
         random = new Random(seed);
         this.witnessCount = witnessCount;
         lossRate = random.nextDouble() * MAX_LOSS_RATE;
@@ -78,14 +86,15 @@
         storeProcess = new SimulatedProcess(random);
         for (int i = 0; i < WITNESS_PROCESSES; i++) {
             processes.add(new SimulatedProcess(random));
-            witnesses.add(new Witness(TIMING, 4));
             ids.add(new MemberId("w" + i));
+            startedNanos.add(0L);
+            witnesses.add(newWitness(i));
         }
         outages = randomIntervals(3, MAX_OUTAGE_MS);
         holderPartitions = randomIntervals(3, MAX_PARTITION_MS);
         holder = new LeaseHolder(TIMING, member(randomWitnesses(witnessCount)), holderProcess.localNanos(0));
         schedulePauses();
-        schedulePeriodically(holderProcess, () -> performHolder(holder.tick(holderNowNanos())));
+        schedulePeriodically(holderProcess, () -> performHolder(holder, holder.tick(holderNowNanos())));
         for (int i = 0; i < TAKERS; i++) {
             int taker = i;
             takeovers.add(Optional.empty());
@@ -97,6 +106,9 @@
                     holderProcess,
                     () -> holder.setDesired(member(randomDesiredWitnesses())));
         }
+        if (restarts) {
+            scheduleRestarts();
+        }
     }
 
     /** Runs until the end or the first violation and returns the description of the violation, if any. */
@@ -111,72 +123,104 @@
                 schedule(runnableAtNanos, event.process(), event.task());
                 continue;
             }
+            long sinceNanos = nowNanos;
             nowNanos = event.atNanos();
+            leaseNanos += isLeaseValid() ? nowNanos - sinceNanos : 0;
             event.task().run();
             checkSafety();
         }
         return violation;
     }
 
+    /** Returns the share of the time so far during which the lease was valid. */
+    double servedShare() {
+        return nowNanos == 0 ? 0 : (double) leaseNanos / nowNanos;
+    }
+
     boolean sealed() {
         return sealed;
     }
 
     private void checkSafety() {
         sealed = store.isSealed();
-        if (sealed && holder.validUntilNanos() - holderProcess.localNanos(nowNanos) > 0) {
+        if (sealed && isLeaseValid()) {
             violation = Optional.of("the lease is valid after the seal at " + nowNanos / NANOS_PER_MS + " ms");
         }
     }
 
+    private boolean isLeaseValid() {
+        return holder.validUntilNanos() - holderNowNanos() > 0;
+    }
+
     private long holderNowNanos() {
         return holderProcess.localNanos(nowNanos);
     }
 
-    private void performHolder(List<HolderAction> actions) {
+    /** Carries out the actions of a holder; nothing happens after its process has ended. */
+    private void performHolder(LeaseHolder acting, List<HolderAction> actions) {
+        if (acting != holder) {
+            return;
+        }
         for (HolderAction action : actions) {
             if (action instanceof HolderAction.SendHeartbeat heartbeat) {
-                sendHeartbeat(heartbeat);
+                sendHeartbeat(acting, heartbeat);
             } else if (action instanceof HolderAction.WriteRecord write) {
                 long operation = write.operation();
                 storeWrite(
                         holderProcess,
                         write.record(),
                         write.expected(),
-                        revision -> performHolder(holder.writeSucceeded(operation, revision, holderNowNanos())),
-                        () -> performHolder(holder.writeConflicted(operation, holderNowNanos())),
-                        () -> holder.writeFailed(operation, holderNowNanos()),
-                        () -> performHolder(holder.writeUnanswered(operation, holderNowNanos())));
+                        revision -> performHolder(acting, acting.writeSucceeded(operation, revision, holderNowNanos())),
+                        () -> performHolder(acting, acting.writeConflicted(operation, holderNowNanos())),
+                        () -> acting.writeFailed(operation, holderNowNanos()),
+                        () -> performHolder(acting, acting.writeUnanswered(operation, holderNowNanos())));
             } else if (action instanceof HolderAction.ReadRecord read) {
                 long operation = read.operation();
                 storeRead(
                         holderProcess,
-                        found -> performHolder(holder.readSucceeded(operation, found, holderNowNanos())),
-                        () -> holder.readFailed(operation, holderNowNanos()));
+                        found -> performHolder(acting, acting.readSucceeded(operation, found, holderNowNanos())),
+                        () -> acting.readFailed(operation, holderNowNanos()));
             }
         }
     }
 
-    private void sendHeartbeat(HolderAction.SendHeartbeat heartbeat) {
+    private void sendHeartbeat(LeaseHolder acting, HolderAction.SendHeartbeat heartbeat) {
         int index = ids.indexOf(heartbeat.witness());
         SimulatedProcess process = processes.get(index);
         sendMessage(process, () -> {
-            boolean granted = witnesses
-                    .get(index)
-                    .acceptHeartbeat(holder.desired().id(), heartbeat.recordRevision(), process.localNanos(nowNanos));
+            Witness witness = witnesses.get(index);
+            long localNanos = process.localNanos(nowNanos);
+            long uptimeNanos = localNanos - startedNanos.get(index);
+            Witness.HeartbeatDecision decision =
+                    witness.acceptHeartbeat(HOLDER, heartbeat.recordRevision(), heartbeat.witnessBoot(), localNanos);
             sendMessage(
                     holderProcess,
-                    () -> performHolder(holder.heartbeatAnswered(
-                            heartbeat.witness(), heartbeat.sequence(), granted, holderNowNanos())));
+                    () -> performHolder(
+                            acting, answerHeartbeat(acting, heartbeat, decision, witness.boot(), uptimeNanos)));
         });
     }
 
+    private List<HolderAction> answerHeartbeat(
+            LeaseHolder acting,
+            HolderAction.SendHeartbeat heartbeat,
+            Witness.HeartbeatDecision decision,
+            BootId boot,
+            long uptimeNanos) {
+        if (decision == Witness.HeartbeatDecision.OTHER_BOOT) {
+            return acting.otherBootAnswered(
+                    heartbeat.witness(), heartbeat.sequence(), boot, uptimeNanos, holderNowNanos());
+        }
+        boolean granted = decision == Witness.HeartbeatDecision.ACKNOWLEDGED;
+        return acting.heartbeatAnswered(heartbeat.witness(), heartbeat.sequence(), granted, holderNowNanos());
+    }
+
     private void tickTaker(int taker) {
         if (takeovers.get(taker).isEmpty()) {
             store.read().ifPresent(found -> deliverRecordLater(taker, found));
             return;
         }
-        performTakeover(taker, takeovers.get(taker).get().tick(takerNowNanos(taker)));
+        Takeover takeover = takeovers.get(taker).get();
+        performTakeover(taker, takeover, takeover.tick(takerNowNanos(taker)));
     }
 
     /** Delivers the record to the taker after a delay, so that the taker may work with an outdated record. */
@@ -195,12 +239,15 @@
         return processes.get(taker).localNanos(nowNanos);
     }
 
-    private void performTakeover(int taker, List<TakeoverAction> actions) {
-        Takeover takeover = takeovers.get(taker).orElseThrow();
+    /** Carries out the actions of a takeover; nothing happens after the process of the taker has ended. */
+    private void performTakeover(int taker, Takeover takeover, List<TakeoverAction> actions) {
+        if (!takeovers.get(taker).equals(Optional.of(takeover))) {
+            return;
+        }
         SimulatedProcess process = processes.get(taker);
         for (TakeoverAction action : actions) {
             if (action instanceof TakeoverAction.RequestRefusal request) {
-                requestRefusal(taker, request.witness(), request.recordRevision());
+                requestRefusal(taker, takeover, request);
             } else if (action instanceof TakeoverAction.Seal seal) {
                 long operation = seal.operation();
                 storeWrite(
@@ -208,9 +255,11 @@
                         seal.sealed(),
                         seal.expected(),
                         revision -> takeover.sealSucceeded(operation, revision, takerNowNanos(taker)),
-                        () -> performTakeover(taker, takeover.sealNotConfirmed(operation, takerNowNanos(taker))),
+                        () -> performTakeover(
+                                taker, takeover, takeover.sealNotConfirmed(operation, takerNowNanos(taker))),
                         () -> takeover.storeFailed(operation, takerNowNanos(taker)),
-                        () -> performTakeover(taker, takeover.sealNotConfirmed(operation, takerNowNanos(taker))));
+                        () -> performTakeover(
+                                taker, takeover, takeover.sealNotConfirmed(operation, takerNowNanos(taker))));
             } else if (action instanceof TakeoverAction.ReadRecord read) {
                 long operation = read.operation();
                 storeRead(
@@ -221,19 +270,23 @@
         }
     }
 
-    private void requestRefusal(int taker, MemberId witness, Revision revision) {
+    private void requestRefusal(int taker, Takeover takeover, TakeoverAction.RequestRefusal request) {
+        MemberId witness = request.witness();
+        Revision revision = request.recordRevision();
         int index = ids.indexOf(witness);
         SimulatedProcess process = processes.get(index);
         sendMessage(process, () -> {
-            Witness.RefusalDecision decision =
-                    witnesses.get(index).requestRefusal(holder.desired().id(), revision, process.localNanos(nowNanos));
+            Witness.RefusalDecision decision = witnesses
+                    .get(index)
+                    .requestRefusal(HOLDER, revision, request.knownForNanos(), process.localNanos(nowNanos));
             if (decision.granted()) {
-                sendMessage(holderProcess, () -> performHolder(holder.refusalReceived(revision, holderNowNanos())));
+                sendMessage(
+                        holderProcess, () -> performHolder(holder, holder.refusalReceived(revision, holderNowNanos())));
             }
             sendMessage(processes.get(taker), () -> {
-                Takeover takeover = takeovers.get(taker).orElseThrow();
                 performTakeover(
                         taker,
+                        takeover,
                         takeover.refusalAnswered(
                                 witness,
                                 revision,
@@ -312,6 +365,36 @@
         return result;
     }
 
+    /** Ends processes, whatever they do, and starts them after a delay. Messages that arrive meanwhile wait. */
+    private void scheduleRestarts() {
+        for (HerdKills.Kill kill : HerdKills.random(random, WITNESS_PROCESSES, END_NANOS)) {
+            boolean ofHolder = kill.process() == HerdKills.Kill.HOLDER;
+            SimulatedProcess process = ofHolder ? holderProcess : processes.get(kill.process());
+            schedule(kill.atNanos(), storeProcess, () -> {
+                process.pauseUntil(nowNanos + kill.downNanos());
+                schedule(process.earliestRunNanos(nowNanos), process, () -> start(kill.process()));
+            });
+        }
+    }
+
+    private void start(int process) {
+        if (process == HerdKills.Kill.HOLDER) {
+            holder = new LeaseHolder(TIMING, holder.desired(), holderNowNanos(), true);
+            return;
+        }
+        witnesses.set(process, newWitness(process));
+        if (process < TAKERS) {
+            takeovers.set(process, Optional.empty());
+        }
+    }
+
+    private Witness newWitness(int index) {
+        long localNanos = processes.get(index).localNanos(nowNanos);
+        startedNanos.set(index, localNanos);
+        lastBoot++;
+        return new Witness(TIMING, 4, new BootId(lastBoot), localNanos);
+    }
+
     private void schedulePauses() {
         List<SimulatedProcess> all = new ArrayList<>(processes);
         all.add(holderProcess);
@@ -328,7 +411,7 @@
     static Member member(List<MemberId> witnessSet) {
         HostAddress address = new HostAddress("127.0.0.1", 1);
         return new Member(
-                new MemberId("holder"),
+                HOLDER,
                 address,
                 address,
                 address,
--- a/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/LeaseHolder.java
+++ b/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/LeaseHolder.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.coriandercrank.kernel.id.BootId;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.ownership.VersionedMember;
@@ -31,24 +32,26 @@
  * resumed incarnation is not valid before the first successful write of this process, because that write guarantees
  * that no write of the earlier process can still take effect.
  *
+ * <p>A witness votes only if the heartbeat names its process, so a witness that was restarted under its member id answers
+ * with its process first. The holder names a process once no earlier one can have refused its record, see
+ * {@link WitnessBoots}; if need be, it rewrites the record for that.
+ *
  * <p>Not thread safe. All times are in nanoseconds of the same monotonic clock.
  */
 public final class LeaseHolder {
-    /** Bounds the memory used while the store answers reads but not writes. */
-    private static final int MAX_PENDING_WRITES = 8;
-
-    /** A write whose outcome is not known: it may have taken effect or may still do so. */
-    private record PendingWrite(Member record, long sentAtNanos) {}
-
     private final LeaseTiming timing;
     private final long startNanos;
     private final VoteTable votes;
-    private final List<PendingWrite> pendingWrites = new ArrayList<>();
+    private final WitnessBoots boots;
+    private final PendingWrites pendingWrites = new PendingWrites();
     private final StoreBackoff backoff;
 
     private final boolean mayResume;
     private Optional<VersionedMember> confirmed = Optional.empty();
 
+    /** When the write of the confirmed record was sent; meaningful only if there is a confirmed record. */
+    private long confirmedSentNanos;
+
     /** Revision of the record that an earlier process wrote; {@link Revision#NONE} if no such record was found. */
     private Revision inheritedRevision = Revision.NONE;
 
@@ -80,6 +83,7 @@
         this.desired = initial;
         this.startNanos = nowNanos;
         this.votes = new VoteTable(timing, nowNanos);
+        this.boots = new WitnessBoots(timing);
         this.backoff = new StoreBackoff(timing, nowNanos, initial.id().hashCode());
     }
 
@@ -89,11 +93,10 @@
             return startNanos;
         }
         long untilNanos = votes.validUntilNanos(confirmed.get().member().witnesses());
-        for (PendingWrite write : pendingWrites) {
-            untilNanos = Nanos.earlier(
-                    untilNanos, votes.validUntilNanos(write.record().witnesses()));
-        }
-        return untilNanos;
+        return pendingWrites
+                .records()
+                .map(record -> votes.validUntilNanos(record.witnesses()))
+                .reduce(untilNanos, Nanos::earlier);
     }
 
     /** Returns the latest record that the store is known to have held; empty before the first confirmed write. */
@@ -166,6 +169,40 @@
         return refusalReceived(votes.revisionOf(sequence), nowNanos);
     }
 
+    /**
+     * Handles the answer of a process of a witness that the heartbeat did not name. A process that is cleared gets a
+     * heartbeat at once; for another one the record is rewritten.
+     *
+     * @param uptimeNanos time since the start of the process, on its own clock
+     */
+    public List<HolderAction> otherBootAnswered(
+            MemberId witness, long sequence, BootId boot, long uptimeNanos, long nowNanos) {
+        if (ended || confirmed.isEmpty() || !boots.observe(witness, sequence, boot, uptimeNanos, nowNanos)) {
+            return List.of();
+        }
+        if (boots.clear(witness, evidenceNanos(witness))) {
+            return List.of(extraHeartbeat(witness, nowNanos));
+        }
+        return refusalReceived(confirmed.get().revision(), nowNanos);
+    }
+
+    /** Returns the process that heartbeats to a witness name; {@link BootId#NONE} if no process of it may vote. */
+    public BootId clearedBoot(MemberId witness) {
+        return boots.clearedBoot(witness);
+    }
+
+    /** Returns the latest time for which there is evidence that the witness had not refused the present record. */
+    private long evidenceNanos(MemberId witness) {
+        OptionalLong votedNanos = votes.lastVoteNanos(witness);
+        return votedNanos.isPresent() ? Nanos.later(votedNanos.getAsLong(), confirmedSentNanos) : confirmedSentNanos;
+    }
+
+    private HolderAction extraHeartbeat(MemberId witness, long nowNanos) {
+        Revision revision = confirmed.orElseThrow().revision();
+        return new HolderAction.SendHeartbeat(
+                witness, revision, votes.extraHeartbeatSent(revision, nowNanos), boots.clearedBoot(witness));
+    }
+
     /** Handles the notice that a witness refuses this member at a record revision; the record is then rewritten. */
     public List<HolderAction> refusalReceived(Revision recordRevision, long nowNanos) {
         if (recordRevision.isNewerThan(refusedUpTo)) {
@@ -179,14 +216,14 @@
         if (!completeOperation(answeredOperation)) {
             return List.of();
         }
-        PendingWrite write = pendingWrites.get(pendingWrites.size() - 1);
+        PendingWrites.PendingWrite write = pendingWrites.latest();
         return confirm(new VersionedMember(write.record(), revision), write.sentAtNanos(), nowNanos);
     }
 
     /** Handles a write that had no effect and will have none. */
     public void writeFailed(long answeredOperation, long nowNanos) {
         if (completeOperation(answeredOperation)) {
-            pendingWrites.remove(pendingWrites.size() - 1);
+            pendingWrites.removeLatest();
             backoff.failed(nowNanos);
         }
     }
@@ -231,7 +268,7 @@
         if (read.get().member().state() == MemberState.SEALED) {
             return end("sealed");
         }
-        OptionalLong sentAtNanos = earliestPendingSendNanos(read.get().member());
+        OptionalLong sentAtNanos = pendingWrites.earliestSendNanos(read.get().member());
         if (sentAtNanos.isEmpty()) {
             return end("replaced");
         }
@@ -254,7 +291,7 @@
         if (inherited.member().state() == MemberState.SEALED) {
             return end("sealed");
         }
-        OptionalLong sentAtNanos = earliestPendingSendNanos(inherited.member());
+        OptionalLong sentAtNanos = pendingWrites.earliestSendNanos(inherited.member());
         if (sentAtNanos.isPresent()
                 && inherited.revision().isNewerThan(inheritedRevision)
                 && !inheritedRevision.equals(Revision.NONE)) {
@@ -291,12 +328,20 @@
         confirmed = Optional.of(record);
         pendingWrites.clear();
         writeOutcomeUnknown = false;
+        confirmedSentNanos = sentAtNanos;
         votes.recordStoreVote(sentAtNanos);
         backoff.succeeded(nowNanos);
         if (record.member().state() == MemberState.SEALED) {
             return end("self-sealed");
         }
-        return tick(nowNanos);
+        List<HolderAction> actions = new ArrayList<>();
+        for (MemberId witness : boots.uncleared()) {
+            if (boots.clear(witness, evidenceNanos(witness))) {
+                actions.add(extraHeartbeat(witness, nowNanos));
+            }
+        }
+        actions.addAll(tick(nowNanos));
+        return actions;
     }
 
     private List<HolderAction> end(String reason) {
@@ -304,27 +349,21 @@
         return List.of(new HolderAction.End(reason));
     }
 
-    private OptionalLong earliestPendingSendNanos(Member record) {
-        return pendingWrites.stream()
-                .filter(write -> write.record().equals(record))
-                .mapToLong(PendingWrite::sentAtNanos)
-                .reduce(Nanos::earlier);
-    }
-
     private void sendHeartbeats(long nowNanos, List<HolderAction> actions) {
         Revision revision = confirmed.orElseThrow().revision();
         long sequence = votes.heartbeatSent(revision, nowNanos);
         for (MemberId witness : heartbeatTargets()) {
-            actions.add(new HolderAction.SendHeartbeat(witness, revision, sequence));
+            actions.add(new HolderAction.SendHeartbeat(witness, revision, sequence, boots.clearedBoot(witness)));
         }
     }
 
     private Set<MemberId> heartbeatTargets() {
         Set<MemberId> targets =
                 new LinkedHashSet<>(confirmed.orElseThrow().member().witnesses());
-        pendingWrites.forEach(write -> targets.addAll(write.record().witnesses()));
+        pendingWrites.records().forEach(record -> targets.addAll(record.witnesses()));
         targets.addAll(desired.witnesses());
         votes.retainVotes(targets);
+        boots.retain(targets);
         return targets;
     }
 
@@ -343,26 +382,17 @@
             lastOperation++;
             operationInFlight = true;
             lastWriteNanos = OptionalLong.of(nowNanos);
-            addPending(new PendingWrite(record.get(), nowNanos));
+            pendingWrites.add(record.get(), nowNanos);
             Revision expected = confirmed.map(VersionedMember::revision).orElse(inheritedRevision);
             actions.add(new HolderAction.WriteRecord(lastOperation, record.get(), expected));
         }
     }
 
-    /** Appends a pending write. Of pending writes with the same content, only the earliest and the latest are kept. */
-    private void addPending(PendingWrite write) {
-        List<PendingWrite> same = pendingWrites.stream()
-                .filter(pending -> pending.record().equals(write.record()))
-                .toList();
-        pendingWrites.removeAll(same.subList(Math.min(1, same.size()), same.size()));
-        pendingWrites.add(write);
-    }
-
     /** Returns the record to write now; empty if no write is due. */
     private Optional<Member> recordToWrite(long nowNanos) {
         Member current = confirmed.orElseThrow().member();
-        if (pendingWrites.size() >= MAX_PENDING_WRITES) {
-            return Optional.of(pendingWrites.get(pendingWrites.size() - 1).record());
+        if (pendingWrites.isFull()) {
+            return Optional.of(pendingWrites.latest().record());
         }
         if (desired.state() == MemberState.SEALED) {
             return Optional.of(desired);
--- a/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/Takeover.java
+++ b/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/Takeover.java
@@ -16,8 +16,9 @@
  * State machine of a daemon that takes over one suspected member.
  *
  * <p>Invariants: the seal is conditional on a record revision v that this daemon has known for longer than the expiry
- * time, and it is sent only after {@link Quorum#requiredRefusals} witnesses granted a refusal at v. A newer record
- * restarts the takeover.
+ * time, and it is sent only after {@link Quorum#requiredRefusals} witnesses granted a refusal at v. No refusal is
+ * requested earlier either, because a member relies on that after the restart of a witness, see {@link LeaseHolder}. A
+ * newer record restarts the takeover.
  *
  * <p>Each event method that returns actions expects its driver to carry them out. Not thread safe. Times are monotonic,
  * in nanoseconds.
@@ -77,7 +78,8 @@
             return actions;
         }
         int requiredCount = Quorum.requiredRefusals(target.member().witnesses().size());
-        if (refusals.size() < requiredCount) {
+        boolean knownForExpiry = nowNanos - knownSinceNanos > timing.expiryNanos();
+        if (knownForExpiry && refusals.size() < requiredCount) {
             requestRefusals(nowNanos, actions);
         }
         if (operationInFlight || !backoff.isDue(nowNanos)) {
@@ -87,7 +89,7 @@
             lastOperation++;
             operationInFlight = true;
             actions.add(new TakeoverAction.ReadRecord(lastOperation));
-        } else if (refusals.size() >= requiredCount && nowNanos - knownSinceNanos > timing.expiryNanos()) {
+        } else if (knownForExpiry && refusals.size() >= requiredCount) {
             lastOperation++;
             operationInFlight = true;
             actions.add(new TakeoverAction.Seal(
@@ -187,7 +189,7 @@
             Long nextNanos = nextRequestNanos.get(witness);
             if (!refusals.contains(witness) && (nextNanos == null || nowNanos - nextNanos >= 0)) {
                 nextRequestNanos.put(witness, nowNanos + timing.heartbeatNanos());
-                actions.add(new TakeoverAction.RequestRefusal(witness, target.revision()));
+                actions.add(new TakeoverAction.RequestRefusal(witness, target.revision(), nowNanos - knownSinceNanos));
             }
         }
     }
--- a/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/VoteTable.java
+++ b/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/VoteTable.java
@@ -16,7 +16,7 @@
  * answer. Not thread safe. Times are monotonic, in nanoseconds.
  */
 final class VoteTable {
-    /** Answers are accepted only for this number of latest heartbeat rounds. */
+    /** Answers are accepted only for this number of latest sequence numbers. */
     private static final int MAX_SENT_HEARTBEATS = 64;
 
     private record SentHeartbeat(Revision recordRevision, long sentAtNanos) {}
@@ -41,10 +41,15 @@
 
     /** Records that a round of heartbeats is sent and returns its sequence number. */
     long heartbeatSent(Revision recordRevision, long nowNanos) {
+        lastHeartbeatNanos = OptionalLong.of(nowNanos);
+        return extraHeartbeatSent(recordRevision, nowNanos);
+    }
+
+    /** Records that a heartbeat is sent which is not part of a round of all witnesses. */
+    long extraHeartbeatSent(Revision recordRevision, long nowNanos) {
         sequence++;
         sentHeartbeats.put(sequence, new SentHeartbeat(recordRevision, nowNanos));
         sentHeartbeats.remove(sequence - MAX_SENT_HEARTBEATS);
-        lastHeartbeatNanos = OptionalLong.of(nowNanos);
         return sequence;
     }
 
--- a/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/PeerNetworkTest.java
+++ b/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/PeerNetworkTest.java
@@ -71,7 +71,7 @@
     }
 
     private CompletableFuture<RefusalAnswer> call(long number) {
-        return caller.call(target, new RefusalRequest(CALLER_ID, new Revision(number)), RefusalAnswer.class, 5_000);
+        return caller.call(target, new RefusalRequest(CALLER_ID, new Revision(number), 0), RefusalAnswer.class, 5_000);
     }
 
     private static ResultCode resultCode(CompletableFuture<?> call) throws Exception {
@@ -95,7 +95,7 @@
             for (MemberId id : List.of(CALLER_ID, new MemberId("calling-again"))) {
                 self.set(id);
                 RefusalAnswer answer = rejoining
-                        .call(target, new RefusalRequest(id, new Revision(1)), RefusalAnswer.class, 5_000)
+                        .call(target, new RefusalRequest(id, new Revision(1), 0), RefusalAnswer.class, 5_000)
                         .get(6, TimeUnit.SECONDS);
                 assertThat(answer.witness()).isEqualTo(id);
             }
@@ -119,7 +119,7 @@
             assertThat(received.await(6, TimeUnit.SECONDS)).isTrue();
             self.set(new MemberId("calling-again"));
             rejoining
-                    .call(target, new RefusalRequest(self.get(), new Revision(1)), RefusalAnswer.class, 5_000)
+                    .call(target, new RefusalRequest(self.get(), new Revision(1), 0), RefusalAnswer.class, 5_000)
                     .get(6, TimeUnit.SECONDS);
             pendingAnswer.complete(new RefusalAnswer(CALLEE_ID, true, 7));
             assertThat(firstCall.get(6, TimeUnit.SECONDS).witness()).isEqualTo(CALLEE_ID);
@@ -227,7 +227,7 @@
     void callFailsIfAnotherMemberHasTheAddress() throws Exception {
         PeerTarget predecessor = new PeerTarget(new MemberId("predecessor"), callee.address());
         CompletableFuture<RefusalAnswer> call =
-                caller.call(predecessor, new RefusalRequest(CALLER_ID, new Revision(1)), RefusalAnswer.class, 5_000);
+                caller.call(predecessor, new RefusalRequest(CALLER_ID, new Revision(1), 0), RefusalAnswer.class, 5_000);
 
         assertThat(resultCode(call)).isEqualTo(ResultCode.WRONG_MEMBER);
         assertThat(handledRequests).hasValue(0);
--- a/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/internal/MessageCodecTest.java
+++ b/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/internal/MessageCodecTest.java
@@ -12,6 +12,7 @@
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.config.RequestRules;
+import org.coriandercrank.kernel.id.BootId;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.IdempotencyKey;
 import org.coriandercrank.kernel.id.Key;
@@ -43,6 +44,7 @@
 import org.coriandercrank.kernel.message.RefusalRequest;
 import org.coriandercrank.kernel.message.ReleaseAnswer;
 import org.coriandercrank.kernel.message.ReleaseRequest;
+import org.coriandercrank.kernel.message.WitnessBoot;
 import org.coriandercrank.kernel.ownership.GateLoad;
 import org.coriandercrank.kernel.placement.RangeLoad;
 import org.coriandercrank.kernel.request.CallerAnswer;
@@ -87,9 +89,15 @@
                 new Pong(),
                 new CallFailure(ResultCode.OVERLOADED, "full"),
                 new Heartbeat(
-                        MEMBER, new Revision(3), 4, new Digest(new Revision(1), new Revision(2), new Revision(3))),
-                new HeartbeatAck(MEMBER, 4, true, Digest.NONE),
-                new RefusalRequest(MEMBER, new Revision(8)),
+                        MEMBER,
+                        new Revision(3),
+                        4,
+                        new Digest(new Revision(1), new Revision(2), new Revision(3)),
+                        new BootId(0x12345678)),
+                new HeartbeatAck(MEMBER, 4, true, Digest.NONE, Optional.empty()),
+                new HeartbeatAck(
+                        MEMBER, 4, false, Digest.NONE, Optional.of(new WitnessBoot(new BootId(0x12345678), 1_000_000))),
+                new RefusalRequest(MEMBER, new Revision(8), 2_101),
                 new RefusalAnswer(MEMBER, false, 120),
                 new RefusalNotice(MEMBER, new Revision(8)),
                 new ForwardRequest(REQUEST, new Generation(5)),
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/MessageCodec.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/MessageCodec.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.BootId;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.RequestFingerprint;
 import org.coriandercrank.kernel.message.CallFailure;
@@ -30,6 +31,7 @@
 import org.coriandercrank.kernel.message.RefusalRequest;
 import org.coriandercrank.kernel.message.ReleaseAnswer;
 import org.coriandercrank.kernel.message.ReleaseRequest;
+import org.coriandercrank.kernel.message.WitnessBoot;
 import org.coriandercrank.kernel.request.CallerRequest;
 import org.msgpack.core.MessagePackException;
 
@@ -93,6 +95,14 @@
         BY_NUMBER.put(number, entry);
     }
 
+    private static void writeWitnessBoot(FieldWriter out, WitnessBoot boot) throws IOException {
+        out.int64(boot.boot().value()).int64(boot.uptimeMs());
+    }
+
+    private static WitnessBoot witnessBoot(FieldReader in) throws IOException {
+        return new WitnessBoot(new BootId(in.int32()), in.int64());
+    }
+
     private static void registerLinkMessages() {
         register(
                 1,
@@ -115,22 +125,39 @@
                 (out, m) -> {
                     out.string(m.member()).int64(m.recordRevision().value()).int64(m.sequence());
                     ValueFields.writeDigest(out, m.digest());
+                    if (!m.witnessBoot().equals(BootId.NONE)) {
+                        out.int64(m.witnessBoot().value());
+                    }
                 },
                 in -> new Heartbeat(
-                        ValueFields.memberId(in), ValueFields.revision(in), in.int64(), ValueFields.digest(in)));
+                        ValueFields.memberId(in),
+                        ValueFields.revision(in),
+                        in.int64(),
+                        ValueFields.digest(in),
+                        in.hasMore() ? new BootId(in.int32()) : BootId.NONE));
         register(
                 11,
                 HeartbeatAck.class,
                 (out, m) -> {
                     out.string(m.witness()).int64(m.sequence()).bool(m.granted());
                     ValueFields.writeDigest(out, m.digest());
+                    if (m.otherBoot().isPresent()) {
+                        writeWitnessBoot(out, m.otherBoot().get());
+                    }
                 },
-                in -> new HeartbeatAck(ValueFields.memberId(in), in.int64(), in.bool(), ValueFields.digest(in)));
+                in -> new HeartbeatAck(
+                        ValueFields.memberId(in),
+                        in.int64(),
+                        in.bool(),
+                        ValueFields.digest(in),
+                        in.hasMore() ? Optional.of(witnessBoot(in)) : Optional.empty()));
         register(
                 12,
                 RefusalRequest.class,
-                (out, m) -> out.string(m.member()).int64(m.recordRevision().value()),
-                in -> new RefusalRequest(ValueFields.memberId(in), ValueFields.revision(in)));
+                (out, m) ->
+                        out.string(m.member()).int64(m.recordRevision().value()).int64(m.knownForMs()),
+                in -> new RefusalRequest(
+                        ValueFields.memberId(in), ValueFields.revision(in), in.hasMore() ? in.int64() : 0));
         register(
                 13,
                 RefusalAnswer.class,
