Answer all requests when the time for a stop is up

Callers saw their connections end without an answer 0.5 s before the end of the grace if their request was still at work then, also requests that must not be repeated (a report of other operators). The drain of a planned stop is bounded, and what followed it closed the connections, although the dispatch of each request knew whether an attempt may have run.

Ingress.close() now gives each request its final answer: not run, or an unknown outcome. An outstanding attempt may still be answered for half of the time for which the HTTP server waits.

Ruled out: answering earlier in the drain, which would take real answers from callers, and shortening the deadline that servers see, because most requests end in time.

--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
@@ -1,9 +1,12 @@
 package org.coriandercrank.ingress;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.coriandercrank.http.HttpHandler;
 import org.coriandercrank.http.HttpRequest;
@@ -56,11 +59,18 @@
     private final DispatchContext context;
     private final AtomicInteger inFlight = new AtomicInteger();
 
+    /** Requests that were passed to the executor and have no final answer. */
+    private final Set<RequestDispatch> dispatches = ConcurrentHashMap.newKeySet();
+
     /** Completed when no request is in flight after the start of a drain. */
     private final CompletableFuture<Void> allAnswered = new CompletableFuture<>();
 
     private volatile boolean keepAliveDisabled;
     private volatile boolean draining;
+
+    /** Set before {@link #close} visits the requests. */
+    private volatile boolean closing;
+
     private volatile int excludedServers;
     private volatile HttpServer server;
 
@@ -149,9 +159,15 @@
         return inFlight.get();
     }
 
-    /** Closes all connections of callers and stops the ingress executor. */
+    /**
+     * Gives each request without an answer its final answer, closes all connections of callers and stops the ingress
+     * executor. Blocks for half a second at most, as {@link HttpServer#close()}.
+     */
     @Override
     public void close() {
+        draining = true;
+        closing = true;
+        context.execute(() -> List.copyOf(dispatches).forEach(RequestDispatch::shutDown));
         if (server != null) {
             server.close();
         }
@@ -190,15 +206,22 @@
         CompletableFuture<DispatchResult> result = new CompletableFuture<>();
         RequestDispatch dispatch =
                 new RequestDispatch(context, parsed.accepted().orElseThrow(), receivedAtNanos, result);
+        dispatches.add(dispatch);
         if (!executor.offer(() -> startDispatch(dispatch, result))) {
+            dispatches.remove(dispatch);
             onRequestFinished();
             return refuse(
                     parsed,
                     CallerAnswer.of(ResultCode.OVERLOADED, "the task queue of this daemon is full"),
                     receivedAtNanos);
         }
+        if (closing) {
+            // Begun before the close and added after it, so the close may not have seen it.
+            context.execute(dispatch::shutDown);
+        }
         connectionClosed.thenRun(dispatch::cancel);
         return result.handle((answer, failure) -> {
+            dispatches.remove(dispatch);
             onRequestFinished();
             return failure == null
                     ? toHttpResponse(parsed.id(), answer)
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/DispatchContext.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/DispatchContext.java
@@ -23,7 +23,7 @@
      * Runs a task on the executor. If the task queue is full, the task is retried by a timer, because a dropped task
      * could leave a request without an answer.
      */
-    void execute(Runnable task) {
+    public void execute(Runnable task) {
         if (!executor.offer(task)) {
             dependencies.timers().once(FULL_QUEUE_RETRY_MS, executor, task);
         }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
@@ -41,6 +41,9 @@
     /** A caller waits for the Retry-After and then needs about as long for its second attempt. */
     private static final int MIN_OBJECTIVE_TO_RETURN_FACTOR = 2;
 
+    /** Half of the time for which the HTTP server waits for responses when it is closed. */
+    private static final long ANSWER_WAIT_AT_SHUTDOWN_MS = 250;
+
     private final DispatchContext context;
     private final CallerRequest request;
     private final ServiceConfig service;
@@ -106,6 +109,15 @@
         execute(this::onCallerDisconnected);
     }
 
+    /**
+     * Gives the request its final answer, because the process ends: not run, or an unknown outcome if an attempt may have
+     * run. An outstanding attempt may still be answered for a moment. Must be called on the ingress executor.
+     */
+    public void shutDown() {
+        long waitMs = history.isLastAttemptPending() ? ANSWER_WAIT_AT_SHUTDOWN_MS : 0;
+        schedule(waitMs, () -> finish(CallerAnswer.of(ResultCode.DRAINING, "this daemon ends; use another one")));
+    }
+
     private void onCallerDisconnected() {
         if (!isDone()) {
             attemptSender.cancelOutstanding();
