Fill the connection in WaitingRequestTest on every kernel

The test assumes that 32 requests of 1 MB do not fit into the socket buffers; this kernel lets a receive buffer grow to 32 MB (tcp_rmem), so all of them could be in the sockets before the cancellation.

The test now sends 64 requests, and releases the callee only after the event loops of the caller have handled the cancellation. The check is the same. Ruled out: a slow event loop of the caller (0.3 s, trial) does not fail the test.

--- a/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/WaitingRequestTest.java
+++ b/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/WaitingRequestTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.EventExecutor;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -39,11 +40,13 @@
     private static final long HANDSHAKE_DELAY_MS = 300;
     private static final int LARGE_BODY_BYTES = 1_048_576;
 
-    /** More than the socket buffers between the two daemons hold. */
-    private static final int LARGE_REQUESTS = 32;
+    /** More than the socket buffers between the two daemons hold, which some kernels let grow beyond 32 MB. */
+    private static final int LARGE_REQUESTS = 64;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    /** One event loop for the callee, so that a task on it keeps the callee from reading. */
     private final EventLoopGroup calleeGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
     private final BlockingQueue<CallerRequest> handled = new LinkedBlockingQueue<>();
     private PeerNetwork caller;
     private PeerNetwork callee;
@@ -137,6 +140,13 @@
         return release;
     }
 
+    /** Waits until the event loops of the caller have carried out all tasks that they have now. */
+    private void awaitCaller() throws InterruptedException {
+        for (EventExecutor loop : group) {
+            loop.submit(() -> {}).sync();
+        }
+    }
+
     /** The cancellation waited behind its request for room in the connection, and both were sent. */
     @Test
     void requestCancelledWhileTheConnectionIsFullIsNotSent() throws Exception {
@@ -149,6 +159,7 @@
         forward("cancelled");
         CompletableFuture<ForwardAnswer> kept = forward("kept");
         caller.send(target, new CancelRequest(new RequestId("cancelled")));
+        awaitCaller();
         release.countDown();
         kept.get(5, TimeUnit.SECONDS);
         assertThat(handled)
