Require the fields of a member record

A member record of another writer without id, region or failure domain was accepted as JSON. It failed later with a NullPointerException in the middle of applying a list, so daemons did not learn what came after it. The record now checks its fields, and ClusterView skips it like any unreadable object.

--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/table/Member.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/table/Member.java
@@ -32,9 +32,23 @@
         List<MemberId> witnesses,
         @JsonInclude(JsonInclude.Include.NON_EMPTY) Optional<CrashReports> crashReports) {
     public Member {
+        require("id", id);
+        require("peerAddress", peerAddress);
+        require("callerAddress", callerAddress);
+        require("adminAddress", adminAddress);
+        require("region", region);
+        require("failureDomain", failureDomain);
+        require("state", state);
+        require("witnesses", witnesses);
         witnesses = List.copyOf(witnesses);
     }
 
+    private static void require(String field, Object value) {
+        if (value == null) {
+            throw new IllegalArgumentException("member record without " + field);
+        }
+    }
+
     /** Creates a record without crash reports. */
     public Member(
             MemberId id,
