Count the travel of an outcome query

A gate answers "not run" to a query for a request that it does not know if the request was sent after its start. It compares the age that the query states with its own age on arrival, but the age was that at the sending of the query. A query that travelled for up to a second, its timeout, could reach a process that was restarted after an earlier one had received the request: the caller was told "not run", and a request that must not be repeated was sent again.

The stated age now includes the timeout of the query; later answers have no effect. Found by listing what a process promises and its successor forgets (docs/design/lease.md); no run has shown it with real processes.

ageOfTheAttemptCoversTheTravelOfTheQuery failed before; 67 tests of outcomes, routing and shutdown pass. Price: for a second after the start of a gate more outcomes are unknown.

--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/OutcomeFaultTest.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/OutcomeFaultTest.java
@@ -13,6 +13,7 @@
 import org.coriandercrank.kernel.request.CallerAnswer;
 import org.coriandercrank.kernel.request.Header;
 import org.coriandercrank.kernel.table.MemberState;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -138,4 +139,26 @@
                     .allMatch(q -> q.requestId().value().equals("r1"));
         }
     }
+
+    /**
+     * A query that travels for a while reaches an owner that has grown older meanwhile. The owner then took a request
+     * that its earlier process had received for one of its own time, and called it not run.
+     */
+    @Test
+    void ageOfTheAttemptCoversTheTravelOfTheQuery() {
+        IngressOptions options = IngressFixture.options(10, 10);
+        try (IngressFixture fixture = new IngressFixture(
+                IngressFixture.snapshotOwnedBy(
+                        "b", 1, IngressFixture.member("b", "east", IngressFixture.KEYED_SERVICE, MemberState.ACTIVE)),
+                options)) {
+            fixture.peers.onForward = (r, n) -> FakePeers.failed(ResultCode.LINK_LOST);
+            fixture.peers.onQuery =
+                    (q, n) -> CompletableFuture.completedFuture(OutcomeAnswer.of(OutcomeAnswer.State.UNKNOWN));
+            fixture.send("POST", "/v1/cardfront/k1", new Header("crank-deadline-ms", "400"));
+            assertThat(fixture.peers.queries)
+                    .singleElement()
+                    .satisfies(query -> assertThat(query.sentAgoMs().orElseThrow())
+                            .isGreaterThanOrEqualTo(options.outcomeQueryTimeoutMs()));
+        }
+    }
 }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/OutcomeResolver.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/OutcomeResolver.java
@@ -52,17 +52,16 @@
             return;
         }
         context.metrics().countOutcomeQuery();
+        long timeoutMs = Math.min(remainingMs, context.options().outcomeQueryTimeoutMs());
+        // The owner compares the age with its own on the arrival of the query, which may be as late as the timeout.
         long sentAgoMs = TimeUnit.NANOSECONDS.toMillis(context.suspensionAwareNanos() - attempt.sentAtNanos())
+                + timeoutMs
                 + SENT_AGO_MARGIN_MS;
         OutcomeQuery query = new OutcomeQuery(
                 attempt.id(), dispatch.request().service(), dispatch.keyHash(), OptionalLong.of(sentAgoMs));
         context.dependencies()
                 .peerClient()
-                .call(
-                        peer,
-                        query,
-                        OutcomeAnswer.class,
-                        Math.min(remainingMs, context.options().outcomeQueryTimeoutMs()))
+                .call(peer, query, OutcomeAnswer.class, timeoutMs)
                 .whenComplete((answer, failure) -> dispatch.execute(() -> {
                     if (failure == null) {
                         onQueryAnswer(answer);
