--- a/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/LeaseSimulation.java
+++ b/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/LeaseSimulation.java
@@ -45,6 +45,8 @@
     private static final long MAX_LONG_DELAY_NANOS = 1_500 * NANOS_PER_MS;
     private static final long MAX_WRITE_DELAY_NANOS = 6_000 * NANOS_PER_MS;
     private static final long MAX_DUPLICATE_DELAY_NANOS = 4_000 * NANOS_PER_MS;
+    private static final int MAX_STORE_RETURNS = 3;
+    private static final long MAX_COPY_AGE_NANOS = 8_000 * NANOS_PER_MS;
     private static final int WITNESS_PROCESSES = 6;
     private static final int TAKERS = 2;
     private static final MemberId HOLDER = new MemberId("holder");
@@ -52,8 +54,6 @@
 
     private record Event(long atNanos, long order, SimulatedProcess process, Runnable task) {}
 
-    private record Interval(long fromNanos, long toNanos) {}
-
     private final Random random;
     private final int witnessCount;
     private final double lossRate;
@@ -66,8 +66,8 @@
     private final List<Long> startedNanos = new ArrayList<>();
     private final List<MemberId> ids = new ArrayList<>();
     private final List<Optional<Takeover>> takeovers = new ArrayList<>();
-    private final List<Interval> outages;
-    private final List<Interval> holderPartitions;
+    private final Intervals outages;
+    private final Intervals holderPartitions;
     private final SimulatedStore store = new SimulatedStore();
     private LeaseHolder holder;
     private long leaseNanos;
@@ -90,8 +90,8 @@
             startedNanos.add(0L);
             witnesses.add(newWitness(i));
         }
-        outages = randomIntervals(3, MAX_OUTAGE_MS);
-        holderPartitions = randomIntervals(3, MAX_PARTITION_MS);
+        outages = Intervals.random(random, 3, MAX_OUTAGE_MS * NANOS_PER_MS, END_NANOS);
+        holderPartitions = Intervals.random(random, 3, MAX_PARTITION_MS * NANOS_PER_MS, END_NANOS);
         holder = new LeaseHolder(TIMING, member(randomWitnesses(witnessCount)), holderProcess.localNanos(0));
         schedulePauses();
         schedulePeriodically(holderProcess, () -> performHolder(holder, holder.tick(holderNowNanos())));
@@ -111,6 +111,18 @@
         }
     }
 
+    /** Makes the store return to a copy of itself that is up to some seconds old, at random moments. */
+    LeaseSimulation withStoreReturns() {
+        for (int i = 1 + random.nextInt(MAX_STORE_RETURNS); i > 0; i--) {
+            long copiedNanos = random.nextLong(END_NANOS);
+            schedule(copiedNanos, storeProcess, () -> {
+                SimulatedStore copy = store.copy();
+                schedule(nowNanos + random.nextLong(MAX_COPY_AGE_NANOS), storeProcess, () -> store.returnTo(copy));
+            });
+        }
+        return this;
+    }
+
     /** Runs until the end or the first violation and returns the description of the violation, if any. */
     Optional<String> run() {
         while (!events.isEmpty() && violation.isEmpty()) {
@@ -142,7 +154,7 @@
     }
 
     private void checkSafety() {
-        sealed = store.isSealed();
+        sealed |= store.isSealed();
         if (sealed && isLeaseValid()) {
             violation = Optional.of("the lease is valid after the seal at " + nowNanos / NANOS_PER_MS + " ms");
         }
@@ -306,14 +318,14 @@
             Runnable failed,
             Runnable unanswered) {
         schedule(nowNanos + STORE_TIMEOUT_NANOS, client, unanswered);
-        boolean disconnected = client == holderProcess && isWithin(holderPartitions);
+        boolean disconnected = client == holderProcess && holderPartitions.contains(nowNanos);
         boolean lost = disconnected || random.nextDouble() < lossRate / 2;
         long delayNanos = random.nextInt(8) == 0 ? random.nextLong(MAX_WRITE_DELAY_NANOS) : messageDelayNanos();
         if (lost && random.nextBoolean()) {
             return;
         }
         schedule(nowNanos + delayNanos, storeProcess, () -> {
-            if (isWithin(outages) && random.nextBoolean()) {
+            if (outages.contains(nowNanos) && random.nextBoolean()) {
                 schedule(nowNanos + messageDelayNanos(), client, failed);
                 return;
             }
@@ -326,11 +338,11 @@
 
     private void storeRead(SimulatedProcess client, Consumer<Optional<VersionedMember>> succeeded, Runnable failed) {
         schedule(nowNanos + STORE_TIMEOUT_NANOS, client, failed);
-        if (random.nextDouble() < lossRate || (client == holderProcess && isWithin(holderPartitions))) {
+        if (random.nextDouble() < lossRate || (client == holderProcess && holderPartitions.contains(nowNanos))) {
             return;
         }
         schedule(nowNanos + messageDelayNanos(), storeProcess, () -> {
-            if (!isWithin(outages)) {
+            if (!outages.contains(nowNanos)) {
                 Optional<VersionedMember> found = store.read();
                 schedule(nowNanos + messageDelayNanos(), client, () -> succeeded.accept(found));
             }
@@ -338,7 +350,7 @@
     }
 
     private void sendMessage(SimulatedProcess receiver, Runnable task) {
-        boolean disconnected = receiver == holderProcess && isWithin(holderPartitions);
+        boolean disconnected = receiver == holderProcess && holderPartitions.contains(nowNanos);
         if (!disconnected && random.nextDouble() >= lossRate) {
             schedule(nowNanos + messageDelayNanos(), receiver, task);
         }
@@ -351,20 +363,6 @@
         return random.nextInt(10) == 0 ? random.nextLong(MAX_LONG_DELAY_NANOS) : random.nextLong(MAX_USUAL_DELAY_NANOS);
     }
 
-    private boolean isWithin(List<Interval> intervals) {
-        return intervals.stream()
-                .anyMatch(interval -> interval.fromNanos() <= nowNanos && nowNanos < interval.toNanos());
-    }
-
-    private List<Interval> randomIntervals(int count, long maxMs) {
-        List<Interval> result = new ArrayList<>();
-        for (int i = random.nextInt(count + 1); i > 0; i--) {
-            long fromNanos = random.nextLong(END_NANOS);
-            result.add(new Interval(fromNanos, fromNanos + random.nextLong(maxMs * NANOS_PER_MS)));
-        }
-        return result;
-    }
-
     /** Ends processes, whatever they do, and starts them after a delay. Messages that arrive meanwhile wait. */
     private void scheduleRestarts() {
         for (HerdKills.Kill kill : HerdKills.random(random, WITNESS_PROCESSES, END_NANOS)) {
--- a/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/SimulatedStore.java
+++ b/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/SimulatedStore.java
@@ -26,6 +26,20 @@
         return Optional.of(new Revision(lastRevision));
     }
 
+    /** Returns a copy to which the store can return. */
+    SimulatedStore copy() {
+        SimulatedStore copy = new SimulatedStore();
+        copy.record = record;
+        copy.lastRevision = lastRevision;
+        return copy;
+    }
+
+    /** Returns to a copy: writes since then are lost, and their revisions are given out again. */
+    void returnTo(SimulatedStore copy) {
+        record = copy.record;
+        lastRevision = copy.lastRevision;
+    }
+
     boolean isSealed() {
         return record.isPresent() && record.get().member().state() == MemberState.SEALED;
     }
