Learn the era of the store from its answers

A revision now has the era of the answer that named it and is compared by era first; the store clients learn the era from the header of each answer, drop answers of an earlier era, do not send a write whose condition is of an earlier era, and report a write that took effect in another era than its condition as unanswered. A store without the header is of era 0, and nothing changes for it.

Ruled out: a second field in each message and object, which daemons of an earlier version could not read. Nothing uses the era yet.

--- a/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpObjectStore.java
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpObjectStore.java
@@ -12,9 +12,11 @@
 import org.coriandercrank.http.HttpRequest;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.HostAddress;
 import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.request.Header;
+import org.coriandercrank.kernel.store.EraTracker;
 import org.coriandercrank.kernel.store.ObjectStore;
 import org.coriandercrank.kernel.store.StoredObject;
 import org.coriandercrank.kernel.store.WatchBatch;
@@ -22,8 +24,9 @@
 /**
  * Client of an object store over HTTP; see {@code docs/PROTOCOL_STORE.md} for the protocol.
  *
- * <p>Thread safe. Each method sends at most one HTTP request and never repeats it. Watches use dedicated connections,
- * so that waiting watches do not delay other calls.
+ * <p>Thread safe. Each method sends at most one HTTP request and never repeats it, except that a watch during which the
+ * era of the store changes is followed by a listing. Watches use dedicated connections, so that waiting watches do not
+ * delay other calls.
  */
 public final class HttpObjectStore implements ObjectStore {
     /** Maximum size of a value that the store accepts. */
@@ -42,6 +45,7 @@
     private final HttpClient callClient;
     private final HttpClient watchClient;
     private final long callTimeoutMs;
+    private final EraTracker eras = new EraTracker();
 
     /**
      * Creates a client, which opens connections on demand.
@@ -57,11 +61,17 @@
         this.watchClient = new HttpClient(group, address, options.withMaxConnections(WATCH_CONNECTIONS));
     }
 
+    @Override
+    public Era era() {
+        return eras.latest();
+    }
+
     @Override
     public CompletableFuture<Optional<StoredObject>> get(String name) {
         return StoreResponses.read(
+                eras,
                 callClient.send(HttpRequest.of("GET", objectTarget(name)), callTimeoutMs),
-                response -> StoreResponses.object(name, response));
+                (response, era) -> StoreResponses.object(name, response, era));
     }
 
     @Override
@@ -69,7 +79,7 @@
         QueryStringEncoder target = new QueryStringEncoder("/v1/list");
         target.addParam("prefix", prefix);
         return StoreResponses.read(
-                callClient.send(HttpRequest.of("GET", target.toString()), callTimeoutMs), StoreResponses::batch);
+                eras, callClient.send(HttpRequest.of("GET", target.toString()), callTimeoutMs), StoreResponses::batch);
     }
 
     @Override
@@ -79,25 +89,41 @@
                     ResultCode.STORE_UNAVAILABLE,
                     "value of " + name + " has " + value.length + " bytes, limit " + MAX_VALUE_BYTES));
         }
-        return StoreResponses.write(name, callClient.send(writeRequest("PUT", name, value, expected), callTimeoutMs));
+        return write("PUT", name, value, expected);
     }
 
     @Override
     public CompletableFuture<Void> delete(String name, Revision expected) {
+        return write("DELETE", name, new byte[0], expected).thenApply(revision -> null);
+    }
+
+    private CompletableFuture<Revision> write(String method, String name, byte[] value, Revision expected) {
+        Era intended;
+        try {
+            intended = eras.beforeWrite(name, expected);
+        } catch (CrankException e) {
+            return CompletableFuture.failedFuture(e);
+        }
         return StoreResponses.write(
-                        name, callClient.send(writeRequest("DELETE", name, new byte[0], expected), callTimeoutMs))
-                .thenApply(revision -> null);
+                name, eras, intended, callClient.send(writeRequest(method, name, value, expected), callTimeoutMs));
     }
 
     @Override
     public CompletableFuture<WatchBatch> watch(String prefix, Revision after, long waitMs) {
+        if (eras.latest().isNewerThan(after.era()) && !after.equals(Revision.NONE)) {
+            return list(prefix);
+        }
         QueryStringEncoder target = new QueryStringEncoder("/v1/watch");
         target.addParam("prefix", prefix);
-        target.addParam("after", after.toString());
+        target.addParam("after", Long.toString(after.number()));
         target.addParam("wait-ms", Long.toString(waitMs));
         return StoreResponses.read(
-                watchClient.send(HttpRequest.of("GET", target.toString()), waitMs + callTimeoutMs),
-                StoreResponses::batch);
+                        eras,
+                        watchClient.send(HttpRequest.of("GET", target.toString()), waitMs + callTimeoutMs),
+                        StoreResponses::batch)
+                .thenCompose(batch -> batch.upTo().era().isNewerThan(after.era()) && !batch.reset()
+                        ? list(prefix)
+                        : CompletableFuture.completedFuture(batch));
     }
 
     @Override
@@ -112,7 +138,7 @@
                 objectTarget(name),
                 List.of(
                         new Header("content-type", "application/octet-stream"),
-                        new Header(StoreResponses.EXPECTED_REVISION_HEADER, expected.toString())),
+                        new Header(StoreResponses.EXPECTED_REVISION_HEADER, Long.toString(expected.number()))),
                 value);
     }
 
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/store/ObjectStore.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/store/ObjectStore.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.Revision;
 
 /**
@@ -11,6 +12,12 @@
  * definitely had no effect, {@code WRITE_UNANSWERED} if a write may still take effect at any later time, {@code
  * REVISION_CONFLICT} if the object does not have the expected revision, {@code STORE_MALFORMED} if the answer cannot be
  * read. Each call counts against the rate limits of the store; a watch counts as one call, however long it waits.
+ *
+ * <p>The store may return from an older copy of itself; a new era then begins. All revisions in an answer have the era of
+ * the answer, also those of objects that were written before it. A write that expects a revision of an earlier era than
+ * the latest known one fails with {@code REVISION_CONFLICT}; one that takes effect in another era than that of the
+ * expected revision fails with {@code WRITE_UNANSWERED}. A watch from a revision of an earlier era returns a complete
+ * listing.
  */
 public interface ObjectStore extends AutoCloseable {
     /** The object, or empty if it does not exist. */
@@ -35,6 +42,11 @@
      */
     CompletableFuture<WatchBatch> watch(String prefix, Revision after, long waitMs);
 
+    /** Returns the latest era that an answer has named; never decreases. */
+    default Era era() {
+        return Era.NONE;
+    }
+
     @Override
     void close();
 }
