Give the configuration a version of its own

A store that returns from an older copy shows an older configuration at a newer revision, so the revision cannot say which of two configurations is newer. The operator's object has a version; release notes count it. Ruled out: the number of recent notes, which is bounded.

--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/Configuration.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/Configuration.java
@@ -11,10 +11,17 @@
  * <p>Immutable. Its revision is the store revision of that object. {@code recentNotes} holds the most recently accepted
  * release notes, newest first, so that a submitter who received no answer can find out whether its note was accepted. A
  * stored configuration without {@code routes} has no routes.
+ *
+ * @param version grows with each change of the configuration; tells which of two is newer if the store has returned from
+ *     an older copy. 0 if it is not known
  */
 public record Configuration(
-        List<ServiceConfig> services, List<BackendRule> backends, List<AcceptedNote> recentNotes, List<Route> routes) {
-    public static final Configuration EMPTY = new Configuration(List.of(), List.of(), List.of(), List.of());
+        List<ServiceConfig> services,
+        List<BackendRule> backends,
+        List<AcceptedNote> recentNotes,
+        List<Route> routes,
+        long version) {
+    public static final Configuration EMPTY = new Configuration(List.of(), List.of(), List.of());
     public static final int MAX_RECENT_NOTES = 256;
 
     public Configuration {
@@ -26,7 +33,12 @@
 
     /** A configuration without routes. */
     public Configuration(List<ServiceConfig> services, List<BackendRule> backends, List<AcceptedNote> recentNotes) {
-        this(services, backends, recentNotes, List.of());
+        this(services, backends, recentNotes, List.of(), 0);
+    }
+
+    /** Returns the same configuration with another version. */
+    public Configuration withVersion(long newVersion) {
+        return new Configuration(services, backends, recentNotes, routes, newVersion);
     }
 
     public Optional<ServiceConfig> service(ServiceName name) {
--- a/org.coriandercrank.note/src/main/java/org/coriandercrank/note/NoteApplier.java
+++ b/org.coriandercrank.note/src/main/java/org/coriandercrank/note/NoteApplier.java
@@ -68,7 +68,8 @@
             return Optional.empty();
         }
         return Optional.of(
-                new Configuration(List.copyOf(services.values()), List.copyOf(backends.values()), recentNotes(note)));
+                new Configuration(List.copyOf(services.values()), List.copyOf(backends.values()), recentNotes(note))
+                        .withVersion(base.version() + 1));
     }
 
     public List<NoteError> errors() {
