Keep no lease that may have been sealed before the store returned

Cause: when the store returns from an older copy, seals, records and witness sets are lost. A sealed member got a valid lease again, and members whose records were missing ended as deleted or replaced while their servers held their ranges.

Change: daemons learn the era from the store and from each other. A holder writes its record again in a new era and ends if it could have been sealed since its last write. A witness votes for a record of an earlier era only if that survived. Nobody is sealed before the era has settled. Views keep the newest tables, the configuration in force and, until then, members that the store lost. A seal that was seen before the join ends the member, also if the store loses it.

--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
@@ -16,6 +16,7 @@
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.config.Configuration;
+import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.id.ServiceName;
@@ -24,6 +25,7 @@
 import org.coriandercrank.kernel.message.ObjectData;
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
 import org.coriandercrank.kernel.ownership.RoutingView;
+import org.coriandercrank.kernel.ownership.StoreEra;
 import org.coriandercrank.kernel.ownership.VersionedMember;
 import org.coriandercrank.kernel.store.JsonCodec;
 import org.coriandercrank.kernel.store.ObjectNames;
@@ -36,9 +38,11 @@
  * The control objects that this daemon knows. They are kept in stored form for other daemons and are published as
  * decoded snapshots.
  *
- * <p>Invariant: no object reverts to an older revision. If an object cannot be decoded, its last decodable revision
- * stays in force. {@link #current}, {@link #subscribe} and {@link #await} are thread safe; all other methods must be
- * called on the control thread.
+ * <p>Invariant: no object reverts to an older revision. If the store returns from an older copy, the tables with the
+ * newest generations, the configuration with the newest version and, for some seconds, the members that the store lost
+ * stay in force. If an object cannot be decoded, its last decodable revision stays in force. {@link #current},
+ * {@link #storeEra}, {@link #subscribe} and {@link #await} are thread safe; all other methods must be called on the
+ * control thread.
  */
 public final class ClusterView implements RoutingView {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -56,7 +60,9 @@
     private Configuration configuration = Configuration.EMPTY;
     private Revision configurationRevision = Revision.NONE;
     private long snapshotVersion;
+    private final MissingMembers missingMembers = new MissingMembers();
     private volatile RoutingSnapshot snapshot;
+    private volatile StoreEra storeEra = StoreEra.NONE;
 
     /** @param memberListener called on the control thread with each member record that is new or has changed */
     public ClusterView(ControlContext context, MemberId self, Consumer<Member> memberListener) {
@@ -82,6 +88,30 @@
         return snapshot;
     }
 
+    @Override
+    public StoreEra storeEra() {
+        return storeEra;
+    }
+
+    /**
+     * Publishes the latest era. Once it has settled, the members whose records were not written again are dropped.
+     * Returns whether the era is new.
+     */
+    public boolean updateEra() {
+        StoreEra before = storeEra;
+        storeEra = new StoreEra(context.eras().era(), isEraSettled());
+        if (storeEra.settled() && !missingMembers.isEmpty()) {
+            context.log(() -> "event=store-era-settled era=" + storeEra.era() + " lost=" + missingMembers);
+            missingMembers.take().forEach(this::removeMember);
+            publish(snapshot.self());
+        }
+        return !before.era().equals(storeEra.era());
+    }
+
+    private boolean isEraSettled() {
+        return context.eras().isSettled(context.nowNanos());
+    }
+
     @Override
     public void subscribe(Consumer<RoutingSnapshot> listener) {
         listeners.add(listener);
@@ -187,7 +217,14 @@
                     "event=configuration-deleted revision=%s kept=%s", change.revision(), configurationRevision);
             return;
         }
-        configuration = JsonCodec.decode(change.value(), Configuration.class);
+        Configuration changed = JsonCodec.decode(change.value(), Configuration.class);
+        if (change.revision().era().isNewerThan(configurationRevision.era())
+                && changed.version() < configuration.version()) {
+            context.log(() -> "event=configuration-kept revision=" + configurationRevision + " version="
+                    + configuration.version() + " stored=" + changed.version());
+            return;
+        }
+        configuration = changed;
         configurationRevision = change.revision();
         context.log(() -> "event=configuration-in-force revision=" + change.revision());
     }
@@ -195,8 +232,9 @@
     private void decodeMember(StoredObject change) {
         MemberId id = new MemberId(change.name().substring(ObjectNames.MEMBERS_PREFIX.length()));
         if (change.deleted()) {
-            members.remove(id);
-            revisionSeenNanos.remove(id);
+            if (!missingMembers.keep(members.get(id), change.revision(), isEraSettled())) {
+                removeMember(id);
+            }
             return;
         }
         Member member = JsonCodec.decode(change.value(), Member.class);
@@ -204,16 +242,30 @@
             throw new IllegalArgumentException(
                     "the record of " + member.id() + " is stored under the name " + change.name());
         }
+        missingMembers.recordSeen(id);
         members.put(id, new VersionedMember(member, change.revision()));
         revisionSeenNanos.put(id, context.nowNanos());
         memberListener.accept(member);
     }
 
+    private void removeMember(MemberId id) {
+        members.remove(id);
+        revisionSeenNanos.remove(id);
+    }
+
+    /** The generation of a table grows with each write, so an older or missing table was lost by the store. */
     private void decodeTable(StoredObject change) {
         ServiceName service = new ServiceName(change.name().substring(ObjectNames.ASSIGNMENTS_PREFIX.length()));
-        if (change.deleted()) {
-            tables.remove(service);
-        } else {
+        AssignmentTable known = tables.get(service);
+        Generation stored = change.deleted()
+                ? Generation.NONE
+                : TableCodec.decode(change.value()).generation();
+        if (known != null && known.generation().isNewerThan(stored)) {
+            context.log(() -> "event=table-kept service=" + service + " generation=" + known.generation() + " stored="
+                    + stored + " revision=" + change.revision());
+            return;
+        }
+        if (!change.deleted()) {
             tables.put(service, TableCodec.decode(change.value()));
         }
     }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlContext.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlContext.java
@@ -12,10 +12,11 @@
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.time.TimerService;
+import org.coriandercrank.lease.EraTransition;
 
 /**
- * Shared context of the components of the control plane. Thread safe, except for {@link #random}, which only the
- * control thread uses.
+ * Shared context of the components of the control plane. Thread safe, except for {@link #random} and {@link #eras},
+ * which only the control thread uses.
  *
  * @param executor runs tasks one at a time; its thread is the control thread
  */
@@ -24,12 +25,22 @@
         HostIdentity identity,
         ControlDependencies dependencies,
         Executor executor,
-        Random random) {
+        Random random,
+        EraTransition eras) {
     private static final long REJECTED_RETRY_MS = 5;
 
     /** Largest deviation from a mean delay, as a fraction of it. */
     private static final double JITTER = 0.5;
 
+    public ControlContext(
+            ControlOptions options,
+            HostIdentity identity,
+            ControlDependencies dependencies,
+            Executor executor,
+            Random random) {
+        this(options, identity, dependencies, executor, random, new EraTransition(options.leaseTiming()));
+    }
+
     /** Returns the time of the clock of the timers. */
     public long nowNanos() {
         return dependencies.timers().clock().nowNanos();
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
@@ -199,6 +199,8 @@
     }
 
     private HeartbeatAck handleHeartbeat(MemberId sender, Heartbeat heartbeat) {
+        context.eras().observe(heartbeat.digest().latestEra(), context.nowNanos());
+        context.eras().observe(heartbeat.recordRevision().era(), context.nowNanos());
         HeartbeatAck answer = takeovers.witnessService().handleHeartbeat(membership.id(), heartbeat);
         dissemination.digestReceived(sender, heartbeat.digest());
         return answer;
@@ -220,6 +222,10 @@
             membership.processResumed(context.leaseNowNanos());
             takeovers.processResumed(nowNanos);
         }
+        context.eras().observe(context.dependencies().store().era(), nowNanos);
+        if (view.updateEra()) {
+            eraBegan();
+        }
         if (joinRequested) {
             membership.tick(context.leaseNowNanos());
         }
@@ -234,6 +240,20 @@
         status = buildStatus();
     }
 
+    private void eraBegan() {
+        metrics.storeReturned();
+        context.log(() -> "event=store-era era=" + context.eras().era() + " known=" + view.digest() + " member="
+                + membership.id() + " revision="
+                + membership
+                        .confirmed()
+                        .map(record -> record.revision().toString())
+                        .orElse("none")
+                + " leaseRemainingMs=" + leaseRemainingMs() + " tables="
+                + view.current().tables().values().stream()
+                        .map(table -> table.service() + ":" + table.generation())
+                        .toList());
+    }
+
     private void viewChanged(RoutingSnapshot snapshot) {
         membership.viewChanged();
         takeovers.viewChanged(snapshot);
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlMetrics.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlMetrics.java
@@ -13,6 +13,7 @@
     private final Counter endedIncarnations;
     private final Counter fetches;
     private final Counter recordWrites;
+    private final Counter storeReturns;
 
     public ControlMetrics(
             MeterRegistry registry,
@@ -24,6 +25,7 @@
         seals = registry.counter("crank.control.seals");
         endedIncarnations = registry.counter("crank.control.incarnations.ended");
         fetches = registry.counter("crank.control.fetches");
+        storeReturns = registry.counter("crank.control.store.returns");
         recordWrites = registry.counter("crank.control.record.writes");
         Gauge.builder("crank.lease.remaining.ms", leaseRemainingMs).register(registry);
         Gauge.builder("crank.control.takeovers.running", takeovers).register(registry);
@@ -50,6 +52,11 @@
         fetches.increment();
     }
 
+    /** Counts a new era of the store. */
+    public void storeReturned() {
+        storeReturns.increment();
+    }
+
     public void recordWritten() {
         recordWrites.increment();
     }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -207,6 +207,7 @@
 
     /** Handles the digest of a peer: fetches the changes that the peer knows and this daemon does not. */
     public void digestReceived(MemberId peer, Digest digest) {
+        context.eras().observe(digest.latestEra(), context.nowNanos());
         if (isStarting(context.nowNanos())) {
             heardMembers.add(peer);
         }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
@@ -69,6 +69,7 @@
     private long lastReviewNanos;
     private long lastHeartbeatNanos;
     private boolean abandoned;
+    private boolean sealSeen;
     private Optional<CrashReports> pushedReports = Optional.empty();
     private volatile long validUntilNanos;
 
@@ -163,8 +164,7 @@
     /** Joins once the store has been listed; after that, evaluates the lease and then runs the work that is due. */
     public void tick(long nowNanos) {
         if (holder.isEmpty()) {
-            boolean stopped = leaveFuture.isDone() || sealFuture.isDone();
-            if (dissemination.isListed() && !stopped) {
+            if (dissemination.isListed() && !leaveFuture.isDone() && !sealFuture.isDone()) {
                 join(nowNanos);
             }
             return;
@@ -173,6 +173,7 @@
         if (areCrashReportsUnpublished()) {
             lease.limitBackoff(MAX_CRASH_REPORT_RETRY_NANOS, nowNanos);
         }
+        perform(lease.eraObserved(context.eras().era(), nowNanos));
         perform(lease.tick(nowNanos));
         if (nowNanos - lastReviewNanos >= WITNESS_REVIEW_INTERVAL_NANOS && !lease.isEnded()) {
             lastReviewNanos = nowNanos;
@@ -241,10 +242,11 @@
         holder.ifPresent(lease -> perform(lease.refusalReceived(recordRevision, nowNanos)));
     }
 
-    /** Ends the incarnation if its record is sealed in the view. */
+    /** Ends the incarnation if its record is sealed in the view, also one that has not joined yet. */
     public void viewChanged() {
         Optional<VersionedMember> own = view.member(id);
         if (own.isPresent() && own.get().member().state() == MemberState.SEALED) {
+            sealSeen = true;
             holder.ifPresent(lease -> perform(lease.recordSealed()));
         }
     }
@@ -258,7 +260,7 @@
         witnessReview.witnessesChanged(desired.witnesses(), nowNanos);
         context.log(
                 () -> "event=join member=" + id + " state=" + desired.state() + " witnesses=" + desired.witnesses());
-        perform(holder.get().tick(nowNanos));
+        perform(sealSeen ? holder.get().recordSealed() : holder.get().tick(nowNanos));
     }
 
     /** Whether an earlier process has announced that the server of this member will end. */
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ObjectCache.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ObjectCache.java
@@ -18,7 +18,7 @@
  * Cache of the control objects of one kind.
  *
  * <p>Invariants: the cache contains every change up to {@link #completeUpTo()}; an object never reverts to an older
- * revision; a deleted object does not reappear, because changes at or below {@link #completeUpTo()} are ignored. Not
+ * revision, though to an older state if the store did so and began a new era; a deleted object does not reappear, because changes at or below {@link #completeUpTo()} are ignored. Not
  * thread safe.
  */
 public final class ObjectCache {
@@ -51,12 +51,14 @@
      * Applies changes and returns those that were newer than the cached state. Objects that a complete listing shows as
      * deleted are returned as deletions at the revision of the listing.
      *
-     * @param upTo the changes contain everything after the requested revision and up to this one
+     * @param upTo the changes contain everything after the requested revision and up to this one; changes of another era
+     *     than that of the cache are ignored unless they are a complete listing
      * @param reset whether the changes are a complete listing
      */
     public List<StoredObject> apply(List<StoredObject> changes, Revision upTo, boolean reset) {
         List<StoredObject> applied = new ArrayList<>();
-        if (reset && completeUpTo.isNewerThan(upTo)) {
+        boolean otherEra = !upTo.era().equals(completeUpTo.era()) && !completeUpTo.equals(Revision.NONE);
+        if ((reset && completeUpTo.isNewerThan(upTo)) || (!reset && otherEra)) {
             return applied;
         }
         for (StoredObject change : changes) {
@@ -81,12 +83,16 @@
         return change.revision().isNewerThan(completeUpTo) && put(change);
     }
 
-    /** Returns all changes after a revision, or a complete listing if some deletions after it have been evicted. */
+    /**
+     * Returns all changes after a revision, or a complete listing if some deletions after it have been evicted or the
+     * revision is of an earlier era.
+     */
     public ObjectData changesSince(Revision newerThan) {
         if (!completeUpTo.isNewerThan(newerThan)) {
             return new ObjectData(kind, completeUpTo, false, List.of());
         }
-        if (tombstonesCompleteSince.isNewerThan(newerThan)) {
+        boolean otherEra = !newerThan.equals(Revision.NONE) && !newerThan.era().equals(completeUpTo.era());
+        if (otherEra || tombstonesCompleteSince.isNewerThan(newerThan)) {
             return new ObjectData(kind, completeUpTo, true, List.copyOf(objects.values()));
         }
         List<StoredObject> changes = new ArrayList<>();
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/PredecessorSealer.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/PredecessorSealer.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.ownership.VersionedMember;
 import org.coriandercrank.kernel.store.JsonCodec;
@@ -22,6 +23,7 @@
     /** Members whose seal is in flight, succeeded or waits for a retry. */
     private final Set<MemberId> sealRequested = new HashSet<>();
 
+    private Era checkedEra = Era.NONE;
     private long checkedSnapshotVersion = -1;
     private List<VersionedMember> predecessors = List.of();
 
@@ -32,6 +34,11 @@
 
     /** Starts the seals that are due. Only a new snapshot changes the set of predecessors. */
     void tick(MemberId self) {
+        if (!context.eras().era().equals(checkedEra)) {
+            // The store may have lost the seals of the earlier era.
+            checkedEra = context.eras().era();
+            sealRequested.clear();
+        }
         if (view.snapshotVersion() != checkedSnapshotVersion) {
             checkedSnapshotVersion = view.snapshotVersion();
             predecessors = view.current().members().values().stream()
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/TakeoverCoordinator.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/TakeoverCoordinator.java
@@ -76,8 +76,15 @@
         running.clear();
     }
 
-    /** Starts takeovers of members without recent contact and advances the running ones. */
+    /**
+     * Starts takeovers of members without recent contact and advances the running ones. In a new era of the store there
+     * are none before the members have had time to write their records again.
+     */
     public void tick(long nowNanos) {
+        if (!context.eras().isSettled(nowNanos)) {
+            running.clear();
+            return;
+        }
         refreshEligibleMembers();
         for (VersionedMember memberRecord : eligibleMembers) {
             if (isSuspect(memberRecord, nowNanos)
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/WitnessService.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/WitnessService.java
@@ -5,12 +5,14 @@
 import java.util.function.Consumer;
 import org.coriandercrank.kernel.id.BootId;
 import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.message.Heartbeat;
 import org.coriandercrank.kernel.message.HeartbeatAck;
 import org.coriandercrank.kernel.message.RefusalAnswer;
 import org.coriandercrank.kernel.message.RefusalNotice;
 import org.coriandercrank.kernel.message.RefusalRequest;
 import org.coriandercrank.kernel.message.WitnessBoot;
+import org.coriandercrank.kernel.ownership.VersionedMember;
 import org.coriandercrank.kernel.peer.PeerTarget;
 import org.coriandercrank.lease.Witness;
 
@@ -57,14 +59,17 @@
     /** Records a heartbeat and returns the answer to it. */
     public HeartbeatAck handleHeartbeat(MemberId self, Heartbeat heartbeat) {
         long nowNanos = context.nowNanos();
-        Witness.HeartbeatDecision decision = witness.acceptHeartbeat(
-                heartbeat.member(), heartbeat.recordRevision(), heartbeat.witnessBoot(), nowNanos);
+        Witness.HeartbeatDecision decision = isRecordLost(heartbeat)
+                ? Witness.HeartbeatDecision.REFUSED
+                : witness.acceptHeartbeat(
+                        heartbeat.member(), heartbeat.recordRevision(), heartbeat.witnessBoot(), nowNanos);
         boolean granted = decision == Witness.HeartbeatDecision.ACKNOWLEDGED;
         if (granted) {
             heartbeatListener.accept(heartbeat.member());
         } else {
             context.log(() -> "event=heartbeat-refused member=" + heartbeat.member() + " revision="
-                    + heartbeat.recordRevision() + " reason=" + decision + " boot=" + witness.boot() + " named="
+                    + heartbeat.recordRevision() + " reason=" + decision + " era="
+                    + context.eras().era() + " boot=" + witness.boot() + " named="
                     + heartbeat.witnessBoot());
         }
         Optional<WitnessBoot> otherBoot = decision == Witness.HeartbeatDecision.OTHER_BOOT
@@ -73,11 +78,18 @@
         return new HeartbeatAck(self, heartbeat.sequence(), granted, view.digest(), otherBoot);
     }
 
+    /** Whether the record that the heartbeat names was lost when the store returned from an older copy. */
+    private boolean isRecordLost(Heartbeat heartbeat) {
+        Optional<Revision> stored = view.member(heartbeat.member()).map(VersionedMember::revision);
+        return !context.eras().mayAcknowledge(heartbeat.recordRevision(), stored);
+    }
+
     /**
      * Answers the refusal request of a taker. If the refusal is granted, the refused member is notified, so that it can
      * rewrite its record if it is alive.
      */
     public RefusalAnswer handleRefusalRequest(MemberId self, MemberId taker, RefusalRequest request) {
+        context.eras().observe(request.recordRevision().era(), context.nowNanos());
         Witness.RefusalDecision decision = witness.requestRefusal(
                 request.member(), request.recordRevision(), request.knownForMs() * NANOS_PER_MS, context.nowNanos());
         if (decision.granted()) {
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/message/Digest.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/message/Digest.java
@@ -1,5 +1,7 @@
 package org.coriandercrank.kernel.message;
 
+import java.util.stream.Stream;
+import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.Revision;
 
 /**
@@ -12,4 +14,12 @@
  */
 public record Digest(Revision configuration, Revision members, Revision assignments) {
     public static final Digest NONE = new Digest(Revision.NONE, Revision.NONE, Revision.NONE);
+
+    /** Returns the latest era in which the daemon has heard from the store. */
+    public Era latestEra() {
+        return Stream.of(configuration, members, assignments)
+                .max(Revision::compareTo)
+                .map(Revision::era)
+                .orElseThrow();
+    }
 }
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/RoutingView.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/RoutingView.java
@@ -6,9 +6,17 @@
 
 /** Read access to the control objects that this daemon knows. Thread safe. */
 public interface RoutingView {
-    /** The latest snapshot. No object in it is ever replaced by an older revision. */
+    /**
+     * The latest snapshot. No object in it is ever replaced by an older revision. When the store returns from an older
+     * copy, newer tables and the configuration in force are kept, and members without a record for some seconds.
+     */
     RoutingSnapshot current();
 
+    /** The latest era of the store that the store or another daemon has named; it never decreases. */
+    default StoreEra storeEra() {
+        return StoreEra.NONE;
+    }
+
     /** Calls the listener with each new snapshot, on the control thread; the listener must not block. */
     void subscribe(Consumer<RoutingSnapshot> listener);
 
--- a/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/LeaseHolder.java
+++ b/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/LeaseHolder.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.coriandercrank.kernel.id.BootId;
+import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.ownership.VersionedMember;
@@ -28,14 +29,17 @@
  *   <li>At most one store operation is in flight.
  * </ul>
  *
- * <p>A holder may resume an incarnation whose record was written by an earlier process of the same host. The lease of a
- * resumed incarnation is not valid before the first successful write of this process, because that write guarantees
- * that no write of the earlier process can still take effect.
+ * <p>A holder may resume an incarnation whose record was written by an earlier process of the same host. Its lease is
+ * not valid before the first successful write of this process, after which no write of the earlier process can take
+ * effect.
  *
  * <p>A witness votes only if the heartbeat names its process, so a witness that was restarted under its member id answers
  * with its process first. The holder names a process once no earlier one can have refused its record, see
  * {@link WitnessBoots}; if need be, it rewrites the record for that.
  *
+ * <p>When the store returns from an older copy, the holder writes its record again. If the member could have been sealed
+ * since the last confirmed write, the incarnation ends, see {@link StoreReturn}.
+ *
  * <p>Not thread safe. All times are in nanoseconds of the same monotonic clock.
  */
 public final class LeaseHolder {
@@ -44,6 +48,7 @@
     private final VoteTable votes;
     private final WitnessBoots boots;
     private final PendingWrites pendingWrites = new PendingWrites();
+    private final StoreReturn storeReturn = new StoreReturn();
     private final StoreBackoff backoff;
 
     private final boolean mayResume;
@@ -60,8 +65,7 @@
     /** Newest record revision at which a witness refuses this member. */
     private Revision refusedUpTo = Revision.NONE;
 
-    private long lastOperation;
-    private boolean operationInFlight;
+    private final StoreOperations operations = new StoreOperations();
     private boolean writeOutcomeUnknown;
     private OptionalLong lastWriteNanos = OptionalLong.empty();
     private boolean ended;
@@ -144,6 +148,7 @@
         if (ended) {
             return actions;
         }
+        observeSealable(nowNanos);
         if (confirmed.isPresent() && votes.isHeartbeatDue(nowNanos)) {
             sendHeartbeats(nowNanos, actions);
         }
@@ -151,19 +156,41 @@
         return actions;
     }
 
+    private void observeSealable(long nowNanos) {
+        storeReturn.observeSealable(confirmed.isPresent()
+                && nowNanos - confirmedSentNanos >= timing.ttlNanos()
+                && validUntilNanos() - nowNanos <= 0);
+    }
+
+    /** Handles an era that the store or another daemon has named; in a new one the record is read and written again. */
+    public List<HolderAction> eraObserved(Era era, long nowNanos) {
+        if (ended || !storeReturn.observe(era)) {
+            return List.of();
+        }
+        observeSealable(nowNanos);
+        backoff.limitDelay(0, nowNanos);
+        return tick(nowNanos);
+    }
+
+    private boolean isRecordOutdated() {
+        return confirmed
+                .filter(record -> storeReturn.isOutdated(record.revision()))
+                .isPresent();
+    }
+
     /** Sends heartbeats before they are due, for example to announce an update to the witnesses. */
     public List<HolderAction> heartbeatNow(long nowNanos) {
         List<HolderAction> actions = new ArrayList<>();
-        if (!ended && confirmed.isPresent()) {
-            sendHeartbeats(nowNanos, actions);
-        }
+        confirmed.filter(record -> !ended).ifPresent(record -> sendHeartbeats(nowNanos, actions));
         return actions;
     }
 
     /** Handles the answer of a witness to a heartbeat; an answer to an unknown or old sequence number has no effect. */
     public List<HolderAction> heartbeatAnswered(MemberId witness, long sequence, boolean granted, long nowNanos) {
+        observeSealable(nowNanos);
         if (granted) {
             votes.recordVote(witness, sequence);
+            observeSealable(nowNanos);
             return List.of();
         }
         return refusalReceived(votes.revisionOf(sequence), nowNanos);
@@ -213,9 +240,11 @@
 
     /** Handles a write that took effect and got a revision. */
     public List<HolderAction> writeSucceeded(long answeredOperation, Revision revision, long nowNanos) {
+        observeSealable(nowNanos);
         if (!completeOperation(answeredOperation)) {
             return List.of();
         }
+        storeReturn.observe(revision.era());
         PendingWrites.PendingWrite write = pendingWrites.latest();
         return confirm(new VersionedMember(write.record(), revision), write.sentAtNanos(), nowNanos);
     }
@@ -234,10 +263,8 @@
     }
 
     /**
-     * Handles a write that was rejected because the record had another revision than expected.
-     *
-     * <p>The write stays pending until the record has been read, because a write that took effect may have been
-     * delivered twice, and the answer to the second copy is a conflict.
+     * Handles a write that was rejected because the record had another revision than expected. It stays pending until
+     * the record is read: a write delivered twice took effect, and then conflicts.
      */
     public List<HolderAction> writeConflicted(long answeredOperation, long nowNanos) {
         return scheduleReadBack(answeredOperation, nowNanos);
@@ -249,9 +276,17 @@
      * @param read empty if the record does not exist
      */
     public List<HolderAction> readSucceeded(long answeredOperation, Optional<VersionedMember> read, long nowNanos) {
+        observeSealable(nowNanos);
         if (!completeOperation(answeredOperation)) {
             return List.of();
         }
+        read.ifPresent(record -> storeReturn.observe(record.revision().era()));
+        if (isRecordOutdated()) {
+            return recordReadInNewEra(read, nowNanos);
+        }
+        if (confirmed.isEmpty() && read.isEmpty() && storeReturn.isOutdated(inheritedRevision)) {
+            inheritedRevision = Revision.NONE;
+        }
         Revision knownRevision = confirmed.map(VersionedMember::revision).orElse(Revision.NONE);
         Revision foundRevision = read.map(VersionedMember::revision).orElse(Revision.NONE);
         if (confirmed.isEmpty() && mayResume && read.isPresent()) {
@@ -275,7 +310,29 @@
         return confirm(read.get(), sentAtNanos.getAsLong(), nowNanos);
     }
 
-    /** Handles a failed read of the own record; the read is repeated later. */
+    /**
+     * Handles the record that the store has in a new era: an older one, or none. It is written again on the condition of
+     * its new revision. Until that is confirmed, the confirmed record of the earlier era determines the lease.
+     */
+    private List<HolderAction> recordReadInNewEra(Optional<VersionedMember> read, long nowNanos) {
+        OptionalLong sentAtNanos = read.map(found -> pendingWrites.earliestSendNanos(found.member()))
+                .orElse(OptionalLong.empty());
+        StoreReturn.Finding finding = storeReturn.recordRead(read, sentAtNanos.isPresent());
+        boolean sealed = finding == StoreReturn.Finding.SEALED;
+        if (sealed || (storeReturn.hasLapsed() && desired.state() != MemberState.SEALED)) {
+            return end(sealed ? "sealed" : "store-returned");
+        }
+        if (finding == StoreReturn.Finding.WRITTEN) {
+            return confirm(read.orElseThrow(), sentAtNanos.orElseThrow(), nowNanos);
+        }
+        writeOutcomeUnknown = finding == StoreReturn.Finding.OUTDATED;
+        if (finding != StoreReturn.Finding.OTHER) {
+            backoff.failed(nowNanos);
+        }
+        return tick(nowNanos);
+    }
+
+    /** Handles a failed read, which is repeated later. */
     public void readFailed(long answeredOperation, long nowNanos) {
         if (completeOperation(answeredOperation)) {
             backoff.failed(nowNanos);
@@ -294,6 +351,7 @@
         OptionalLong sentAtNanos = pendingWrites.earliestSendNanos(inherited.member());
         if (sentAtNanos.isPresent()
                 && inherited.revision().isNewerThan(inheritedRevision)
+                && inherited.revision().era().equals(inheritedRevision.era())
                 && !inheritedRevision.equals(Revision.NONE)) {
             return confirm(inherited, sentAtNanos.getAsLong(), nowNanos);
         }
@@ -317,11 +375,7 @@
 
     /** Marks the store operation in flight as completed; returns false if the answer is not for that operation. */
     private boolean completeOperation(long answeredOperation) {
-        if (ended || !operationInFlight || answeredOperation != lastOperation) {
-            return false;
-        }
-        operationInFlight = false;
-        return true;
+        return !ended && operations.complete(answeredOperation);
     }
 
     private List<HolderAction> confirm(VersionedMember record, long sentAtNanos, long nowNanos) {
@@ -330,16 +384,16 @@
         writeOutcomeUnknown = false;
         confirmedSentNanos = sentAtNanos;
         votes.recordStoreVote(sentAtNanos);
+        storeReturn.recordConfirmed();
+        observeSealable(nowNanos);
         backoff.succeeded(nowNanos);
         if (record.member().state() == MemberState.SEALED) {
             return end("self-sealed");
         }
         List<HolderAction> actions = new ArrayList<>();
-        for (MemberId witness : boots.uncleared()) {
-            if (boots.clear(witness, evidenceNanos(witness))) {
-                actions.add(extraHeartbeat(witness, nowNanos));
-            }
-        }
+        boots.uncleared().stream()
+                .filter(witness -> boots.clear(witness, evidenceNanos(witness)))
+                .forEach(witness -> actions.add(extraHeartbeat(witness, nowNanos)));
         actions.addAll(tick(nowNanos));
         return actions;
     }
@@ -368,78 +422,28 @@
     }
 
     private void startStoreOperation(long nowNanos, List<HolderAction> actions) {
-        if (operationInFlight || !backoff.isDue(nowNanos)) {
+        if (operations.isInFlight() || !backoff.isDue(nowNanos)) {
             return;
         }
-        if (writeOutcomeUnknown) {
-            lastOperation++;
-            operationInFlight = true;
-            actions.add(new HolderAction.ReadRecord(lastOperation));
+        if (writeOutcomeUnknown || (isRecordOutdated() && storeReturn.position().isEmpty())) {
+            actions.add(new HolderAction.ReadRecord(operations.start()));
             return;
         }
-        Optional<Member> record = confirmed.isEmpty() ? Optional.of(desired) : recordToWrite(nowNanos);
+        Optional<Member> record = confirmed.isEmpty() ? Optional.of(desired) : nextRecord(confirmed.get(), nowNanos);
         if (record.isPresent()) {
-            lastOperation++;
-            operationInFlight = true;
             lastWriteNanos = OptionalLong.of(nowNanos);
             pendingWrites.add(record.get(), nowNanos);
-            Revision expected = confirmed.map(VersionedMember::revision).orElse(inheritedRevision);
-            actions.add(new HolderAction.WriteRecord(lastOperation, record.get(), expected));
-        }
-    }
-
-    /** Returns the record to write now; empty if no write is due. */
-    private Optional<Member> recordToWrite(long nowNanos) {
-        Member current = confirmed.orElseThrow().member();
-        if (pendingWrites.isFull()) {
-            return Optional.of(pendingWrites.latest().record());
-        }
-        if (desired.state() == MemberState.SEALED) {
-            return Optional.of(desired);
-        }
-        Member desiredWithCurrentWitnesses = desired.withWitnesses(current.witnesses());
-        boolean revisionRefused = !confirmed.orElseThrow().revision().isNewerThan(refusedUpTo);
-        boolean witnessesChanged = !desired.witnesses().equals(current.witnesses());
-        if (witnessesChanged && canChangeWitnesses(nowNanos)) {
-            return Optional.of(desired);
-        }
-        boolean contentChanged = !desiredWithCurrentWitnesses.equals(current);
-        if (revisionRefused
-                || contentChanged
-                || !pendingWrites.isEmpty()
-                || isRenewalDue(current, witnessesChanged, nowNanos)) {
-            return Optional.of(desiredWithCurrentWitnesses);
+            Revision expected = storeReturn
+                    .position()
+                    .orElseGet(() -> confirmed.map(VersionedMember::revision).orElse(inheritedRevision));
+            actions.add(new HolderAction.WriteRecord(operations.start(), record.get(), expected));
         }
-        return Optional.empty();
-    }
-
-    /** Whether the new witnesses have voted, or there is no valid lease that the change could interrupt. */
-    private boolean canChangeWitnesses(long nowNanos) {
-        return validUntilNanos() - nowNanos <= 0
-                || votes.validUntilNanos(desired.witnesses()) - nowNanos > timing.ttlNanos() / 2;
-    }
-
-    /**
-     * Whether the record must be rewritten to renew the vote of the store. A change to witnesses that lack votes is
-     * preceded by a renewal, because the vote of the store may complete their majority. Without enough votes of
-     * witnesses the vote of the store is useless and a renewal harmful: each new revision makes takers wait anew, so a
-     * member that reaches only the store would keep its ranges from being served by others.
-     */
-    private boolean isRenewalDue(Member current, boolean witnessesChanged, long nowNanos) {
-        if (lastWriteNanos.isPresent() && nowNanos - lastWriteNanos.getAsLong() < timing.minRenewalIntervalNanos()) {
-            return false;
-        }
-        return needsStoreVote(current.witnesses(), nowNanos)
-                || (witnessesChanged && needsStoreVote(desired.witnesses(), nowNanos));
-    }
-
-    /** Whether a majority requires the vote of the store and can be had with it. */
-    private boolean needsStoreVote(List<MemberId> witnesses, long nowNanos) {
-        return isWitnessMajorityExpiring(witnesses, nowNanos) && votes.canStoreCompleteMajority(witnesses, nowNanos);
     }
 
-    /** Whether the witnesses alone guarantee a majority for less than half the TTL. */
-    private boolean isWitnessMajorityExpiring(List<MemberId> witnesses, long nowNanos) {
-        return votes.witnessMajorityUntilNanos(witnesses) - nowNanos < timing.ttlNanos() / 2;
+    private Optional<Member> nextRecord(VersionedMember present, long nowNanos) {
+        RecordWriteRule rule = new RecordWriteRule(timing, votes, present, desired, refusedUpTo, isRecordOutdated());
+        return pendingWrites.isFull()
+                ? Optional.of(pendingWrites.latest().record())
+                : rule.recordToWrite(!pendingWrites.isEmpty(), validUntilNanos(), lastWriteNanos, nowNanos);
     }
 }
--- a/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/VoteTable.java
+++ b/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/VoteTable.java
@@ -90,14 +90,13 @@
         return majorityUntilNanos(witnesses, storeVoteUntilNanos);
     }
 
-    /** Returns the time until which the votes of the witnesses suffice for the majority without the store. */
-    long witnessMajorityUntilNanos(List<MemberId> witnesses) {
-        return majorityUntilNanos(witnesses, startNanos);
-    }
-
-    /** Whether the valid votes of the witnesses and a vote of the store are a majority. */
-    boolean canStoreCompleteMajority(List<MemberId> witnesses, long nowNanos) {
-        return majorityUntilNanos(witnesses, nowNanos + timing.ttlNanos()) - nowNanos > 0;
+    /**
+     * Whether a majority requires the vote of the store and can be had with it: the witnesses alone guarantee a majority
+     * for less than half the TTL.
+     */
+    boolean needsStore(List<MemberId> witnesses, long nowNanos) {
+        boolean expiring = majorityUntilNanos(witnesses, startNanos) - nowNanos < timing.ttlNanos() / 2;
+        return expiring && majorityUntilNanos(witnesses, nowNanos + timing.ttlNanos()) - nowNanos > 0;
     }
 
     private long majorityUntilNanos(List<MemberId> witnesses, long storeUntilNanos) {
