Make the first table of an era from what members hold

Cause: a planner took the generation of the stored table plus one, also after the store had returned from an older copy. Fences that servers had seen were given out again, and owners of the older table took back what they had handed over.

Change: generations have a band for each era. Nothing is acquired or handed over under a table of an earlier era than the latest known. The planner waits until the era has settled, asks the members what they hold, and writes a table that keeps these ranges and makes all others wait for the members that did not answer.

Ruled out: the newest known table as the truth, since a planner that has just started knows the older one only.

--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/message/Message.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/message/Message.java
@@ -7,6 +7,8 @@
                 Pong,
                 Heartbeat,
                 HeartbeatAck,
+                HeldRangesQuery,
+                HeldRangesReport,
                 ForwardRequest,
                 ForwardAnswer,
                 CancelRequest,
--- a/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/internal/MessageCodecTest.java
+++ b/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/internal/MessageCodecTest.java
@@ -13,6 +13,7 @@
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.config.RequestRules;
 import org.coriandercrank.kernel.id.BootId;
+import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.IdempotencyKey;
 import org.coriandercrank.kernel.id.Key;
@@ -30,6 +31,8 @@
 import org.coriandercrank.kernel.message.ForwardRequest;
 import org.coriandercrank.kernel.message.Heartbeat;
 import org.coriandercrank.kernel.message.HeartbeatAck;
+import org.coriandercrank.kernel.message.HeldRangesQuery;
+import org.coriandercrank.kernel.message.HeldRangesReport;
 import org.coriandercrank.kernel.message.Hello;
 import org.coriandercrank.kernel.message.LoadQuery;
 import org.coriandercrank.kernel.message.LoadReport;
@@ -118,6 +121,13 @@
                         new Revision(9),
                         true,
                         List.of(new StoredObject("members/a", new Revision(9), NO_BYTES, true))),
+                new HeldRangesQuery(MEMBER, new Era(3)),
+                new HeldRangesReport(
+                        MEMBER,
+                        SERVICE,
+                        new Era(3),
+                        true,
+                        List.of(new HeldRangesReport.Held(KeyRange.ALL, Generation.NONE.next(new Era(3))))),
                 new LoadQuery(MEMBER),
                 new LoadReport(
                         MEMBER,
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/MessageCodec.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/MessageCodec.java
@@ -8,6 +8,7 @@
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.id.BootId;
+import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.RequestFingerprint;
 import org.coriandercrank.kernel.message.CallFailure;
@@ -17,6 +18,8 @@
 import org.coriandercrank.kernel.message.ForwardRequest;
 import org.coriandercrank.kernel.message.Heartbeat;
 import org.coriandercrank.kernel.message.HeartbeatAck;
+import org.coriandercrank.kernel.message.HeldRangesQuery;
+import org.coriandercrank.kernel.message.HeldRangesReport;
 import org.coriandercrank.kernel.message.Hello;
 import org.coriandercrank.kernel.message.LoadQuery;
 import org.coriandercrank.kernel.message.LoadReport;
@@ -56,6 +59,7 @@
         registerLeaseMessages();
         registerRequestMessages();
         registerControlMessages();
+        registerRecoveryMessages();
     }
 
     private MessageCodec() {}
@@ -228,6 +232,28 @@
         return new ForwardRequest(request.withFingerprint(fingerprint), generation);
     }
 
+    private static void registerRecoveryMessages() {
+        register(
+                36,
+                HeldRangesQuery.class,
+                (out, m) -> out.string(m.planner()).int64(m.era().value()),
+                in -> new HeldRangesQuery(ValueFields.memberId(in), new Era(in.int64())));
+        register(
+                37,
+                HeldRangesReport.class,
+                (out, m) -> out.string(m.member())
+                        .string(m.service())
+                        .int64(m.era().value())
+                        .bool(m.complete())
+                        .list(m.ranges(), ValueFields::writeHeldRange),
+                in -> new HeldRangesReport(
+                        ValueFields.memberId(in),
+                        ValueFields.serviceName(in),
+                        new Era(in.int64()),
+                        in.bool(),
+                        in.list(ValueFields::heldRange)));
+    }
+
     private static void registerControlMessages() {
         register(
                 30,
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/ValueFields.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/ValueFields.java
@@ -14,6 +14,7 @@
 import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.id.ServiceName;
 import org.coriandercrank.kernel.message.Digest;
+import org.coriandercrank.kernel.message.HeldRangesReport;
 import org.coriandercrank.kernel.ownership.GateLoad;
 import org.coriandercrank.kernel.ownership.Handover;
 import org.coriandercrank.kernel.placement.RangeLoad;
@@ -216,6 +217,15 @@
                 in.list(f -> new RangeLoad.HotHash(keyHash(f), f.float64())));
     }
 
+    static void writeHeldRange(FieldWriter out, HeldRangesReport.Held held) throws IOException {
+        writeRange(out, held.range());
+        out.int64(held.fence().value());
+    }
+
+    static HeldRangesReport.Held heldRange(FieldReader in) throws IOException {
+        return new HeldRangesReport.Held(range(in), generation(in));
+    }
+
     private static OptionalLong optionalLong(long value) {
         return value == ABSENT ? OptionalLong.empty() : OptionalLong.of(value);
     }
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/Planner.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/Planner.java
@@ -10,10 +10,12 @@
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.concurrent.SerialExecutor;
 import org.coriandercrank.kernel.config.Configuration;
 import org.coriandercrank.kernel.config.ServiceConfig;
+import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.Revision;
@@ -22,6 +24,7 @@
 import org.coriandercrank.kernel.message.LoadReport;
 import org.coriandercrank.kernel.message.ObjectData;
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
+import org.coriandercrank.kernel.ownership.StoreEra;
 import org.coriandercrank.kernel.peer.PeerTarget;
 import org.coriandercrank.kernel.placement.PlacementPolicy;
 import org.coriandercrank.kernel.plugin.PluginRegistry;
@@ -33,6 +36,7 @@
 import org.coriandercrank.kernel.table.MemberState;
 import org.coriandercrank.kernel.table.RangeAssignment;
 import org.coriandercrank.kernel.time.TimerService;
+import org.coriandercrank.placement.internal.HeldRangesCollector;
 import org.coriandercrank.placement.internal.LoadCollector;
 import org.coriandercrank.placement.internal.MemberCleaner;
 import org.coriandercrank.placement.internal.MemberLookup;
@@ -41,9 +45,11 @@
 import org.coriandercrank.placement.internal.PlannerRole;
 import org.coriandercrank.placement.internal.RebalanceParameters;
 import org.coriandercrank.placement.internal.RebalancePolicy;
+import org.coriandercrank.placement.internal.RecoveryTable;
 import org.coriandercrank.placement.internal.ServicePlanningState;
 import org.coriandercrank.placement.internal.TableBuilder;
 import org.coriandercrank.placement.internal.TablePlanner;
+import org.coriandercrank.placement.internal.TableRecovery;
 import org.coriandercrank.placement.internal.TableWriter;
 
 /**
@@ -78,6 +84,8 @@
     private final TableWriter tableWriter;
     private final MemberCleaner memberCleaner;
     private final MemberLookup memberLookup;
+    private final TableRecovery recovery;
+    private Era era = Era.NONE;
     private final PlacementMeters meters;
     private final PlacementPolicy fallbackPolicy = new RebalancePolicy(RebalanceParameters.AVAILABILITY);
     private final Map<ServiceName, ServicePlanningState> serviceStates = new HashMap<>();
@@ -114,6 +122,17 @@
         tableWriter = new TableWriter(dependencies.store(), this::sendToNewOwners);
         memberCleaner = new MemberCleaner(dependencies.store(), options.sealedRetentionMs());
         memberLookup = new MemberLookup(dependencies.store(), this::enqueue);
+        recovery = new TableRecovery(
+                memberLookup,
+                new HeldRangesCollector(
+                        dependencies.self(),
+                        dependencies.peerClient(),
+                        dependencies.peerHandlers(),
+                        options.loadQueryTimeoutMs()),
+                tableWriter,
+                this::enqueue,
+                dependencies.timers().clock(),
+                dependencies.decisionLog());
         meters = new PlacementMeters(dependencies.meterRegistry());
     }
 
@@ -135,13 +154,15 @@
     /**
      * Sends a new table to the members that it assigns ranges to, so that they request the release of these ranges
      * before other daemons route requests to them. If the message is lost, the member receives the table a little later
-     * by normal dissemination.
+     * by normal dissemination. The first table of an era is sent to all owners, because they acquire nothing before.
      */
     private void sendToNewOwners(AssignmentTable table, StoredObject object) {
+        boolean firstOfEra = table.generation()
+                .equals(Generation.NONE.next(table.generation().era()));
         RoutingSnapshot snapshot = dependencies.routingView().current();
         ObjectData data = new ObjectData(FetchObject.Kind.ASSIGNMENTS, Revision.NONE, false, List.of(object));
         table.assignments().stream()
-                .filter(assignment -> assignment.fence().equals(table.generation()))
+                .filter(assignment -> firstOfEra || assignment.fence().equals(table.generation()))
                 .map(RangeAssignment::owner)
                 .distinct()
                 .flatMap(owner -> snapshot.member(owner).stream())
@@ -217,7 +238,13 @@
     private void plan(RoutingSnapshot snapshot, long version, ServiceName service) {
         ServicePlanningState state = serviceStates.computeIfAbsent(
                 service, s -> new ServicePlanningState(s, IMBALANCE_TARGET_PERCENT, nowMs()));
+        updateEra();
         snapshot.table(service).ifPresent(state::updateTable);
+        if (state.isRecoveryRequired()
+                || era.isNewerThan(state.table().generation().era())) {
+            recover(snapshot, state);
+            return;
+        }
         state.updateCandidates(TablePlanner.candidates(planningInput(snapshot, state, state.table())), nowMs());
         if (!state.shouldDecide(version, nowMs()) || !memberLookup.resolveMissing(snapshot, state.table())) {
             return;
@@ -229,19 +256,54 @@
         state.beginWrite();
         tableWriter
                 .write(service, this::enqueue, table -> decideOnStoredTable(state, table))
-                .whenComplete((outcome, failure) -> enqueue(() -> {
-                    if (failure != null) {
-                        CrankException cause = CrankException.of(failure);
-                        logger.atWarning().log(
-                                "event=table-write-failed service=%s result=%s reason=%s",
-                                service, cause.code(), cause.getMessage());
-                        state.endWrite(nowMs() + TABLE_WRITE_RETRY_MS);
-                        return;
-                    }
-                    state.updateTable(outcome.table());
-                    state.endWrite(outcome.written().isPresent() ? nowMs() : nowMs() + TABLE_WRITE_RETRY_MS);
-                    outcome.written().ifPresent(decision -> tableWritten(state, decision));
-                }));
+                .whenComplete((outcome, failure) -> enqueue(() -> writeEnded(state, outcome, failure)));
+    }
+
+    private void writeEnded(ServicePlanningState state, TableWriter.Outcome outcome, Throwable failure) {
+        if (failure != null) {
+            CrankException cause = CrankException.of(failure);
+            logger.atWarning().log(
+                    "event=table-write-failed service=%s result=%s reason=%s",
+                    state.table().service(), cause.code(), cause.getMessage());
+            state.endWrite(nowMs() + TABLE_WRITE_RETRY_MS);
+            return;
+        }
+        state.updateTable(outcome.table());
+        state.endWrite(outcome.written().isPresent() ? nowMs() : nowMs() + TABLE_WRITE_RETRY_MS);
+        outcome.written().ifPresent(decision -> tableWritten(state, decision));
+    }
+
+    private void updateEra() {
+        Era viewed = dependencies.routingView().storeEra().era();
+        Era answered = dependencies.store().era();
+        Era latest = viewed.isNewerThan(answered) ? viewed : answered;
+        if (latest.isNewerThan(era)) {
+            era = latest;
+            memberLookup.clear();
+        }
+    }
+
+    /** Writes the first table of the present era once the era has settled. */
+    private void recover(RoutingSnapshot snapshot, ServicePlanningState state) {
+        StoreEra known = dependencies.routingView().storeEra();
+        state.updateCandidates(TablePlanner.candidates(planningInput(snapshot, state, state.table())), nowMs());
+        if (!known.settled() || !known.era().equals(era) || !state.mayWrite(nowMs())) {
+            return;
+        }
+        state.beginWrite();
+        recovery.recover(state.table(), era, (input, members) -> decideRecovery(state, input, members))
+                .whenComplete((outcome, failure) -> enqueue(() -> writeEnded(state, outcome, failure)));
+    }
+
+    private Optional<TablePlanner.Decision> decideRecovery(
+            ServicePlanningState state, RecoveryTable.Input recoveryInput, List<Member> storedMembers) {
+        RoutingSnapshot snapshot = dependencies.routingView().current();
+        TablePlanner.Input input =
+                withStoredMembers(planningInput(snapshot, state, recoveryInput.newest()), storedMembers);
+        return decide(
+                input.configuration(),
+                recoveryInput.newest().service(),
+                planner -> planner.recover(input, recoveryInput));
     }
 
     private void tableWritten(ServicePlanningState state, TablePlanner.Decision decision) {
@@ -279,6 +341,12 @@
     private CompletableFuture<Optional<TablePlanner.Decision>> decideOnStoredTable(
             ServicePlanningState state, AssignmentTable table) {
         RoutingSnapshot snapshot = dependencies.routingView().current();
+        updateEra();
+        if (era.isNewerThan(table.generation().era())) {
+            // A late write of an earlier era has replaced the table.
+            state.requireRecovery();
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
         if (!memberLookup.resolveMissing(snapshot, table)) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
@@ -331,13 +399,18 @@
     }
 
     private Optional<TablePlanner.Decision> decide(TablePlanner.Input input) {
-        ServiceName service = input.table().service();
+        return decide(input.configuration(), input.table().service(), planner -> planner.decide(input));
+    }
+
+    private Optional<TablePlanner.Decision> decide(
+            Configuration configuration,
+            ServiceName service,
+            Function<TablePlanner, Optional<TablePlanner.Decision>> decision) {
         try {
-            return new TablePlanner(policyOf(input.configuration(), service), options.firstTableDelayMs())
-                    .decide(input);
+            return decision.apply(new TablePlanner(policyOf(configuration, service), options.firstTableDelayMs()));
         } catch (RuntimeException e) {
             logger.atSevere().withCause(e).log("event=policy-failed service=%s", service);
-            return new TablePlanner(fallbackPolicy, options.firstTableDelayMs()).decide(input);
+            return decision.apply(new TablePlanner(fallbackPolicy, options.firstTableDelayMs()));
         }
     }
 
@@ -354,7 +427,8 @@
         Set<MemberId> removed = new HashSet<>(memberLookup.removedMembers());
         snapshot.members().forEach((id, versioned) -> {
             members.put(id, versioned.member());
-            if (versioned.member().state() == MemberState.SEALED) {
+            boolean mayBeLost = era.isNewerThan(versioned.revision().era());
+            if (versioned.member().state() == MemberState.SEALED && !mayBeLost) {
                 removed.add(id);
             }
         });
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/RangeOwnership.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/RangeOwnership.java
@@ -12,8 +12,11 @@
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.concurrent.SerialExecutor;
+import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.message.HeldRangesQuery;
+import org.coriandercrank.kernel.message.HeldRangesReport;
 import org.coriandercrank.kernel.message.LoadQuery;
 import org.coriandercrank.kernel.message.LoadReport;
 import org.coriandercrank.kernel.message.ReleaseAnswer;
@@ -21,6 +24,7 @@
 import org.coriandercrank.kernel.ownership.LeaseView;
 import org.coriandercrank.kernel.ownership.OwnerGate;
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
+import org.coriandercrank.kernel.ownership.VersionedMember;
 import org.coriandercrank.kernel.peer.PeerHandler;
 import org.coriandercrank.kernel.peer.PeerTarget;
 import org.coriandercrank.kernel.store.JsonCodec;
@@ -28,6 +32,7 @@
 import org.coriandercrank.kernel.store.StoredObject;
 import org.coriandercrank.kernel.table.BackendInfo;
 import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.KeyRanges;
 import org.coriandercrank.kernel.table.Member;
 import org.coriandercrank.kernel.table.MemberState;
 import org.coriandercrank.kernel.time.TimerService;
@@ -67,6 +72,8 @@
     private boolean sealed;
     private final PeerHandler<ReleaseRequest> releaseHandler = this::onReleaseRequest;
     private final PeerHandler<LoadQuery> loadHandler = this::onLoadQuery;
+    private final PeerHandler<HeldRangesQuery> heldRangesHandler = this::onHeldRangesQuery;
+    private Era latestEra = Era.NONE;
     private TimerService.Subscription tickTimer = () -> {};
 
     public RangeOwnership(
@@ -85,6 +92,7 @@
     public void start() {
         dependencies.peerHandlers().register(ReleaseRequest.class, releaseHandler);
         dependencies.peerHandlers().register(LoadQuery.class, loadHandler);
+        dependencies.peerHandlers().register(HeldRangesQuery.class, heldRangesHandler);
         dependencies.routingView().subscribe(snapshot -> executor.offer(this::applySnapshot));
         tickTimer = dependencies.timers().every(options.tickIntervalMs(), executor, this::applySnapshot);
         enqueue(this::applySnapshot);
@@ -106,6 +114,7 @@
     public void close() {
         dependencies.peerHandlers().unregister(ReleaseRequest.class, releaseHandler);
         dependencies.peerHandlers().unregister(LoadQuery.class, loadHandler);
+        dependencies.peerHandlers().unregister(HeldRangesQuery.class, heldRangesHandler);
         tickTimer.cancel();
         executor.close();
     }
@@ -122,6 +131,7 @@
     }
 
     private void applySnapshot() {
+        updateEra();
         RoutingSnapshot snapshot = dependencies.routingView().current();
         if (!sealed && snapshot.member(dependencies.self()).map(Member::state).orElse(null) == MemberState.SEALED) {
             sealed = true;
@@ -155,15 +165,35 @@
         if (sealed) {
             state.seal();
         }
+        state.observeEra(latestEra);
         dependencies.routingView().current().table(service).ifPresent(state::applyTable);
         states.put(service, state);
         return Optional.of(state);
     }
 
+    /** Passes the latest era of the store, as known from the store or from other daemons, to the states. */
+    private void updateEra() {
+        observeEra(dependencies.store().era());
+        observeEra(dependencies.routingView().storeEra().era());
+        states.values().forEach(state -> state.observeEra(latestEra));
+    }
+
+    private void observeEra(Era era) {
+        latestEra = era.isNewerThan(latestEra) ? era : latestEra;
+    }
+
+    /** Whether the store has the sealed record of a member; one of an earlier era may be lost. */
+    private boolean isSealed(RoutingSnapshot snapshot, MemberId id) {
+        VersionedMember known = snapshot.members().get(id);
+        return known != null
+                && known.member().state() == MemberState.SEALED
+                && !latestEra.isNewerThan(known.revision().era());
+    }
+
     private void performActions() {
+        updateEra();
         RoutingSnapshot snapshot = dependencies.routingView().current();
-        Predicate<MemberId> isSealed =
-                id -> snapshot.member(id).map(Member::state).orElse(null) == MemberState.SEALED;
+        Predicate<MemberId> isSealed = id -> isSealed(snapshot, id);
         states.forEach((service, state) -> {
             for (OwnershipAction action : state.poll(nowMs(), isSealed)) {
                 perform(service, state, action);
@@ -265,6 +295,9 @@
                 .filter(stored -> stored.state() != MemberState.SEALED);
         if (member.isPresent()) {
             sendReleaseRequest(service, state, action, member.get());
+        } else if (storedMember.isEmpty()
+                && !dependencies.routingView().storeEra().settled()) {
+            retryLater(state, action);
         } else {
             state.memberRemoved(action.previousOwner());
             performActions();
@@ -347,18 +380,47 @@
         return true;
     }
 
+    private CompletableFuture<HeldRangesReport> onHeldRangesQuery(MemberId sender, HeldRangesQuery query) {
+        return executor.call(() -> {
+            observeEra(query.era());
+            updateEra();
+            ServiceName service = ownService();
+            OwnershipState state = ownState(service);
+            List<HeldRangesReport.Held> served = state.servedRanges();
+            boolean complete = state.isQuiescent()
+                    && lease.isValid(dependencies.timers().clock().nowNanos())
+                    && !mayHoldOthers(served);
+            return new HeldRangesReport(dependencies.self(), service, latestEra, complete, served);
+        });
+    }
+
+    /** Whether the backend server may hold ranges besides the given ones, granted by an earlier process. */
+    private boolean mayHoldOthers(List<HeldRangesReport.Held> served) {
+        List<KeyRange> ranges =
+                served.stream().map(HeldRangesReport.Held::range).sorted().toList();
+        return KeyRanges.subtract(KeyRange.ALL, ranges).stream().anyMatch(gate::mayHoldEarlierGrant);
+    }
+
     private CompletableFuture<LoadReport> onLoadQuery(MemberId sender, LoadQuery query) {
         return executor.call(() -> {
-            ServiceName service = dependencies
-                    .routingView()
-                    .current()
-                    .member(dependencies.self())
-                    .flatMap(Member::backend)
-                    .map(BackendInfo::service)
-                    .orElseThrow(() -> new CrankException(ResultCode.STARTING, "no backend server is attached yet"));
-            OwnershipState state = findOrCreateState(service)
-                    .orElseThrow(() -> new CrankException(ResultCode.OVERLOADED, "too many keyed services"));
+            ServiceName service = ownService();
+            OwnershipState state = ownState(service);
             return new LoadReport(dependencies.self(), service, state.appliedGeneration(), gate.rangeLoads());
         });
     }
+
+    private ServiceName ownService() {
+        return dependencies
+                .routingView()
+                .current()
+                .member(dependencies.self())
+                .flatMap(Member::backend)
+                .map(BackendInfo::service)
+                .orElseThrow(() -> new CrankException(ResultCode.STARTING, "no backend server is attached yet"));
+    }
+
+    private OwnershipState ownState(ServiceName service) {
+        return findOrCreateState(service)
+                .orElseThrow(() -> new CrankException(ResultCode.OVERLOADED, "too many keyed services"));
+    }
 }
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/MemberLookup.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/MemberLookup.java
@@ -43,6 +43,12 @@
         return removedMembers;
     }
 
+    /** Clears the cache, because the store may have lost what was found. */
+    public void clear() {
+        removedMembers.clear();
+        foundMembers.clear();
+    }
+
     /** Clears the cache of members that were found unsealed, because they may have been sealed since. */
     public void clearFoundMembers() {
         foundMembers.clear();
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/OwnershipState.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/OwnershipState.java
@@ -9,9 +9,11 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
+import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.ServiceName;
+import org.coriandercrank.kernel.message.HeldRangesReport;
 import org.coriandercrank.kernel.message.ReleaseAnswer;
 import org.coriandercrank.kernel.message.ReleaseRequest;
 import org.coriandercrank.kernel.ownership.TransferredRecords;
@@ -29,6 +31,8 @@
  *
  * <ul>
  *   <li>The generation of the applied table never decreases.
+ *   <li>In a new era of the store nothing is acquired or handed over before a table of the era is applied, because the
+ *       store may have lost newer tables than the present one. What is served stays served.
  *   <li>Held ranges do not overlap, so no hash is acquired twice.
  *   <li>A release request with a newer generation than the table sets a barrier on its range: no hash of the range is
  *       acquired before a table with at least that generation is applied.
@@ -39,9 +43,6 @@
  * </ul>
  */
 public final class OwnershipState {
-    /** Prevents the hashes of a range from being acquired before a table has at least the generation. */
-    private record Barrier(KeyRange range, Generation generation) {}
-
     /**
      * A part of a served range that the table moves to another member, which has not requested the release yet.
      *
@@ -52,8 +53,6 @@
         static final long NOT_SET = Long.MIN_VALUE;
     }
 
-    private static final int MAX_BARRIERS = 1_024;
-
     private final MemberId self;
     private final long minRetryDelayMs;
     private final long maxRetryDelayMs;
@@ -61,11 +60,12 @@
     private final ReleasedRecords releasedRecords;
     private final Set<MemberId> removedMembers = new HashSet<>();
     private AssignmentTable table;
+    private Era era = Era.NONE;
     private List<RangeAssignment> ownAssignments = List.of();
     private boolean sealed;
     private boolean reconcileNeeded;
     private List<HeldRange> heldRanges = new ArrayList<>();
-    private List<Barrier> barriers = new ArrayList<>();
+    private final ReleaseBarriers barriers = new ReleaseBarriers();
     private List<DeferredRelease> deferredReleases = new ArrayList<>();
     private Map<PendingRange.Id, PendingRange> pending = new LinkedHashMap<>();
 
@@ -91,14 +91,43 @@
         this.table = AssignmentTable.empty(service);
     }
 
-    /** Applies a table if it is newer than the current one. */
+    /** Notes the latest era of the store. The records of members that were removed may be there again in a new one. */
+    public void observeEra(Era observed) {
+        if (observed.isNewerThan(era)) {
+            era = observed;
+            removedMembers.clear();
+        }
+    }
+
+    /** Whether the store may have lost newer tables than the present one. */
+    private boolean isTableOutdated() {
+        return era.isNewerThan(table.generation().era());
+    }
+
+    /** Returns the ranges that are served, with their fencing tokens. */
+    public List<HeldRangesReport.Held> servedRanges() {
+        reconcileIfNeeded();
+        return heldRanges.stream()
+                .filter(h -> h.phase() == Phase.SERVING)
+                .map(h -> new HeldRangesReport.Held(h.range(), h.fence()))
+                .toList();
+    }
+
+    /** Whether nothing is being acquired or released, so that {@link #servedRanges} is all that is held. */
+    public boolean isQuiescent() {
+        reconcileIfNeeded();
+        return heldRanges.stream().allMatch(h -> h.phase() == Phase.SERVING);
+    }
+
+    /** Applies a table if it is newer than the current one and not of an earlier era than the latest one. */
     public void applyTable(AssignmentTable newTable) {
-        if (!newTable.generation().isNewerThan(table.generation())) {
+        if (!newTable.generation().isNewerThan(table.generation())
+                || era.isNewerThan(newTable.generation().era())) {
             return;
         }
         table = newTable;
         ownAssignments = newTable.ownedBy(self);
-        barriers.removeIf(b -> !b.generation.isNewerThan(table.generation()));
+        barriers.tableApplied(table.generation());
         releasedRecords.prune(table, self);
         removedMembers.removeIf(m -> !table.references(m));
         deferReleases();
@@ -126,11 +155,15 @@
      */
     public Optional<ReleaseAnswer> handleReleaseRequest(ReleaseRequest request, long nowMs) {
         KeyRange range = request.range();
+        observeEra(request.generation().era());
+        if (era.isNewerThan(request.generation().era())) {
+            return Optional.of(ReleaseAnswer.notReleased());
+        }
         if (deferredReleases.removeIf(d -> d.range.overlaps(range))) {
             reconcile();
         }
         if (request.generation().isNewerThan(table.generation())) {
-            if (addBarrier(new Barrier(range, request.generation()))) {
+            if (barriers.add(range, request.generation())) {
                 reconcile();
             }
         } else if (!sealed && isAssignedToSelf(range)) {
@@ -147,37 +180,17 @@
                 .anyMatch(a -> a.owner().equals(self) && a.range().overlaps(range));
     }
 
-    /**
-     * Adds a barrier, in place of those that it covers. If there are more than {@link #MAX_BARRIERS}, one barrier on
-     * the whole hash space replaces them until a newer table is applied.
-     *
-     * @return whether the barrier was not covered by an existing one
-     */
-    private boolean addBarrier(Barrier barrier) {
-        boolean covered = barriers.stream()
-                .anyMatch(b -> b.range.contains(barrier.range) && b.generation.compareTo(barrier.generation) >= 0);
-        if (covered) {
-            return false;
-        }
-        barriers.removeIf(b -> barrier.range.contains(b.range) && barrier.generation.compareTo(b.generation) >= 0);
-        barriers.add(barrier);
-        if (barriers.size() > MAX_BARRIERS) {
-            Generation newest = barriers.stream()
-                    .map(Barrier::generation)
-                    .max(Generation::compareTo)
-                    .orElseThrow();
-            barriers = new ArrayList<>(List.of(new Barrier(KeyRange.ALL, newest)));
-        }
-        return true;
-    }
-
     /** The actions to perform now. An action is not returned again before its result is reported. */
     public List<OwnershipAction> poll(long nowMs, Predicate<MemberId> isSealed) {
         Predicate<MemberId> isSealedOrRemoved = m -> removedMembers.contains(m) || isSealed.test(m);
         List<OwnershipAction> actions = new ArrayList<>();
         reconcileIfNeeded();
-        expireDeferredReleases(nowMs);
-        acquireReady(nowMs, isSealedOrRemoved);
+        if (isTableOutdated()) {
+            abandonAcquires();
+        } else {
+            expireDeferredReleases(nowMs);
+            acquireReady(nowMs, isSealedOrRemoved);
+        }
         for (int i = 0; i < heldRanges.size(); i++) {
             HeldRange heldRange = heldRanges.get(i);
             if (heldRange.phase() == Phase.SERVING || heldRange.callPending() || nowMs < heldRange.retryAtMs()) {
@@ -190,7 +203,7 @@
                             : new OwnershipAction.Acquire(
                                     heldRange.range(), heldRange.fence(), heldRange.transferred()));
         }
-        for (PendingRange range : pending.values()) {
+        for (PendingRange range : isTableOutdated() ? List.<PendingRange>of() : pending.values()) {
             for (MemberId member : range.dueRequests(nowMs, isSealedOrRemoved)) {
                 actions.add(new OwnershipAction.RequestRelease(
                         range.id().range(), range.id().fence(), member));
@@ -199,6 +212,11 @@
         return actions;
     }
 
+    /** Releases the ranges whose acquire is not under way; the gate may have granted them without an answer. */
+    private void abandonAcquires() {
+        heldRanges.replaceAll(h -> h.phase() == Phase.ACQUIRING && !h.callPending() ? h.asReleasing(h.range()) : h);
+    }
+
     /** Defers the release of moved ranges until the new owner, which cannot serve them earlier, requests it. */
     private void deferReleases() {
         List<DeferredRelease> next = new ArrayList<>();
@@ -296,7 +314,11 @@
             if (heldRange.range().equals(action.range())) {
                 heldRanges.remove(heldRange);
                 if (heldRange.served()) {
-                    releasedRecords.add(action.range(), releaseGeneration(action.range()), records, nowMs);
+                    releasedRecords.add(
+                            action.range(),
+                            barriers.newestGeneration(action.range(), table.generation()),
+                            records,
+                            nowMs);
                 }
             }
         }
@@ -308,18 +330,6 @@
         updateHeldRanges(action.range(), h -> h.withRetryAt(nowMs + maxRetryDelayMs));
     }
 
-    /**
-     * The generation stored with released records: that of the newest overlapping barrier, or else that of the table.
-     */
-    private Generation releaseGeneration(KeyRange range) {
-        return barriers.stream()
-                .filter(b -> b.range.overlaps(range))
-                .map(Barrier::generation)
-                .filter(g -> g.isNewerThan(table.generation()))
-                .max(Generation::compareTo)
-                .orElse(table.generation());
-    }
-
     private void updateHeldRanges(KeyRange range, UnaryOperator<HeldRange> change) {
         heldRanges.replaceAll(h -> h.range().equals(range) ? change.apply(h) : h);
     }
@@ -357,7 +367,7 @@
         for (DeferredRelease part : deferredReleases) {
             KeyRanges.intersect(part.range, heldRange.range()).ifPresent(intersection -> {
                 List<KeyRange> excluded = new ArrayList<>(parts);
-                excluded.addAll(barriersIn(intersection));
+                excluded.addAll(barriers.overlapping(intersection));
                 parts.addAll(KeyRanges.subtract(intersection, excluded));
             });
         }
@@ -384,22 +394,12 @@
             if (mayServe) {
                 KeyRanges.intersect(assignment.range(), heldRange.range())
                         .ifPresent(intersection ->
-                                parts.addAll(KeyRanges.subtract(intersection, barriersIn(intersection))));
+                                parts.addAll(KeyRanges.subtract(intersection, barriers.overlapping(intersection))));
             }
         }
         return parts;
     }
 
-    private List<KeyRange> barriersIn(KeyRange range) {
-        List<KeyRange> overlapping = new ArrayList<>();
-        for (Barrier barrier : barriers) {
-            if (barrier.range.overlaps(range)) {
-                overlapping.add(barrier.range);
-            }
-        }
-        return overlapping;
-    }
-
     /** The assigned ranges that this daemon does not hold yet; known pending ranges keep their answers. */
     private Map<PendingRange.Id, PendingRange> findPending() {
         Map<PendingRange.Id, PendingRange> next = new LinkedHashMap<>();
@@ -413,7 +413,7 @@
             if (overlapping.stream().anyMatch(h -> h.phase() != Phase.SERVING)) {
                 continue;
             }
-            List<KeyRange> excluded = new ArrayList<>(barriersIn(assignment.range()));
+            List<KeyRange> excluded = new ArrayList<>(barriers.overlapping(assignment.range()));
             overlapping.forEach(h -> excluded.add(h.range()));
             for (KeyRange gap : KeyRanges.subtract(assignment.range(), excluded)) {
                 PendingRange.Id id = new PendingRange.Id(gap, assignment.fence(), assignment.previousOwners());
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/ServicePlanningState.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/ServicePlanningState.java
@@ -15,6 +15,7 @@
     private final long imbalanceTargetPercent;
     private AssignmentTable table;
     private boolean writePending;
+    private boolean recoveryRequired;
     private long lastChangeMs;
     private boolean imbalanced;
     private long imbalancedSinceMs;
@@ -77,7 +78,21 @@
     public boolean shouldDecide(long inputVersion, long nowMs) {
         boolean newInput =
                 inputVersion != decidedInputVersion || table.assignments().isEmpty();
-        return !writePending && nowMs >= retryAtMs && newInput;
+        return mayWrite(nowMs) && newInput;
+    }
+
+    /** Whether no write is pending and none has to wait. */
+    public boolean mayWrite(long nowMs) {
+        return !writePending && nowMs >= retryAtMs;
+    }
+
+    /** Notes that the store has a table of an earlier era, although a table of the present one was written. */
+    public void requireRecovery() {
+        recoveryRequired = true;
+    }
+
+    public boolean isRecoveryRequired() {
+        return recoveryRequired;
     }
 
     /** Records that the table needs no change for a version of the input. */
@@ -92,6 +107,7 @@
     /** Ends a write; no decision is made before {@code newRetryAtMs}. */
     public void endWrite(long newRetryAtMs) {
         writePending = false;
+        recoveryRequired = false;
         retryAtMs = newRetryAtMs;
     }
 
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TableBuilder.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TableBuilder.java
@@ -94,7 +94,7 @@
             List<PlacedRange> wanted,
             Predicate<MemberId> isRemoved,
             Set<MemberId> potentialHolders) {
-        Generation next = new Generation(table.generation().value() + 1);
+        Generation next = table.generation().next(table.generation().era());
         List<RangeAssignment> assignments = new ArrayList<>();
         List<Change> changes = new ArrayList<>();
         int firstIndex = 0;
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TablePlanner.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TablePlanner.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.coriandercrank.kernel.config.Configuration;
 import org.coriandercrank.kernel.config.ServiceConfig;
+import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.KeyHash;
 import org.coriandercrank.kernel.id.MemberId;
@@ -72,6 +73,8 @@
         TAKEOVER,
         /** The placement policy changes owners. */
         POLICY,
+        /** The first table of an era, in which the store may have lost tables. */
+        RECOVERY,
         /** No owner changes; previous owners that no longer hold a range are removed, or ranges are merged. */
         CLEAR
     }
@@ -120,7 +123,9 @@
         Optional<ServiceConfig> serviceConfig =
                 input.configuration().service(table.service()).filter(ServiceConfig::keyed);
         if (serviceConfig.isEmpty()) {
-            return table.assignments().isEmpty() ? Optional.empty() : Optional.of(withdraw(table));
+            return table.assignments().isEmpty()
+                    ? Optional.empty()
+                    : Optional.of(withdraw(table, table.generation().era()));
         }
         List<Member> candidates = candidates(input);
         if (candidates.isEmpty()) {
@@ -145,8 +150,38 @@
         return decisionIfChanged(input, kind, current, wanted);
     }
 
-    private static Decision withdraw(AssignmentTable table) {
-        Generation next = new Generation(table.generation().value() + 1);
+    /**
+     * Decides on the first table of an era; empty if there is nothing to assign, or no candidate yet.
+     *
+     * @param input its table is the newest one known, of an earlier era
+     */
+    public Optional<Decision> recover(Input input, RecoveryTable.Input recovery) {
+        AssignmentTable table = input.table();
+        Optional<ServiceConfig> serviceConfig =
+                input.configuration().service(table.service()).filter(ServiceConfig::keyed);
+        if (serviceConfig.isEmpty()) {
+            return table.assignments().isEmpty() ? Optional.empty() : Optional.of(withdraw(table, recovery.era()));
+        }
+        List<Member> all = candidates(input);
+        List<Member> reported = all.stream()
+                .filter(member -> recovery.reports().containsKey(member.id()))
+                .toList();
+        List<Member> candidates = reported.isEmpty() ? all : reported;
+        boolean first = table.assignments().isEmpty()
+                && RecoveryTable.heldAssignments(recovery).isEmpty();
+        if (candidates.isEmpty() || (first && input.nowMs() - input.candidatesSinceMs() < firstTableDelayMs)) {
+            return Optional.empty();
+        }
+        List<PlacedRange> placed = validated(
+                RangeAlignment.align(
+                        policy.place(policyInput(input, candidates, List.of())),
+                        serviceConfig.get().keySpaceBits()),
+                candidates);
+        return Optional.of(RecoveryTable.build(recovery, placed));
+    }
+
+    private static Decision withdraw(AssignmentTable table, Era era) {
+        Generation next = table.generation().next(era);
         return new Decision(Kind.WITHDRAW, new AssignmentTable(table.service(), next, List.of()), List.of());
     }
 
