Simulate ownership under a store that returns from an older copy

The new simulation runs 4 to 7 hosts of one keyed service in virtual time: the real control plane, range ownership, planner, gate, member lifecycle and heartbeat grants, connected as in the daemon of the platform, with a simulated store with eras, network, servers and operator. Random schedules have drills, restarts, crashes, freezes, partitions, cuts, drains, joins, outages, late writes and lost answers.

It checks that no two servers hold a key, that fences rise from server to server, that no fence is given out twice, that the configuration in force does not go back, and that all keys are held 15 s after the last fault.

Ruled out: a model of the gate, which would repeat its logic.

--- /dev/null
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/FaultMix.java
@@ -0,0 +1,35 @@
+package org.coriandercrank.daemon.ownership;
+
+/** Kinds of faults that a schedule has. */
+enum FaultMix {
+    /** The store returns from an older copy of itself, and nothing else happens. */
+    DRILLS(true, false, false),
+    DRILLS_AND_RESTARTS(true, true, false),
+    /** Faults of hosts, network and store, but the store loses nothing. */
+    NO_DRILLS(false, true, true),
+    ALL(true, true, true);
+
+    private final boolean drills;
+    private final boolean restarts;
+    private final boolean others;
+
+    FaultMix(boolean drills, boolean restarts, boolean others) {
+        this.drills = drills;
+        this.restarts = restarts;
+        this.others = others;
+    }
+
+    /** Whether the store returns from older copies of itself. */
+    boolean hasDrills() {
+        return drills;
+    }
+
+    /** Whether daemons are killed and start again. */
+    boolean hasRestarts() {
+        return restarts;
+    }
+
+    boolean hasOthers() {
+        return others;
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/HeldKeys.java
@@ -0,0 +1,153 @@
+package org.coriandercrank.daemon.ownership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.coriandercrank.daemon.ServerIncarnation;
+import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.KeyHash;
+import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.table.AssignmentTable;
+import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.RangeAssignment;
+
+/**
+ * What all servers hold and have held, by key, and the checks of it. The hash space has {@link #COUNT} keys, distinguished
+ * by the leading bits of their hashes. Not thread safe.
+ */
+final class HeldKeys {
+    /** Number of leading bits that distinguish keys. */
+    static final int BITS = 6;
+
+    static final int COUNT = 1 << BITS;
+
+    private static final int SHIFT = Long.SIZE - BITS;
+
+    private final Trace trace;
+    private final List<SimulatedServer> servers = new ArrayList<>();
+
+    /** The newest fence under which each server has held a key. */
+    private final List<Map<ServerIncarnation, Long>> newestFences = new ArrayList<>();
+
+    /** The owner to whom a table assigned a key under a fence. */
+    private final List<Map<Generation, MemberId>> assignedOwners = new ArrayList<>();
+
+    HeldKeys(Trace trace) {
+        this.trace = trace;
+        for (int key = 0; key < COUNT; key++) {
+            newestFences.add(new HashMap<>());
+            assignedOwners.add(new HashMap<>());
+        }
+    }
+
+    static int firstKey(KeyRange range) {
+        return (int) (range.first().value() >>> SHIFT);
+    }
+
+    static int lastKey(KeyRange range) {
+        return (int) (range.last().value() >>> SHIFT);
+    }
+
+    static KeyRange range(int firstKey, int lastKey) {
+        return new KeyRange(
+                new KeyHash((long) firstKey << SHIFT), new KeyHash(((long) lastKey << SHIFT) | (-1L >>> BITS)));
+    }
+
+    void add(SimulatedServer server) {
+        servers.add(server);
+    }
+
+    /** Checks that a server may take a key that it does not hold. */
+    void taken(SimulatedServer taker, int key, long fence) {
+        for (SimulatedServer other : servers) {
+            if (other != taker && other.holds(key)) {
+                trace.violation(
+                        "TWO_OWNERS",
+                        "key " + key + ": " + taker + " takes it under fence " + text(fence) + " while " + other
+                                + " holds it under " + text(other.fence(key)));
+            }
+        }
+        newestFences.get(key).forEach((other, otherFence) -> {
+            if (!other.equals(taker.incarnation()) && otherFence >= fence) {
+                trace.violation(
+                        "FENCE",
+                        "key " + key + ": " + taker + " takes it under fence " + text(fence) + ", " + other.id() + "-"
+                                + other.bornMs() + " had it under " + text(otherFence));
+            }
+        });
+        held(taker, key, fence);
+    }
+
+    /** Notes that a server holds a key under a fence. */
+    void held(SimulatedServer server, int key, long fence) {
+        newestFences.get(key).merge(server.incarnation(), fence, Math::max);
+    }
+
+    /** Checks that a table gives out no fence a second time for a key with another owner. */
+    void tableWritten(AssignmentTable table) {
+        trace.add(() -> "TABLE " + text(table.generation().value()) + " " + describe(table));
+        for (RangeAssignment assignment : table.assignments()) {
+            int first = firstKey(assignment.range());
+            for (int key = first; key <= lastKey(assignment.range()); key++) {
+                MemberId earlier = assignedOwners.get(key).putIfAbsent(assignment.fence(), assignment.owner());
+                if (earlier != null && !earlier.equals(assignment.owner())) {
+                    trace.violation(
+                            "FENCE_TWICE",
+                            "key " + key + ": table "
+                                    + text(table.generation().value()) + " gives fence "
+                                    + text(assignment.fence().value()) + " to " + assignment.owner() + ", earlier to "
+                                    + earlier);
+                    break;
+                }
+            }
+        }
+    }
+
+    boolean allHeld() {
+        for (int key = 0; key < COUNT; key++) {
+            if (!isHeld(key)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    List<Integer> unheld() {
+        List<Integer> result = new ArrayList<>();
+        for (int key = 0; key < COUNT; key++) {
+            if (!isHeld(key)) {
+                result.add(key);
+            }
+        }
+        return result;
+    }
+
+    private boolean isHeld(int key) {
+        return servers.stream().anyMatch(server -> server.holds(key));
+    }
+
+    /** Returns a fence as era and number within the era. */
+    static String text(long fence) {
+        Generation generation = new Generation(fence);
+        return generation.era().value() == 0 ? Long.toString(fence) : generation.era() + "/" + (fence & 0xffffffffL);
+    }
+
+    private static String describe(AssignmentTable table) {
+        StringBuilder text = new StringBuilder();
+        for (RangeAssignment assignment : table.assignments()) {
+            text.append(firstKey(assignment.range()))
+                    .append('-')
+                    .append(lastKey(assignment.range()))
+                    .append(':')
+                    .append(assignment.owner())
+                    .append('@')
+                    .append(text(assignment.fence().value()));
+            if (!assignment.previousOwners().isEmpty()) {
+                text.append(" after ").append(assignment.previousOwners());
+            }
+            text.append("; ");
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedHost.java
@@ -0,0 +1,159 @@
+package org.coriandercrank.daemon.ownership;
+
+import java.util.Optional;
+import java.util.Random;
+import org.coriandercrank.control.HostIdentity;
+import org.coriandercrank.daemon.ServerIncarnation;
+import org.coriandercrank.kernel.id.FailureDomain;
+import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.kernel.id.Region;
+import org.coriandercrank.kernel.ownership.RoutingSnapshot;
+
+/** A host with a daemon, and with a backend server or none; both can end and start again. Not thread safe. */
+final class SimulatedHost {
+    private static final int FAILURE_DOMAINS = 3;
+
+    private final SimulatedCluster cluster;
+    private final int number;
+    private final boolean hasServer;
+    private final HostIdentity identity;
+    private Optional<SimulatedDaemon> daemon = Optional.empty();
+    private Optional<SimulatedServer> server = Optional.empty();
+    private String serverId;
+    private boolean frozen;
+    private boolean cutOffFromStore;
+
+    SimulatedHost(SimulatedCluster cluster, int number, boolean hasServer) {
+        this.cluster = cluster;
+        this.number = number;
+        this.hasServer = hasServer;
+        HostAddress address = new HostAddress("127.0.0.1", number);
+        identity = new HostIdentity(
+                "h" + number,
+                address,
+                address,
+                address,
+                new Region("region"),
+                new FailureDomain("domain" + number % FAILURE_DOMAINS));
+        serverId = "s" + number;
+    }
+
+    HostAddress address() {
+        return identity.peerAddress();
+    }
+
+    String serverId() {
+        return serverId;
+    }
+
+    boolean hasServer() {
+        return hasServer;
+    }
+
+    boolean isFrozen() {
+        return frozen;
+    }
+
+    void setCutOffFromStore(boolean newCutOff) {
+        cutOffFromStore = newCutOff;
+    }
+
+    void startDaemon() {
+        if (daemon.isPresent() || frozen) {
+            return;
+        }
+        SimulatedProcess process = new SimulatedProcess(cluster.time(), "daemon " + number, cluster.trace());
+        SimulatedStoreClient client = new SimulatedStoreClient(
+                cluster.time(),
+                process,
+                cluster.store(),
+                () -> cutOffFromStore,
+                cluster::storeFaults,
+                new Random(cluster.random().nextLong()));
+        SimulatedDaemon started = new SimulatedDaemon(
+                process,
+                identity,
+                SimulatedCluster.SERVICE,
+                client,
+                cluster.network(),
+                new Random(cluster.random().nextLong()),
+                cluster.trace());
+        daemon = Optional.of(started);
+        long[] newestVersion = {0};
+        started.routing().subscribe(snapshot -> checkConfiguration(snapshot, newestVersion));
+        process.run(started::start);
+    }
+
+    private void checkConfiguration(RoutingSnapshot snapshot, long[] newestVersion) {
+        long version = Operator.version(snapshot.configuration());
+        if (version < newestVersion[0]) {
+            cluster.trace()
+                    .violation("CONFIG", "daemon " + number + ": version " + newestVersion[0] + ", then " + version);
+        }
+        newestVersion[0] = Math.max(newestVersion[0], version);
+    }
+
+    void killDaemon() {
+        if (!frozen) {
+            daemon.ifPresent(d -> d.process().kill());
+            daemon = Optional.empty();
+        }
+    }
+
+    void startServer(boolean underNewId) {
+        if (!hasServer || server.isPresent() || frozen) {
+            return;
+        }
+        if (underNewId) {
+            serverId = "s" + number + "n" + cluster.time().nowMs();
+        }
+        SimulatedServer started = new SimulatedServer(
+                cluster.time(),
+                new ServerIncarnation(serverId, cluster.time().nowMs()),
+                cluster.heldKeys(),
+                cluster.trace(),
+                new Random(cluster.random().nextLong()),
+                heartbeat -> daemon.ifPresent(d -> d.process().run(() -> d.onHeartbeat(heartbeat))));
+        server = Optional.of(started);
+        started.start();
+    }
+
+    void announceLeaving() {
+        server.ifPresent(SimulatedServer::setLeaving);
+    }
+
+    void crashServer() {
+        if (!frozen) {
+            server.ifPresent(s -> s.process().kill());
+            server = Optional.empty();
+        }
+    }
+
+    /** Stops daemon and server while time passes. */
+    void freeze() {
+        frozen = true;
+        daemon.ifPresent(d -> d.process().suspend());
+        server.ifPresent(s -> s.process().suspend());
+    }
+
+    void resume() {
+        if (frozen) {
+            frozen = false;
+            daemon.ifPresent(d -> d.process().resume());
+            server.ifPresent(s -> s.process().resume());
+        }
+    }
+
+    /** Ends all faults of this host. */
+    void heal() {
+        resume();
+        cutOffFromStore = false;
+        startDaemon();
+        startServer(false);
+    }
+
+    @Override
+    public String toString() {
+        return "host " + number;
+    }
+}
