Print the timeline of a simulated run in the same process

A seed repeated in another process may differ, because the JDK salts the order of its immutable maps and sets, and the selection of witnesses depends on it: seed 46 of all faults gave other witnesses in three processes. The trial now prints the timeline of the first run that broke a given rule in the process that found it.

Ruled out: sorted copies in the product for the sake of the simulation.

--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/OwnershipSimulationTest.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/OwnershipSimulationTest.java
@@ -10,7 +10,7 @@
 
 /**
  * Guards against two owners of a key and against fences that do not rise, in random schedules of faults with seeds from
- * 1 on. {@code -Downership.runs=10000} runs more of them.
+ * 1 on. {@code -Downership.runs=10000} runs more of them; {@link OwnershipTrial} prints timelines.
  */
 class OwnershipSimulationTest {
     private static final int RUNS = Integer.getInteger("ownership.runs", 12);
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/OwnershipTrial.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/OwnershipTrial.java
@@ -10,11 +10,14 @@
 import java.util.concurrent.Future;
 
 /**
- * Runs many schedules, by hand: {@code OwnershipTrial MIX FIRST_SEED COUNT THREADS} prints for each rule in how many runs
- * it was broken and the first seeds; {@code OwnershipTrial MIX SEED} prints the timeline of one run. Stateless.
+ * Runs many schedules, by hand: {@code OwnershipTrial MIX FIRST_SEED COUNT THREADS [RULE]} prints for each rule in how many
+ * runs it was broken and the first seeds, and the timeline of the first run that broke the given rule; {@code OwnershipTrial
+ * MIX SEED} prints the timeline of one run. A seed repeats its run only within one process, because the order of the JDK's
+ * immutable maps and sets, and so the selection of witnesses, differs between processes. Stateless.
  */
 public final class OwnershipTrial {
     private static final int SHOWN_SEEDS = 12;
+    private static final int RULE_ARGUMENT = 4;
 
     private OwnershipTrial() {}
 
@@ -33,6 +36,9 @@
                 "%s seeds %d + %s, %d s%n", mix, first, args[2], (System.nanoTime() - startNanos) / 1_000_000_000);
         seedsByRule.forEach((rule, seeds) -> System.out.printf(
                 "  %s %d first %s%n", rule, seeds.size(), seeds.subList(0, Math.min(SHOWN_SEEDS, seeds.size()))));
+        if (args.length > RULE_ARGUMENT && seedsByRule.containsKey(args[RULE_ARGUMENT])) {
+            printTimeline(mix, seedsByRule.get(args[RULE_ARGUMENT]).get(0));
+        }
     }
 
     private static void printTimeline(FaultMix mix, long seed) {
