Send a refused request again on another connection

Cause: callers may send a refused request again under its id, and it went to its server on the connection on which the refusal had been read. A faulty server that writes the refusal once more there answers the running request with it, because the id matches: the caller is told that a request did not run that ran, and without keys it may run at a second server. The adapter for crank-backend also kept the connection after a refusal without an id, which matches any later request. Change: a connection keeps the ids that were refused on it (256 at most, then it is closed), and HttpClient sends a request with such an id on another connection. Ruled out: closing after each refusal, which costs a connection for each one under overload. A second copy that meets another id was an unknown outcome before, and is. Not tested: the closing after 256 refusals.

--- a/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/LateResponseTest.java
+++ b/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/LateResponseTest.java
@@ -139,17 +139,29 @@
         }
     }
 
-    /** The gate sends such a request again under its id, which the second copy has as well. */
-    @Test
-    void secondCopyOfARefusalIsNotTakenForTheResponseToTheSameRequest() throws IOException {
+    /** The gate or the caller sends such a request again under its id, which the second copy has as well. */
+    @ParameterizedTest
+    @ValueSource(strings = {NOT_HELD, REFUSED})
+    void secondCopyOfARefusalIsNotTakenForTheResponseToTheSameRequest(String refusal) throws IOException {
         try (ServerSocket listener = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
-                HttpBackendServer server = startServer(listener, NOT_HELD, true)) {
-            assertThat(execute(server, "first")).isEqualTo(ResultCode.FENCE_REJECTED.name());
+                HttpBackendServer server = startServer(listener, refusal, true)) {
+            assertThat(execute(server, "first")).isIn(ResultCode.FENCE_REJECTED.name(), ResultCode.OVERLOADED.name());
             String second = execute(server, "first");
             assertThat(second.equals("first")).isEqualTo(executed.contains("first"));
         }
     }
 
+    /** Such a copy would match each later request. */
+    @Test
+    void secondCopyOfARefusalWithoutIdIsNotTakenForTheNext() throws IOException {
+        try (ServerSocket listener = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+                HttpBackendServer server = startServer(listener, REFUSED, false)) {
+            execute(server, "first");
+            String second = execute(server, "second");
+            assertThat(second.equals("second")).isEqualTo(executed.contains("second"));
+        }
+    }
+
     /** A server that does not repeat ids stays usable; docs/PROTOCOL_BACKEND.md names what is weaker. */
     @Test
     void responseWithoutIdIsAccepted() throws IOException {
--- a/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/BackendResponses.java
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/BackendResponses.java
@@ -33,7 +33,6 @@
     private static final String FENCE_REASON = "fence";
     private static final String RANGE_REASON = "range";
     private static final String VALIDITY_REASON = "validity";
-    private static final Set<String> RANGE_REASONS = Set.of(FENCE_REASON, RANGE_REASON, VALIDITY_REASON);
 
     /** Statuses with which a server or a proxy in front of it reports that it has no result of the call. */
     private static final Set<Integer> GATEWAY_ERROR_STATUSES = Set.of(502, 503, 504);
@@ -68,16 +67,11 @@
         });
     }
 
-    private static boolean isNotRun(HttpResponse response) {
+    /** Whether the server states that it did not execute a request. */
+    static boolean isNotRun(HttpResponse response) {
         return response.header(NOT_RUN).filter("true"::equals).isPresent();
     }
 
-    /** Whether the server refused a request because it does not hold the range of the key. */
-    static boolean isRangeRefusal(HttpResponse response) {
-        return isNotRun(response)
-                && response.header(REASON).filter(RANGE_REASONS::contains).isPresent();
-    }
-
     private static CrankException rejection(RequestId id, HttpResponse response) {
         String reason = response.header(REASON).orElse("none");
         ResultCode code = switch (reason) {
--- a/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/RequestIdMatcher.java
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/RequestIdMatcher.java
@@ -17,12 +17,20 @@
         return repeatedId.isEmpty() || repeatedId.equals(request.header(BackendResponses.REQUEST_ID));
     }
 
-    /**
-     * A request that was refused for its range is sent again under its id once the server holds the range, so that a
-     * second copy of the refusal would match that.
-     */
+    /** A refusal without an id would match each later request. */
     @Override
     public boolean isConnectionReusable(HttpResponse response) {
-        return !BackendResponses.isRangeRefusal(response);
+        return !isRefusal(response)
+                || response.header(BackendResponses.REQUEST_ID).isPresent();
+    }
+
+    @Override
+    public Optional<String> requestId(HttpRequest request) {
+        return request.header(BackendResponses.REQUEST_ID);
+    }
+
+    @Override
+    public boolean isRefusal(HttpResponse response) {
+        return BackendResponses.isNotRun(response);
     }
 }
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ClientConnectionHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ClientConnectionHandler.java
@@ -14,6 +14,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.coriandercrank.http.HttpClientException.Stage;
@@ -23,13 +25,18 @@
  * One connection of {@link HttpClient} with at most one request in progress. Confined to the event loop of its channel.
  *
  * <p>A request that times out closes the connection, so that its late response is never taken for the response to
- * another request.
+ * another request. A request that was refused is not sent again on the connection on which the refusal was read, where a
+ * second copy of the refusal may follow.
  */
 final class ClientConnectionHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
     /** Interim responses to one request; a server that sends more is faulty. */
     private static final int MAX_INTERIM_RESPONSES = 16;
 
+    /** Refusals after which a connection is not used again, so that the ids of the refused requests stay few. */
+    private static final int MAX_REFUSED_REQUESTS = 256;
+
     private final HttpClientOptions options;
+    private final Set<String> refusedRequestIds = new HashSet<>();
     private HttpRequest request;
     private int interimResponses;
     private ChannelFuture requestWritten;
@@ -47,6 +54,15 @@
         this.options = options;
     }
 
+    /** Whether the server refused a request with the same id on this connection. Called on the event loop. */
+    boolean hasRefused(HttpRequest newRequest) {
+        return !refusedRequestIds.isEmpty()
+                && options.responseMatcher()
+                        .requestId(newRequest)
+                        .filter(refusedRequestIds::contains)
+                        .isPresent();
+    }
+
     /**
      * Sends a request, unless it was cancelled on the way to the event loop. Called on the event loop while no other
      * request is in progress.
@@ -156,10 +172,14 @@
         responseTimeout.cancel(false);
         pendingResponse = null;
         releaseConnection = null;
+        if (options.responseMatcher().isRefusal(response)) {
+            options.responseMatcher().requestId(request).ifPresent(refusedRequestIds::add);
+        }
         // The server may respond before it has read the whole request body. It would then read the rest of that body
         // as the start of the next request, so the connection cannot be reused.
         if (HttpUtil.isKeepAlive(nettyResponse)
                 && requestWritten.isSuccess()
+                && refusedRequestIds.size() < MAX_REFUSED_REQUESTS
                 && options.responseMatcher().isConnectionReusable(response)) {
             idleTimeout = context.executor()
                     .schedule(() -> closeIfIdle(context), options.idleTimeoutMs(), TimeUnit.MILLISECONDS);
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClient.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClient.java
@@ -209,9 +209,21 @@
             queued.result.completeExceptionally(notSentFailure("connection to " + target + " was closed", null));
             return;
         }
-        channel.eventLoop()
-                .execute(() -> handler.send(
-                        channel, target, queued.request, remainingMs, queued.result, () -> release(channel)));
+        channel.eventLoop().execute(() -> {
+            if (channel.isActive() && handler.hasRefused(queued.request)) {
+                sendOnNewConnection(channel, queued);
+            } else {
+                handler.send(channel, target, queued.request, remainingMs, queued.result, () -> release(channel));
+            }
+        });
+    }
+
+    /** Closes an open connection; the next one that is free, or a new one, carries the request. */
+    private void sendOnNewConnection(Channel channel, QueuedRequest queued) {
+        synchronized (lock) {
+            queue.addFirst(queued);
+        }
+        channel.close();
     }
 
     /** Hands a free connection to the next queued request, or returns it to the pool. */
