Reserve the port of crank-backend for the whole test

Cause, by reading and by a trial: HttpServer.close() returns before the listening socket is closed. A registered NIO channel is closed at the next turn of its selector, which may be later on a busy machine. Another process that gets the port in between, as the local port of a connection, can't be excluded for the run that was seen. Change: the socket that keeps the port is bound before the program starts, and tests that end the program wait until its port refuses connections, also grantReachesReplacedProcess, which binds the port again. Ruled out: binding again until it succeeds, which passes also if another process serves the port meanwhile.

--- a/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/HttpBackendServerTest.java
+++ b/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/HttpBackendServerTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -57,8 +58,11 @@
     @TempDir
     Path directory;
 
-    /** Bound but not listening, so that connections to its port are refused and no other process can use the port. */
-    private final Socket boundSocket = new Socket();
+    /**
+     * Bound before the program to its port, and not listening: connections are refused once the program has ended, and no
+     * other process can use the port meanwhile.
+     */
+    private final Socket portReservation = new Socket();
 
     private CrankBackend backendProgram;
     private HttpClient adminClient;
@@ -66,7 +70,7 @@
 
     @AfterEach
     void stop() throws Exception {
-        boundSocket.close();
+        portReservation.close();
         server.close();
         backendProgram.close();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
@@ -102,13 +106,39 @@
     private void startProgram(String... flags) {
         List<String> arguments = new ArrayList<>(List.of(flags));
         arguments.add("--service=counter-desk");
-        arguments.add("--listen=127.0.0.1:0");
+        arguments.add("--listen=" + reservePort());
         arguments.add("--ledger-file=" + directory.resolve("ledger"));
         backendProgram = CrankBackend.start(SettingsLoader.load(new BackendSettings(), arguments, Map.of()));
         adminClient = new HttpClient(
                 group, backendProgram.info().address(), HttpClientOptions.DEFAULTS.withMaxConnections(1));
     }
 
+    private HostAddress reservePort() {
+        try {
+            portReservation.setReuseAddress(true);
+            portReservation.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return new HostAddress("127.0.0.1", portReservation.getLocalPort());
+    }
+
+    /** Ends the program. A closed listener can accept connections until its event loop has run once more. */
+    private void endProgram() throws Exception {
+        backendProgram.close();
+        Await.eventually(() -> !acceptsConnections(backendProgram.info().address()));
+    }
+
+    private static boolean acceptsConnections(HostAddress address) {
+        try (Socket socket = new Socket(address.ip(), address.port())) {
+            return socket.isConnected();
+        } catch (ConnectException e) {
+            return false;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private HttpResponse sendAdminRequest(String method, String path, String json) {
         HttpResponse response =
                 adminClient.send(HttpRequest.of(method, path, json), TIMEOUT_MS).join();
@@ -119,11 +149,7 @@
     @Override
     void inject(BackendFault fault) throws Exception {
         if (fault == BackendFault.UNREACHABLE) {
-            backendProgram.close();
-            boundSocket.setReuseAddress(true);
-            boundSocket.bind(new InetSocketAddress(
-                    InetAddress.getLoopbackAddress(),
-                    backendProgram.info().address().port()));
+            endProgram();
             // Until the client has detected that its open connections were closed, OUTCOME_UNKNOWN is correct.
             Thread.sleep(100);
         } else if (fault != BackendFault.NONE) {
@@ -176,7 +202,7 @@
         BackendServer backend = start(Setup.withServiceMs(1));
         Await.value(backend.grant(grant(1, 5, 60_000)));
         String address = backendProgram.info().address().toString();
-        backendProgram.close();
+        endProgram();
         backendProgram = CrankBackend.start(SettingsLoader.load(
                 new BackendSettings(), List.of("--service=counter-desk", "--listen=" + address), Map.of()));
         Await.eventually(() -> backend.grant(grant(2, 5, 60_000))
