Log the grants that a backend stand-in receives

An execution under a grant that may have been outdated could not be judged, because the stand-in logged no grants. Each grant is now a line with its sequence, ranges and fences, the times of sending and arrival on the clock of the server and the end of its validity. The start of an execution is logged with that end at level FINE.

--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendEngine.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendEngine.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.standin.internal;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -28,6 +29,8 @@
  * twice.
  */
 final class BackendEngine {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     /** Exit code of a process that a request ended. */
     private static final int CRASH_EXIT_CODE = 70;
 
@@ -134,6 +137,9 @@
             request.startNanos = timers.clock().nowNanos();
             request.startWallMs = System.currentTimeMillis();
             runningRequests++;
+            logger.atFine().log(
+                    "event=execution-start request=%s fence=%s start-nanos=%d grant-sequence=%d valid-until-nanos=%d",
+                    request.id, request.fence, request.startNanos, grants.sequence(), grants.validUntilNanos());
             long serviceMs = currentServiceMs();
             if (serviceMs == 0) {
                 finish(request);
@@ -238,6 +244,11 @@
         return grants.sequence();
     }
 
+    /** Returns the end of the validity of the current grant on the clock of this process; 0 before the first grant. */
+    long grantValidUntilNanos() {
+        return grants.validUntilNanos();
+    }
+
     void startDraining() {
         draining = true;
     }
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendService.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendService.java
@@ -1,5 +1,8 @@
 package org.coriandercrank.standin.internal;
 
+import static com.google.common.flogger.LazyArgs.lazy;
+
+import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -7,6 +10,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.IntSupplier;
+import java.util.stream.Collectors;
 import org.coriandercrank.http.HttpHandler;
 import org.coriandercrank.http.HttpRequest;
 import org.coriandercrank.http.HttpResponse;
@@ -27,6 +31,7 @@
  * path, so that a caller cannot reach those endpoints through the router.
  */
 public final class BackendService implements HttpHandler, AutoCloseable {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final String REQUEST_ID_HEADER = "crank-request-id";
     private static final String CANCEL_PATH = "/control/cancel/";
 
@@ -137,10 +142,29 @@
             long statedNanos = Long.parseLong(sentAt.get().substring(separator + 1));
             sentAtNanos = statedNanos - nowNanos < 0 ? statedNanos : nowNanos;
         }
-        boolean accepted = engine.replaceGrant(JsonCodec.decode(request.body(), Grant.class), sentAtNanos);
+        Grant grant = JsonCodec.decode(request.body(), Grant.class);
+        boolean accepted = engine.replaceGrant(grant, sentAtNanos);
+        logger.atInfo().log(
+                "event=grant sequence=%d accepted=%b validity-ms=%d sent-at-stated=%b sent-at-nanos=%d"
+                        + " arrived-at-nanos=%d valid-until-nanos=%d present-sequence=%d ranges=%s",
+                grant.sequence(),
+                accepted,
+                grant.validityMs(),
+                sentAt.isPresent(),
+                sentAtNanos,
+                nowNanos,
+                engine.grantValidUntilNanos(),
+                engine.grantSequence(),
+                lazy(() -> rangesWithFences(grant)));
         return Responses.json(accepted ? 200 : 409, Map.of("sequence", engine.grantSequence()));
     }
 
+    private static String rangesWithFences(Grant grant) {
+        return grant.ranges().stream()
+                .map(granted -> granted.range() + "@" + granted.fence())
+                .collect(Collectors.joining(","));
+    }
+
     /** Handles the health, load and ledger endpoints and the admin endpoints. */
     private HttpResponse handleStatusOrAdmin(HttpRequest request) {
         return switch (request.method() + " " + request.path()) {
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/GrantTable.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/GrantTable.java
@@ -33,6 +33,11 @@
         return sequence;
     }
 
+    /** Returns the end of the validity of the current grant on the clock of this process; 0 before the first grant. */
+    long validUntilNanos() {
+        return validUntilNanos;
+    }
+
     /**
      * Replaces the grant; returns false if its sequence number is lower than the current one.
      *
