Check the grant at the recorded end of an execution

A backend stand-in checked grant and deadline at the end of a request, applied the effect and then read the clock again for the ledger. A process that was suspended between the two recorded an end after the takeover: in the one failure of WeakServerTest#frozenServersThatHonourTheirGrantsViolateNothing desk-3 recorded 4071604 to 4077667 ms. The host had been frozen for 6043 ms, desk-3 checks deadlines, and no deadline of that test exceeds 3000 ms, so the check was made before the freeze and the end read after it. A grant that counts anew is ruled out for that record: the deadline would have refused the request whatever the grant said.

The effect is now made before the checks, the checks use the end that the ledger states, and a refused effect is undone. HistoryChecker is unchanged.

--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendEngine.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendEngine.java
@@ -20,10 +20,10 @@
 /**
  * Queues and executes requests. Not thread safe; confined to the executor of the server.
  *
- * <p>Invariants: at most {@code slots} requests run at a time. A request takes effect in one step at the end of its
- * service time, directly after its grant, fencing token, deadline and cancellation were checked. Each effect has one
- * ledger entry, which is written before the response is sent. A request that was answered as not run never takes
- * effect.
+ * <p>Invariants: at most {@code slots} requests run at a time. A request that was not cancelled takes effect in one step
+ * at the end of its service time; the effect stays only if grant, fencing token and deadline allow it at the end that its
+ * ledger entry states. Each effect has one ledger entry, which is written before the response is sent. A request that was
+ * answered as not run never takes effect.
  *
  * <p>A request id that arrives again is executed again, so that the ledger shows it if the router sends a request
  * twice.
@@ -119,7 +119,10 @@
     }
 
     private Optional<HttpResponse> rejectionBeforeExecution(BackendRequest request) {
-        long nowNanos = timers.clock().nowNanos();
+        return rejectionAt(request, timers.clock().nowNanos());
+    }
+
+    private Optional<HttpResponse> rejectionAt(BackendRequest request, long nowNanos) {
         if (hasCapability(Capability.DEADLINE) && request.isDeadlineExpired(nowNanos)) {
             return Optional.of(Responses.notRun(STATUS_DEADLINE_EXPIRED, "deadline"));
         }
@@ -168,14 +171,28 @@
         return rejection.isPresent();
     }
 
+    /**
+     * Lets a request take effect or rejects it. The process may be suspended after a check for longer than its grant is
+     * valid, so the checks use a time at which the effect has been made, which is also the end of the execution in the
+     * ledger. A rejected effect is undone before another task of the executor can see it.
+     */
     private void finish(BackendRequest request) {
-        if (request.done || rejectIfNotAllowed(request)) {
+        if (request.done) {
+            return;
+        }
+        Optional<byte[]> previousValue = values.value(request.valueName());
+        HttpResponse response = values.apply(request.valueName(), request.httpRequest);
+        long endWallMs = System.currentTimeMillis();
+        long endNanos = timers.clock().nowNanos();
+        Optional<HttpResponse> rejection = rejectionAt(request, endNanos);
+        if (rejection.isPresent()) {
+            values.restore(request.valueName(), previousValue);
+            reject(request, rejection.get());
             return;
         }
         if (options.isCrashing(request.httpRequest.path())) {
             Runtime.getRuntime().halt(CRASH_EXIT_CODE);
         }
-        HttpResponse response = values.apply(request.valueName(), request.httpRequest);
         ledger.append(new LedgerEntry(
                 request.startOrder,
                 options.info().name(),
@@ -184,9 +201,9 @@
                 request.httpRequest.method(),
                 request.fence.value(),
                 request.startNanos,
-                timers.clock().nowNanos(),
+                endNanos,
                 request.startWallMs,
-                System.currentTimeMillis()));
+                endWallMs));
         removeRequest(request);
         if (faults.triggers(FaultKind.UNANSWERED)) {
             request.response.completeExceptionally(HttpAbortException.withoutResponse());
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/ValueMap.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/ValueMap.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.coriandercrank.http.HttpRequest;
 import org.coriandercrank.http.HttpResponse;
 
@@ -31,6 +32,16 @@
         };
     }
 
+    /** Returns the value of a name, to be passed to {@link #restore}; empty if it has none. */
+    Optional<byte[]> value(String name) {
+        return Optional.ofNullable(values.get(name));
+    }
+
+    /** Gives a name the value that it had before a request was applied. */
+    void restore(String name, Optional<byte[]> value) {
+        value.ifPresentOrElse(bytes -> values.put(name, bytes), () -> values.remove(name));
+    }
+
     int size() {
         return values.size();
     }
