Give up the ranges of a member before the next one joins

A daemon whose member was sealed keeps its gate and joins again under a new id. The gate asks only whether there is a valid lease, so as soon as the new member had one, it granted its server the ranges of the sealed member again, under their old fences, until the releases that the placement had queued reached it; ranges with a call in flight stayed granted until that call ended. Others had owned these ranges under newer fences meanwhile.

Seen in the logs of frozen servers (WeakServerTest, machine busy), with the grants that the stand-in now logs: member sealed and ended at 20:17:06.938, new record confirmed at 07.022, grant 6 at 07.057 with the ranges under fence 1 for 1000 ms, releases from 07.068 on, empty grant 7 at 07.197; another server had executed a key of them under fence 3.

The gate now stops granting and serving all ranges of an ended member, also those with calls in flight, and the daemon joins only when the gate has done so. Their release still waits for the calls and exports the records.

EndedMemberTest fails without it: with a plain release in place of the new method the range with a call in flight is granted again (1 of 4 failed), and with an empty method 3 of 4 fail. GateRangeTest and ServerLifeTest pass. The platform's daemon detaches the gate from its server when its member is sealed, which revokes all ranges before the next member joins, so by reading it was not affected.

--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
@@ -40,8 +40,9 @@
  * belong to the current member id.
  *
  * <p>Thread safe. A daemon whose member record was sealed rejoins under another member id. The gate and the ingress are
- * kept across member ids, so callers keep their connections and the gate keeps its outcome records. Calls of
- * {@link #replaceMember} must not overlap.
+ * kept across member ids, so callers keep their connections and the gate keeps its outcome records. The gate gives up the
+ * ranges of a member before the next one joins, so that no range is granted under the lease of a member that does not own
+ * it. Calls of {@link #replaceMember} must not overlap.
  */
 public final class DaemonHost implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -118,12 +119,13 @@
 
     /** Joins under a member id; allowed if the daemon has not joined yet or its previous member has ended. */
     public CompletableFuture<Void> join(JoinParameters parameters) {
-        return control.rejoin(parameters).thenAccept(id -> startMember());
+        return gate.endMember().thenCompose(done -> control.rejoin(parameters)).thenAccept(id -> startMember());
     }
 
     /** Rejoins under a generated member id after the member was sealed, and announces the backend server again. */
     public CompletableFuture<Void> replaceMember() {
-        return control.rejoin()
+        return gate.endMember()
+                .thenCompose(done -> control.rejoin())
                 .thenAccept(id -> startMember())
                 .thenRun(() -> backend().ifPresent(control::backendAnnounced));
     }
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/LocalGate.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/LocalGate.java
@@ -103,6 +103,11 @@
                 .orElseGet(() -> CompletableFuture.completedFuture(TransferredRecords.NONE));
     }
 
+    /** Gives up all ranges of a member that has ended; completes when no later lease can renew their grants. */
+    public CompletableFuture<Void> endMember() {
+        return currentGate().map(Gate::endMember).orElseGet(() -> CompletableFuture.completedFuture(null));
+    }
+
     @Override
     public CompletableFuture<Void> drain() {
         return currentGate().map(Gate::drain).orElseGet(() -> CompletableFuture.completedFuture(null));
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/Gate.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/Gate.java
@@ -10,6 +10,7 @@
 import org.coriandercrank.gate.internal.PendingSubmissions;
 import org.coriandercrank.gate.internal.PendingSubmissions.Submission;
 import org.coriandercrank.kernel.backend.BackendServer;
+import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.concurrent.SerialExecutor;
 import org.coriandercrank.kernel.id.Generation;
@@ -168,6 +169,29 @@
         return executor.call(() -> withBusyTick(core.release(range))).thenCompose(Function.identity());
     }
 
+    /**
+     * Gives up all ranges of a member that has ended. The lease of the next member must not begin before the future
+     * completes, because it would renew the grants of these ranges. The future fails only if the gate is closed.
+     */
+    public CompletableFuture<Void> endMember() {
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        enqueueMemberEnd(ended);
+        return ended;
+    }
+
+    private void enqueueMemberEnd(CompletableFuture<Void> ended) {
+        boolean queued = executor.offer(() -> {
+            core.endMember();
+            scheduleBusyTick();
+            ended.complete(null);
+        });
+        if (!queued && closed.get()) {
+            ended.completeExceptionally(new CrankException(ResultCode.DRAINING, "the gate is closed"));
+        } else if (!queued) {
+            timers.once(QUEUE_FULL_RETRY_AFTER_MS, Runnable::run, () -> enqueueMemberEnd(ended));
+        }
+    }
+
     @Override
     public CompletableFuture<Void> drain() {
         return executor.call(() -> withBusyTick(core.drain())).thenCompose(Function.identity());
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateCore.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateCore.java
@@ -191,6 +191,16 @@
         return result;
     }
 
+    /**
+     * Gives up all ranges of a member that has ended, so that no grant or request under the lease of the next member
+     * uses their fencing tokens.
+     */
+    public void endMember() {
+        rangeService.releaseAtMemberEnd(requestService.unsettledCalls());
+        requestService.refuseUnservedRanges();
+        runPendingWork();
+    }
+
     /** Starts a permanent drain; the future completes when nothing is queued or in flight. */
     public CompletableFuture<Void> drain() {
         CompletableFuture<Void> result = drainState.requestDrain();
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeService.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeService.java
@@ -193,6 +193,21 @@
         return release.result;
     }
 
+    /**
+     * Releases all ranges and stops granting them at once, also those with calls in flight. The lease under which they
+     * were acquired has ended for good, so another member may own them, and a later lease must not renew their grants.
+     *
+     * @param candidateCalls calls of any range that run or whose answer was lost
+     */
+    void releaseAtMemberEnd(List<Execution> candidateCalls) {
+        for (RangeEntry entry : ranges.grantable()) {
+            release(entry.range(), candidateCalls);
+        }
+        for (RangeEntry entry : ranges.inState(State.RELEASING)) {
+            ranges.transition(entry, State.REVOKING);
+        }
+    }
+
     /** Replaces a split entry with its parts in the releases that wait for it. */
     private void replaceSplitEntry(RangeEntry split) {
         for (Release release : releases) {
