--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendEngine.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/BackendEngine.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.standin.internal;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -19,15 +20,17 @@
 /**
  * Queues and executes requests. Not thread safe; confined to the executor of the server.
  *
- * <p>Invariants: at most {@code slots} requests run at a time. A request takes effect in one step at the end of its
- * service time, directly after its grant, fencing token, deadline and cancellation were checked. Each effect has one
- * ledger entry, which is written before the response is sent. A request that was answered as not run never takes
- * effect.
+ * <p>Invariants: at most {@code slots} requests run at a time. A request that was not cancelled takes effect in one step
+ * at the end of its service time; the effect stays only if grant, fencing token and deadline allow it at the end that its
+ * ledger entry states. Each effect has one ledger entry, which is written before the response is sent. A request that was
+ * answered as not run never takes effect.
  *
  * <p>A request id that arrives again is executed again, so that the ledger shows it if the router sends a request
  * twice.
  */
 final class BackendEngine {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     /** Exit code of a process that a request ended. */
     private static final int CRASH_EXIT_CODE = 70;
 
@@ -116,7 +119,10 @@
     }
 
     private Optional<HttpResponse> rejectionBeforeExecution(BackendRequest request) {
-        long nowNanos = timers.clock().nowNanos();
+        return rejectionAt(request, timers.clock().nowNanos());
+    }
+
+    private Optional<HttpResponse> rejectionAt(BackendRequest request, long nowNanos) {
         if (hasCapability(Capability.DEADLINE) && request.isDeadlineExpired(nowNanos)) {
             return Optional.of(Responses.notRun(STATUS_DEADLINE_EXPIRED, "deadline"));
         }
@@ -134,6 +140,9 @@
             request.startNanos = timers.clock().nowNanos();
             request.startWallMs = System.currentTimeMillis();
             runningRequests++;
+            logger.atFine().log(
+                    "event=execution-start request=%s fence=%s start-nanos=%d grant-sequence=%d valid-until-nanos=%d",
+                    request.id, request.fence, request.startNanos, grants.sequence(), grants.validUntilNanos());
             long serviceMs = currentServiceMs();
             if (serviceMs == 0) {
                 finish(request);
@@ -162,14 +171,28 @@
         return rejection.isPresent();
     }
 
+    /**
+     * Lets a request take effect or rejects it. The process may be suspended after a check for longer than its grant is
+     * valid, so the checks use a time at which the effect has been made, which is also the end of the execution in the
+     * ledger. A rejected effect is undone before another task of the executor can see it.
+     */
     private void finish(BackendRequest request) {
-        if (request.done || rejectIfNotAllowed(request)) {
+        if (request.done) {
+            return;
+        }
+        Optional<byte[]> previousValue = values.value(request.valueName());
+        HttpResponse response = values.apply(request.valueName(), request.httpRequest);
+        long endWallMs = System.currentTimeMillis();
+        long endNanos = timers.clock().nowNanos();
+        Optional<HttpResponse> rejection = rejectionAt(request, endNanos);
+        if (rejection.isPresent()) {
+            values.restore(request.valueName(), previousValue);
+            reject(request, rejection.get());
             return;
         }
         if (options.isCrashing(request.httpRequest.path())) {
             Runtime.getRuntime().halt(CRASH_EXIT_CODE);
         }
-        HttpResponse response = values.apply(request.valueName(), request.httpRequest);
         ledger.append(new LedgerEntry(
                 request.startOrder,
                 options.info().name(),
@@ -178,9 +201,9 @@
                 request.httpRequest.method(),
                 request.fence.value(),
                 request.startNanos,
-                timers.clock().nowNanos(),
+                endNanos,
                 request.startWallMs,
-                System.currentTimeMillis()));
+                endWallMs));
         removeRequest(request);
         if (faults.triggers(FaultKind.UNANSWERED)) {
             request.response.completeExceptionally(HttpAbortException.withoutResponse());
@@ -238,6 +261,11 @@
         return grants.sequence();
     }
 
+    /** Returns the end of the validity of the current grant on the clock of this process; 0 before the first grant. */
+    long grantValidUntilNanos() {
+        return grants.validUntilNanos();
+    }
+
     void startDraining() {
         draining = true;
     }
