Let the stand-in store return from an older copy

Its answers now carry the era, and the fault older-copy takes it away for a time and lets it return with the objects, the counter and the history that it had before, from a log of the last minute.

Ruled out: whole copies of the state for each write, which would need the memory of all objects many times over.

--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/FaultKind.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/FaultKind.java
@@ -27,5 +27,8 @@
     CUT_ANSWER,
     /** Requests are rejected with 503 as by an overloaded server and have no effect. */
     @JsonProperty("shed")
-    SHED
+    SHED,
+    /** The store is away, as with {@link #DOWN}, and then returns from an older copy of itself in a new era. */
+    @JsonProperty("older-copy")
+    OLDER_COPY
 }
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/StoreState.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/StoreState.java
@@ -15,25 +15,62 @@
 import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.store.StoredObject;
 import org.coriandercrank.kernel.store.WatchBatch;
+import org.coriandercrank.kernel.time.MonotonicClock;
 
 /**
  * Holds the objects, the global revision counter and the bounded history of changes. Not thread safe; confined to the
  * executor of the store.
  *
- * <p>Invariants: the counter grows by one with each successful put or delete. The history holds every change after
- * {@code historyStartRevision}, but no values, so its memory does not depend on the size of objects.
+ * <p>Invariants: within an era the counter grows by one with each successful put or delete. The history holds every change
+ * after {@code historyStartRevision}, but no values, so its memory does not depend on the size of objects. The undo log
+ * holds what each write and each return of the last minute replaced, so the state can return to any time in it. All
+ * revisions here are plain values of the counter, without an era.
  */
 public final class StoreState {
+    private static final long UNDO_LOG_MS = 60_000;
+
     private record Change(String name, long revision) {}
 
+    /** What the state had before a write or a return. Immutable. */
+    private sealed interface Undo {
+        long atMs();
+    }
+
+    /** Undoes a write of one object. */
+    private record WriteUndo(
+            long atMs,
+            String name,
+            Optional<StoredObject> previous,
+            Optional<Change> droppedChange,
+            long historyStartRevision)
+            implements Undo {}
+
+    /** Undoes a return to an older copy; the collections are not changed. */
+    private record ReturnUndo(
+            long atMs,
+            NavigableMap<String, StoredObject> objects,
+            Deque<Change> history,
+            Deque<Undo> undoLog,
+            long revision,
+            long historyStartRevision)
+            implements Undo {}
+
     private final NavigableMap<String, StoredObject> objects = new TreeMap<>();
     private final Deque<Change> history = new ArrayDeque<>();
+    private final Deque<Undo> undoLog = new ArrayDeque<>();
     private final int historyEntries;
+    private final MonotonicClock clock;
+    private long era = 1;
     private long revision;
     private long historyStartRevision;
 
-    public StoreState(int historyEntries) {
+    public StoreState(int historyEntries, MonotonicClock clock) {
         this.historyEntries = historyEntries;
+        this.clock = clock;
+    }
+
+    public long era() {
+        return era;
     }
 
     public long revision() {
@@ -58,7 +95,7 @@
         if (!revisionOf(name).equals(expected)) {
             return Optional.empty();
         }
-        Revision written = recordChange(name);
+        Revision written = recordChange(name, get(name));
         objects.put(name, StoredObject.of(name, written, value));
         return Optional.of(written);
     }
@@ -71,19 +108,77 @@
         if (expected.equals(Revision.NONE) || !revisionOf(name).equals(expected)) {
             return Optional.empty();
         }
-        objects.remove(name);
-        return Optional.of(recordChange(name));
+        return Optional.of(recordChange(name, Optional.of(objects.remove(name))));
     }
 
-    private Revision recordChange(String name) {
+    private Revision recordChange(String name, Optional<StoredObject> previous) {
+        long previousHistoryStart = historyStartRevision;
+        Optional<Change> dropped = Optional.empty();
         revision++;
         history.addLast(new Change(name, revision));
         if (history.size() > historyEntries) {
-            historyStartRevision = history.removeFirst().revision;
+            dropped = Optional.of(history.removeFirst());
+            historyStartRevision = dropped.get().revision;
         }
+        addUndo(new WriteUndo(clock.nowMs(), name, previous, dropped, previousHistoryStart));
         return new Revision(revision);
     }
 
+    private void addUndo(Undo undo) {
+        undoLog.addLast(undo);
+        while (undoLog.getFirst().atMs() < undo.atMs() - UNDO_LOG_MS) {
+            undoLog.removeFirst();
+        }
+    }
+
+    /**
+     * Returns to the objects, the counter and the history of an earlier time, or the earliest time that the undo log
+     * reaches, and begins a new era.
+     *
+     * @return the objects whose present version is lost, with this version
+     */
+    public List<StoredObject> returnToCopy(long copyAtMs) {
+        ReturnUndo before = new ReturnUndo(
+                clock.nowMs(),
+                new TreeMap<>(objects),
+                new ArrayDeque<>(history),
+                new ArrayDeque<>(undoLog),
+                revision,
+                historyStartRevision);
+        while (!undoLog.isEmpty() && undoLog.getLast().atMs() > copyAtMs) {
+            Undo undo = undoLog.removeLast();
+            if (undo instanceof WriteUndo write) {
+                undoWrite(write);
+            } else if (undo instanceof ReturnUndo earlierReturn) {
+                undoReturn(earlierReturn);
+            }
+        }
+        addUndo(before);
+        era++;
+        return before.objects().values().stream()
+                .filter(object -> !object.equals(objects.get(object.name())))
+                .toList();
+    }
+
+    private void undoWrite(WriteUndo undo) {
+        undo.previous.ifPresentOrElse(object -> objects.put(undo.name, object), () -> objects.remove(undo.name));
+        history.removeLast();
+        undo.droppedChange.ifPresent(history::addFirst);
+        historyStartRevision = undo.historyStartRevision;
+        revision--;
+    }
+
+    private void undoReturn(ReturnUndo undo) {
+        objects.clear();
+        objects.putAll(undo.objects);
+        history.clear();
+        history.addAll(undo.history);
+        undoLog.clear();
+        undoLog.addAll(undo.undoLog);
+        revision = undo.revision;
+        historyStartRevision = undo.historyStartRevision;
+    }
+
     /** Returns all objects with a name prefix by ascending revision, in a batch with {@code reset} set. */
     public WatchBatch list(String prefix) {
         List<StoredObject> objectsFound = new ArrayList<>();
@@ -99,7 +194,7 @@
 
     /**
      * Returns the changes to objects with a name prefix after a revision, or all objects with the prefix if the history
-     * does not reach back that far or the revision is from before a restart of the store.
+     * does not reach back that far or the revision is from before a restart of the store or a return to an older copy.
      */
     public WatchBatch changes(String prefix, long afterRevision) {
         if (afterRevision < historyStartRevision || afterRevision > revision) {
