Let the stand-in store name no era by default

A cluster of tests whose store names an era from the start waits for the era to settle before its first table, some seconds for each of them. The era before the first return is now a setting, 0 by default; the tests of the client set it to 1. The simulated operator states the version of its configuration.

--- a/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/HttpObjectStoreEraTest.java
+++ b/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/HttpObjectStoreEraTest.java
@@ -62,8 +62,8 @@
 
     @BeforeEach
     void start() throws Exception {
-        storeProgram = CrankStore.start(
-                SettingsLoader.load(new StoreSettings(), List.of("--listen", "127.0.0.1:0"), Map.of()));
+        storeProgram = CrankStore.start(SettingsLoader.load(
+                new StoreSettings(), List.of("--listen", "127.0.0.1:0", "--first-era", "1"), Map.of()));
         adminClient = new HttpClient(group, storeProgram.address(), HttpClientOptions.DEFAULTS);
         store = open();
         other = open();
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
@@ -186,9 +186,9 @@
     }
 
     private boolean areCrashReportsUnpublished() {
-        return confirmed()
-                .map(record -> !record.member().crashReports().equals(desired.crashReports()))
-                .orElse(desired.crashReports().isPresent());
+        Optional<CrashReports> published =
+                confirmed().flatMap(record -> record.member().crashReports());
+        return !published.equals(desired.crashReports());
     }
 
     /** Handles the announcement of a backend server; an unchanged announcement has no effect. */
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/Operator.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/Operator.java
@@ -84,10 +84,11 @@
                 HeldKeys.BITS);
         ServiceConfig versioned = ServiceConfig.withDefaults(new ServiceName(VERSION_PREFIX + version), false);
         return new Configuration(
-                List.of(keyed, versioned),
-                drained.stream()
-                        .map(name -> new BackendRule(name, BackendRule.DEFAULT_WEIGHT_PERCENT, true))
-                        .toList(),
-                List.of());
+                        List.of(keyed, versioned),
+                        drained.stream()
+                                .map(name -> new BackendRule(name, BackendRule.DEFAULT_WEIGHT_PERCENT, true))
+                                .toList(),
+                        List.of())
+                .withVersion(version);
     }
 }
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/Planner.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/Planner.java
@@ -276,9 +276,8 @@
     private void updateEra() {
         Era viewed = dependencies.routingView().storeEra().era();
         Era answered = dependencies.store().era();
-        Era latest = viewed.isNewerThan(answered) ? viewed : answered;
-        if (latest.isNewerThan(era)) {
-            era = latest;
+        if (viewed.isNewerThan(era) || answered.isNewerThan(era)) {
+            era = viewed.isNewerThan(answered) ? viewed : answered;
             memberLookup.clear();
         }
     }
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/CrankStore.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/CrankStore.java
@@ -42,7 +42,7 @@
         StoreService service = new StoreService(
                 executor,
                 timers,
-                new StoreState(settings.historyEntries, timers.clock()),
+                new StoreState(settings.historyEntries, timers.clock(), settings.firstEra),
                 new FaultInjector(timers.clock(), settings.faultSeed));
         HttpServerOptions options = new HttpServerOptions(
                 MAX_INITIAL_LINE_BYTES,
--- a/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/StoreState.java
+++ b/org.coriandercrank.standin/src/main/java/org/coriandercrank/standin/internal/StoreState.java
@@ -60,13 +60,14 @@
     private final Deque<Undo> undoLog = new ArrayDeque<>();
     private final int historyEntries;
     private final MonotonicClock clock;
-    private long era = 1;
+    private long era;
     private long revision;
     private long historyStartRevision;
 
-    public StoreState(int historyEntries, MonotonicClock clock) {
+    public StoreState(int historyEntries, MonotonicClock clock, long firstEra) {
         this.historyEntries = historyEntries;
         this.clock = clock;
+        this.era = firstEra;
     }
 
     public long era() {
