--- a/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/WeakServerTest.java
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/WeakServerTest.java
@@ -100,7 +100,7 @@
         verify(fault);
     }
 
-    /** See KNOWN-RED.txt: a server recorded an execution after it was resumed. */
+    /** See KNOWN-RED.txt: a key may stay unserved for longer than the limit on a busy machine. */
     @Tag("known-red")
     @Test
     void frozenServersThatHonourTheirGrantsViolateNothing() {
