--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/OwnershipSimulationTest.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/OwnershipSimulationTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.BeforeAll;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -31,7 +30,6 @@
 
     /** The store returns from a copy that lacks tables, seals, records and configurations which daemons have acted on. */
     @ParameterizedTest
-    @Tag("known-red")
     @EnumSource(names = "NO_DRILLS", mode = EnumSource.Mode.EXCLUDE)
     void storeThatLosesWritesBreaksNoRule(FaultMix mix) throws Exception {
         assertThat(OwnershipTrial.seedsByRule(mix, FIRST_SEED, RUNS, THREADS)).isEmpty();
--- a/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/OlderStoreTest.java
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/OlderStoreTest.java
@@ -130,7 +130,6 @@
     }
 
     /** See KNOWN-RED.txt. */
-    @Tag("known-red")
     @ParameterizedTest
     @EnumSource
     void drillAfterTakeover(Loss loss) {
@@ -204,7 +203,6 @@
     }
 
     /** See KNOWN-RED.txt. */
-    @Tag("known-red")
     @Test
     void drillBackToBeforeTheFirstTable() {
         long copyNanos = System.nanoTime();
