Bind lookups, table writes and waits to the era they were made for

Cause: found by review, by reading. A lookup of a member that was answered in an earlier era, or before the era had settled, marked it as removed in the new one, so its ranges could be given away while it served. A table could be written in a later era than that of its generation. A planner forgot that the store had a table of an earlier era before it repaired that. A relay dropped members that the store had lost when the listing came before the era was noted. The time in which an era spreads was shorter than the watch of a relay on the platform.

Change: results of an earlier era are dropped, and a record of the present era overrules them; a table is refused in a later era than its own; the need for a recovery lasts until the store has a table of the era; eras are noted before objects are decoded, and caches of an earlier era are listed at once; the spread is the wait of a watch and a heartbeat. Ruled out: bands for versions of configurations, left open.

--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlOptions.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlOptions.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.control;
 
+import java.util.concurrent.TimeUnit;
 import org.coriandercrank.lease.LeaseTiming;
 
 /**
@@ -173,6 +174,11 @@
         return LeaseTiming.ofMs(ttlMs, heartbeatMs, marginPercent);
     }
 
+    /** Time in which all daemons learn of a new era: a relay by its watch, the others by the next heartbeats. */
+    public long eraSpreadNanos() {
+        return TimeUnit.MILLISECONDS.toNanos(watchWaitMs + heartbeatMs);
+    }
+
     private static void requirePositive(String name, long value) {
         if (value <= 0) {
             throw new IllegalArgumentException(name + " must be positive: " + value);
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
@@ -162,6 +162,7 @@
 
     /** Applies changes and returns whether any was newer than the known state. See {@link ObjectCache#apply}. */
     public boolean apply(FetchObject.Kind kind, List<StoredObject> changes, Revision upTo, boolean reset) {
+        context.eras().observe(upTo.era(), context.nowNanos());
         List<StoredObject> applied = caches.get(kind).apply(changes, upTo, reset);
         applied.forEach(change -> decode(kind, change));
         if (!applied.isEmpty()) {
@@ -183,6 +184,7 @@
 
     /** Applies a single object that a peer pushed; does not change {@link #completeUpTo}. */
     public void applyPushed(FetchObject.Kind kind, StoredObject object) {
+        context.eras().observe(object.revision().era(), context.nowNanos());
         if (object.name().startsWith(prefix(kind)) && caches.get(kind).applySingle(object)) {
             decode(kind, object);
             publish(snapshot.self());
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlContext.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlContext.java
@@ -38,7 +38,13 @@
             ControlDependencies dependencies,
             Executor executor,
             Random random) {
-        this(options, identity, dependencies, executor, random, new EraTransition(options.leaseTiming()));
+        this(
+                options,
+                identity,
+                dependencies,
+                executor,
+                random,
+                new EraTransition(options.leaseTiming(), options.eraSpreadNanos()));
     }
 
     /** Returns the time of the clock of the timers. */
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -158,7 +158,10 @@
             if (sync.storeCallInFlight || nowNanos - sync.retryAtNanos < 0) {
                 continue;
             }
-            if (!sync.listed) {
+            boolean outdated = context.eras()
+                    .era()
+                    .isNewerThan(view.completeUpTo(sync.kind).era());
+            if (!sync.listed || outdated) {
                 list(sync);
             } else {
                 watchWaitMs(sync.kind, self, participating, settled, nowNanos).ifPresent(waitMs -> watch(sync, waitMs));
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
@@ -186,9 +186,8 @@
     }
 
     private boolean areCrashReportsUnpublished() {
-        Optional<CrashReports> published =
-                confirmed().flatMap(record -> record.member().crashReports());
-        return !published.equals(desired.crashReports());
+        return !desired.crashReports()
+                .equals(confirmed().flatMap(record -> record.member().crashReports()));
     }
 
     /** Handles the announcement of a backend server; an unchanged announcement has no effect. */
--- a/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/LeaseSimulation.java
+++ b/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/LeaseSimulation.java
@@ -43,6 +43,8 @@
     private static final long MAX_COPY_AGE_NANOS = 8_000 * NANOS_PER_MS;
     private static final long MAX_ERA_DELAY_NANOS = 1_000 * NANOS_PER_MS;
 
+    private static final long ERA_SPREAD_NANOS = 1_500 * NANOS_PER_MS;
+
     /** Settling time of an era by the fastest clock. */
     private static final long MIN_SETTLING_NANOS = 3_564 * NANOS_PER_MS;
 
@@ -93,7 +95,7 @@
             processes.add(new SimulatedProcess(random));
             ids.add(new MemberId("w" + i));
             startedNanos.add(0L);
-            eras.add(new EraTransition(TIMING));
+            eras.add(new EraTransition(TIMING, ERA_SPREAD_NANOS));
             witnesses.add(newWitness(i));
         }
         Intervals outages = Intervals.random(random, 3, MAX_OUTAGE_MS * NANOS_PER_MS, END_NANOS);
--- a/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/StoreReturnTest.java
+++ b/org.coriandercrank.lease.test/src/test/java/org/coriandercrank/lease/test/StoreReturnTest.java
@@ -19,6 +19,7 @@
 class StoreReturnTest {
     private static final long NANOS_PER_MS = 1_000_000;
     private static final LeaseTiming TIMING = LeaseTiming.ofMs(2_000, 500, 105);
+    private static final long SPREAD_NANOS = 1_500 * NANOS_PER_MS;
     private static final MemberId WITNESS_A = new MemberId("a");
     private static final MemberId WITNESS_B = new MemberId("b");
     private static final Era FIRST = new Era(1);
@@ -64,7 +65,7 @@
 
     @Test
     void witnessVotesInANewEraOnlyForRecordsThatSurvived() {
-        EraTransition eras = new EraTransition(TIMING);
+        EraTransition eras = new EraTransition(TIMING, SPREAD_NANOS);
         Revision named = Revision.of(FIRST, 10);
         assertThat(eras.mayAcknowledge(named, Optional.empty())).isTrue();
 
@@ -81,7 +82,7 @@
 
     @Test
     void eraSettlesOnlyAfterAllVotesForLostRecordsHaveExpired() {
-        EraTransition eras = new EraTransition(TIMING);
+        EraTransition eras = new EraTransition(TIMING, SPREAD_NANOS);
         assertThat(eras.isSettled(0)).isTrue();
         eras.observe(SECOND, 0);
         assertThat(eras.isSettled(3_600 * NANOS_PER_MS)).isFalse();
--- a/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/EraTransition.java
+++ b/org.coriandercrank.lease/src/main/java/org/coriandercrank/lease/EraTransition.java
@@ -1,7 +1,6 @@
 package org.coriandercrank.lease;
 
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.Revision;
 
@@ -16,15 +15,15 @@
  * <p>The era never decreases. Not thread safe. All times are in nanoseconds of the same monotonic clock.
  */
 public final class EraTransition {
-    /** Time in which all daemons that run learn of an era, from the store or from others. */
-    private static final long SPREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-
     private final LeaseTiming timing;
+    private final long spreadNanos;
     private Era era = Era.NONE;
     private long sinceNanos;
 
-    public EraTransition(LeaseTiming timing) {
+    /** @param spreadNanos time in which all daemons that run learn of an era, from the store or from others */
+    public EraTransition(LeaseTiming timing, long spreadNanos) {
         this.timing = timing;
+        this.spreadNanos = spreadNanos;
     }
 
     public Era era() {
@@ -43,7 +42,7 @@
 
     /** Whether every member that lives and reaches the store has had time to write its record in this era. */
     public boolean isSettled(long nowNanos) {
-        return era.equals(Era.NONE) || nowNanos - sinceNanos > SPREAD_NANOS + timing.expiryNanos();
+        return era.equals(Era.NONE) || nowNanos - sinceNanos > spreadNanos + timing.expiryNanos();
     }
 
     /**
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/Planner.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/Planner.java
@@ -268,7 +268,7 @@
             state.endWrite(nowMs() + TABLE_WRITE_RETRY_MS);
             return;
         }
-        state.updateTable(outcome.table());
+        state.updateStoredTable(outcome.table(), era);
         state.endWrite(outcome.written().isPresent() ? nowMs() : nowMs() + TABLE_WRITE_RETRY_MS);
         outcome.written().ifPresent(decision -> tableWritten(state, decision));
     }
@@ -342,8 +342,6 @@
         RoutingSnapshot snapshot = dependencies.routingView().current();
         updateEra();
         if (era.isNewerThan(table.generation().era())) {
-            // A late write of an earlier era has replaced the table.
-            state.requireRecovery();
             return CompletableFuture.completedFuture(Optional.empty());
         }
         if (!memberLookup.resolveMissing(snapshot, table)) {
@@ -429,6 +427,8 @@
             boolean mayBeLost = era.isNewerThan(versioned.revision().era());
             if (versioned.member().state() == MemberState.SEALED && !mayBeLost) {
                 removed.add(id);
+            } else if (!mayBeLost) {
+                removed.remove(id);
             }
         });
         Map<MemberId, LoadReport> reports = loadCollector.reports();
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/RangeOwnership.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/RangeOwnership.java
@@ -24,6 +24,7 @@
 import org.coriandercrank.kernel.ownership.LeaseView;
 import org.coriandercrank.kernel.ownership.OwnerGate;
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
+import org.coriandercrank.kernel.ownership.StoreEra;
 import org.coriandercrank.kernel.ownership.VersionedMember;
 import org.coriandercrank.kernel.peer.PeerHandler;
 import org.coriandercrank.kernel.peer.PeerTarget;
@@ -286,7 +287,9 @@
             OwnershipAction.RequestRelease action,
             Optional<StoredObject> storedMember,
             Throwable failure) {
-        if (failure != null) {
+        updateEra();
+        StoreEra known = dependencies.routingView().storeEra();
+        if (failure != null || !known.settled() || latestEra.isNewerThan(known.era())) {
             retryLater(state, action);
             return;
         }
@@ -295,9 +298,6 @@
                 .filter(stored -> stored.state() != MemberState.SEALED);
         if (member.isPresent()) {
             sendReleaseRequest(service, state, action, member.get());
-        } else if (storedMember.isEmpty()
-                && !dependencies.routingView().storeEra().settled()) {
-            retryLater(state, action);
         } else {
             state.memberRemoved(action.previousOwner());
             performActions();
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/MemberLookup.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/MemberLookup.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
 import org.coriandercrank.kernel.store.JsonCodec;
@@ -22,7 +23,8 @@
  * Looks up members in the store that a table references and a snapshot lacks, and caches the results.
  *
  * <p>Not thread safe: confined to the serial executor of the planner, on which results of the store are processed too.
- * A member counts as removed only if its record in the store is sealed or missing.
+ * A member counts as removed only if its record in the store is sealed or missing. A result is dropped if a new era of the
+ * store began during the lookup.
  */
 public final class MemberLookup {
     private static final int MAX_CACHED_MEMBERS = 10_000;
@@ -77,10 +79,11 @@
     }
 
     private void lookUp(MemberId member) {
+        Era startedIn = store.era();
         store.get(ObjectNames.member(member))
                 .whenComplete((object, failure) -> enqueue.accept(() -> {
                     pendingLookups.remove(member);
-                    if (failure == null) {
+                    if (failure == null && store.era().equals(startedIn)) {
                         lookupCompleted(member, object);
                     }
                 }));
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/OwnershipState.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/OwnershipState.java
@@ -121,6 +121,7 @@
 
     /** Applies a table if it is newer than the current one and not of an earlier era than the latest one. */
     public void applyTable(AssignmentTable newTable) {
+        observeEra(newTable.generation().era());
         if (!newTable.generation().isNewerThan(table.generation())
                 || era.isNewerThan(newTable.generation().era())) {
             return;
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/ServicePlanningState.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/ServicePlanningState.java
@@ -1,6 +1,7 @@
 package org.coriandercrank.placement.internal;
 
 import java.util.List;
+import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.ServiceName;
 import org.coriandercrank.kernel.table.AssignmentTable;
@@ -86,9 +87,13 @@
         return !writePending && nowMs >= retryAtMs;
     }
 
-    /** Notes that the store has a table of an earlier era, although a table of the present one was written. */
-    public void requireRecovery() {
-        recoveryRequired = true;
+    /**
+     * Notes the table that the store was found to have. A late write may have replaced that of the present era by one of
+     * an earlier era.
+     */
+    public void updateStoredTable(AssignmentTable stored, Era era) {
+        recoveryRequired = era.isNewerThan(stored.generation().era());
+        updateTable(stored);
     }
 
     public boolean isRecoveryRequired() {
@@ -107,7 +112,6 @@
     /** Ends a write; no decision is made before {@code newRetryAtMs}. */
     public void endWrite(long newRetryAtMs) {
         writePending = false;
-        recoveryRequired = false;
         retryAtMs = newRetryAtMs;
     }
 
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TableRecovery.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TableRecovery.java
@@ -92,7 +92,8 @@
         Map<MemberId, HeldRangesReport> complete = RecoveryTable.completeOf(reports, era);
         long waitedMs = clock.nowMs() - startedMs.getOrDefault(service, clock.nowMs());
         if (complete.size() < reports.size() && waitedMs < INCOMPLETE_WAIT_MS) {
-            return CompletableFuture.completedFuture(new TableWriter.Outcome(known, Optional.empty()));
+            return CompletableFuture.completedFuture(
+                    new TableWriter.Outcome(AssignmentTable.empty(service), Optional.empty()));
         }
         Set<MemberId> unreported =
                 ownersOf(service, stored).stream().map(Member::id).collect(Collectors.toCollection(HashSet::new));
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TableWriter.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TableWriter.java
@@ -19,7 +19,8 @@
  * Writes tables to the store. Thread safe.
  *
  * <p>A table is read immediately before a decision and written only if its revision has not changed since. So a
- * decision is always based on the table that it replaces.
+ * decision is always based on the table that it replaces. A table is not written in a later era than that of its
+ * generation.
  */
 public final class TableWriter {
     /**
@@ -79,6 +80,11 @@
             String name, ServiceName service, Revision revision, TablePlanner.Decision decision) {
         Outcome written = new Outcome(decision.table(), Optional.of(decision));
         byte[] value = TableCodec.encode(decision.table());
+        if (store.era().isNewerThan(decision.table().generation().era())) {
+            return CompletableFuture.failedFuture(new CrankException(
+                    ResultCode.REVISION_CONFLICT,
+                    "generation " + decision.table().generation() + " is of an earlier era than " + store.era()));
+        }
         return store.put(name, value, revision)
                 .handle((newRevision, failure) -> {
                     if (failure == null) {
@@ -101,7 +107,8 @@
     private CompletableFuture<Outcome> readBack(String name, ServiceName service, Outcome written) {
         return store.get(name).thenApply(stored -> {
             AssignmentTable table = decodeTable(service, stored);
-            return table.equals(written.table()) ? written : new Outcome(table, Optional.empty());
+            boolean sameEra = !store.era().isNewerThan(table.generation().era());
+            return sameEra && table.equals(written.table()) ? written : new Outcome(table, Optional.empty());
         });
     }
 }
