State the later time as the sending time of a grant again

Which of the two is right is not decided, so the change is taken back and GrantSentAtTest is known red again.

--- a/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/GrantSentAtTest.java
+++ b/org.coriandercrank.adapters.test/src/test/java/org/coriandercrank/adapters/GrantSentAtTest.java
@@ -28,6 +28,7 @@
 import org.coriandercrank.kernel.time.SystemTimerService;
 import org.coriandercrank.kernel.time.TimerService;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -56,6 +57,7 @@
     }
 
     /** The host is suspended before the answer that tells the adapter the clock of the server process. */
+    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(strings = {INSTANCE, STALE_INSTANCE})
     void validityCountsFromTheCallAlthoughTheClockIsReadFirst(String firstInstance) throws Exception {
--- a/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpBackendServer.java
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpBackendServer.java
@@ -133,21 +133,19 @@
 
     @Override
     public CompletableFuture<Long> grant(Grant grant) {
-        long sentAtNanos = serverClock.localNanos();
         CompletableFuture<HttpResponse> firstResponse = serverClock.isKnown()
-                ? sendGrant(grant, sentAtNanos)
-                : controlCall(HttpRequest.of("GET", "/control/clock"))
-                        .thenCompose(response -> sendGrant(grant, sentAtNanos));
+                ? sendGrant(grant)
+                : controlCall(HttpRequest.of("GET", "/control/clock")).thenCompose(response -> sendGrant(grant));
         return firstResponse
                 .thenCompose(response -> response.status() == STATUS_CLOCK_MISMATCH
-                        ? sendGrant(grant, sentAtNanos)
+                        ? sendGrant(grant)
                         : CompletableFuture.completedFuture(response))
                 .thenApply(BackendResponses::grantSequence);
     }
 
-    private CompletableFuture<HttpResponse> sendGrant(Grant grant, long sentAtNanos) {
-        return controlCall(new HttpRequest(
-                "PUT", "/control/grant", serverClock.sentAtHeader(sentAtNanos), JsonCodec.encode(grant)));
+    private CompletableFuture<HttpResponse> sendGrant(Grant grant) {
+        return controlCall(
+                new HttpRequest("PUT", "/control/grant", serverClock.sentAtHeader(), JsonCodec.encode(grant)));
     }
 
     @Override
--- a/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/ServerClockEstimate.java
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/ServerClockEstimate.java
@@ -49,18 +49,13 @@
         }
     }
 
-    /** Returns the current time on the local clock, to be passed to {@link #sentAtHeader}. */
-    public long localNanos() {
-        return clock.nowNanos();
-    }
-
-    /** Returns a local time on the server's clock as a header; empty if the server's clock is not known. */
-    public List<Header> sentAtHeader(long localNanos) {
+    /** Returns the current time on the server's clock as a header; empty if the server's clock is not known. */
+    public List<Header> sentAtHeader() {
         Observation observation = latest;
         if (observation == null) {
             return List.of();
         }
-        long serverNanos = observation.serverNanos + localNanos - observation.localNanos;
+        long serverNanos = observation.serverNanos + clock.nowNanos() - observation.localNanos;
         return List.of(new Header(SENT_AT_HEADER, observation.instance + ":" + serverNanos));
     }
 }
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/Configuration.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/Configuration.java
@@ -36,6 +36,15 @@
         this(services, backends, recentNotes, List.of(), 0);
     }
 
+    /** A configuration without a version. */
+    public Configuration(
+            List<ServiceConfig> services,
+            List<BackendRule> backends,
+            List<AcceptedNote> recentNotes,
+            List<Route> routes) {
+        this(services, backends, recentNotes, routes, 0);
+    }
+
     /** Returns the same configuration with another version. */
     public Configuration withVersion(long newVersion) {
         return new Configuration(services, backends, recentNotes, routes, newVersion);
