--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/RecoveryTable.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/RecoveryTable.java
@@ -186,7 +186,7 @@
                 && last.previousOwners().equals(next.previousOwners());
     }
 
-    /** Returns the members of the service by id, of which a recovery must hear. */
+    /** Returns the reports that are complete and of the given era. */
     static Map<MemberId, HeldRangesReport> completeOf(Map<MemberId, HeldRangesReport> reports, Era era) {
         Map<MemberId, HeldRangesReport> complete = new HashMap<>(reports);
         complete.values().removeIf(report -> !report.complete() || !report.era().equals(era));
