Silence a host that runs work

Cause: SilentDaemonTest silences the second of three hosts, but which host owns a key is drawn in each run.

Change: it waits until one of the two hosts that do not send runs requests, and silences that. All checks are as before. Ruled out: a request that got lost or a server that did not start; the second host served a third of the ranges.

--- a/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/SilentDaemonTest.java
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/SilentDaemonTest.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
@@ -78,16 +79,15 @@
         ExecutorService senders = Executors.newCachedThreadPool();
         Map<String, String> outcomes = new TreeMap<>();
         try (TestCluster cluster = TestCluster.start(directory, 3, List.of(flags), "r1/a", "r1/b", "r1/c")) {
-            ClusterHost silent = cluster.host(1);
             Map<String, CompletableFuture<HttpResponse<byte[]>>> sent = new LinkedHashMap<>();
             for (int i = 0; i < REQUESTS; i++) {
                 String id = "work-" + i;
                 sent.put(id, CompletableFuture.supplyAsync(() -> send(cluster, id), senders));
             }
             cluster.waitUntil(
-                    "requests run at the silent host",
-                    () -> cluster.status(silent).inFlight() > 0
-                            && counts(cluster, silent).running() > 0);
+                    "requests run at another host",
+                    () -> otherHostWithWork(cluster).isPresent());
+            ClusterHost silent = otherHostWithWork(cluster).orElseThrow();
             TestCluster.sleep(TIME_TO_START_MS);
             BackendCounts before = counts(cluster, silent);
             silence.begin(silent);
@@ -125,6 +125,18 @@
                 "Crank-Deadline-Ms: 14000");
     }
 
+    /**
+     * Returns a host that runs requests, other than the one that they are sent to. Which of the others own the keys
+     * differs from run to run.
+     */
+    private static Optional<ClusterHost> otherHostWithWork(TestCluster cluster) {
+        return cluster.hosts().stream()
+                .skip(1)
+                .filter(host -> cluster.status(host).inFlight() > 0
+                        && counts(cluster, host).running() > 0)
+                .findFirst();
+    }
+
     /** Numbers of requests at a backend server. Immutable. */
     private record BackendCounts(long running, long rejected) {}
 
