End a heartbeat grant with the lease, also across a suspension

After a suspension of the host, a heartbeat that arrived before the gate's next tick was answered with the rest of the validity as the steady clock counted it. That clock stands still during a suspension, so the server took its keys again for up to the lease time although the lease had ended and others may have had them.

HeartbeatGrants now measures the validity of an offered grant on the clock of the lease, which includes suspensions. What the server may still hold is measured on the steady clock as before, because the clock of the server may have stopped, too.

validityEndsDuringASuspension fails if the validity is measured on the steady clock (tried), and passes.

--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedDaemon.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedDaemon.java
@@ -183,7 +183,8 @@
 
     private void attach(Action.Attach attach) {
         ServerIncarnation server = attach.server();
-        HeartbeatGrants grants = new HeartbeatGrants(timers.clock(), SimulationOptions.TTL_MS, MAX_ROWS);
+        HeartbeatGrants grants =
+                new HeartbeatGrants(timers.clock(), timers.clock(), SimulationOptions.TTL_MS, MAX_ROWS);
         BackendInfo info = new BackendInfo(
                 server.id(), service, identity.peerAddress(), SLOTS, 2 * SLOTS, SimulationOptions.CAPABILITIES);
         backend = Optional.of(info);
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/test/HeartbeatGrantsTest.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/test/HeartbeatGrantsTest.java
@@ -28,8 +28,10 @@
     private static final long MAX_HOLD_MS = 5_000;
 
     private final AtomicLong nowNanos = new AtomicLong();
+    private final AtomicLong suspendedNanos = new AtomicLong();
     private long nextSequence = 1;
-    private final HeartbeatGrants grants = new HeartbeatGrants(nowNanos::get, MAX_HOLD_MS, 160);
+    private final HeartbeatGrants grants =
+            new HeartbeatGrants(nowNanos::get, () -> nowNanos.get() + suspendedNanos.get(), MAX_HOLD_MS, 160);
 
     private static KeyRange range(long first, long last) {
         return new KeyRange(new KeyHash(first), new KeyHash(last));
@@ -230,6 +232,28 @@
         assertThat(grants.mayHold(UNUSED)).isFalse();
     }
 
+    /** The steady clock stops during a suspension of the host; the lease expires, and others get the ranges. */
+    @Test
+    void validityEndsDuringASuspension() {
+        grants.offer(grant(1, 3_000, LOW));
+        suspendedNanos.set(2_000 * NANOS_PER_MS);
+        assertThat(grants.onHeartbeat(nextSequence++, held(LOW), List.of()))
+                .map(Renewal::validityMs)
+                .contains(1_000L);
+        suspendedNanos.set(3_000 * NANOS_PER_MS);
+        assertThat(grants.onHeartbeat(nextSequence++, held(LOW), List.of())).isEmpty();
+    }
+
+    /** The clock of the server may stop during a suspension, so the server may hold its ranges for longer. */
+    @Test
+    void suspensionDoesNotEndWhatTheServerMayHold() {
+        startWithoutEarlierGrants();
+        grants.offer(grant(1, 3_000, LOW));
+        grants.onHeartbeat(nextSequence++, held(), List.of());
+        suspendedNanos.set(10_000 * NANOS_PER_MS);
+        assertThat(grants.mayHold(LOW)).isTrue();
+    }
+
     @Test
     void outdatedHeartbeatRenewsNothing() {
         grants.offer(grant(1, 5_000, LOW));
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HeartbeatGrants.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HeartbeatGrants.java
@@ -22,6 +22,9 @@
  * heartbeat that reports no held range outside the grant; a server that must first release ranges acknowledges the
  * grant with a later heartbeat. The server may still take other ranges from responses that it has not handled, see
  * {@link #mayHold}.
+ *
+ * <p>The validity is measured on a clock that includes suspensions of the host, so that it ends with the lease. What the
+ * server may hold is measured on the steady clock, because the clock of the server may stop during a suspension.
  */
 public final class HeartbeatGrants {
     /**
@@ -34,7 +37,8 @@
 
     private static final int MAX_HANDOVERS = 1_024;
 
-    private final MonotonicClock clock;
+    private final MonotonicClock steadyClock;
+    private final MonotonicClock leaseClock;
     private final long maxHoldNanos;
     private final GrantRowMerger rowMerger;
     private final SentGrants sentGrants;
@@ -52,14 +56,17 @@
     /**
      * Creates the grants of one incarnation of a server.
      *
+     * @param steadyClock may stop while the host is suspended
+     * @param leaseClock clock of the lease, which includes suspensions
      * @param maxHoldMs longest validity of a grant, also of one by an earlier process of the daemon
      * @param maxRows maximum number of rows in a response
      */
-    public HeartbeatGrants(MonotonicClock clock, long maxHoldMs, int maxRows) {
-        this.clock = clock;
+    public HeartbeatGrants(MonotonicClock steadyClock, MonotonicClock leaseClock, long maxHoldMs, int maxRows) {
+        this.steadyClock = steadyClock;
+        this.leaseClock = leaseClock;
         rowMerger = new GrantRowMerger(maxRows);
         this.maxHoldNanos = TimeUnit.MILLISECONDS.toNanos(maxHoldMs);
-        lastReportNanos = clock.nowNanos();
+        lastReportNanos = steadyClock.nowNanos();
         sentGrants = new SentGrants(lastReportNanos, maxHoldNanos);
     }
 
@@ -73,7 +80,7 @@
         synchronized (this) {
             superseded = acknowledgement;
             latestGrant = grant;
-            latestGrantNanos = clock.nowNanos();
+            latestGrantNanos = leaseClock.nowNanos();
             acknowledgement = result;
         }
         superseded.completeExceptionally(new CrankException(ResultCode.CALL_TIMEOUT, "replaced by a newer grant"));
@@ -100,12 +107,12 @@
             lastHeartbeatSequence = heartbeatSequence;
             addHandovers(released);
             heldRanges = reported.stream().map(GrantedRange::range).toList();
-            lastReportNanos = clock.nowNanos();
+            lastReportNanos = steadyClock.nowNanos();
             sentGrants.onHeartbeat(reported, released, lastReportNanos);
             if (latestGrant == null) {
                 return Optional.empty();
             }
-            long elapsedMs = TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - latestGrantNanos);
+            long elapsedMs = TimeUnit.NANOSECONDS.toMillis(leaseClock.nowNanos() - latestGrantNanos);
             long validityMs = latestGrant.validityMs() - elapsedMs;
             boolean revokes = latestGrant.ranges().isEmpty();
             if (validityMs <= 0 && !revokes) {
@@ -132,7 +139,7 @@
      * Until the longest validity has passed since the start, it may take any range from a response of an earlier process.
      */
     public synchronized boolean mayHold(KeyRange range) {
-        long nowNanos = clock.nowNanos();
+        long nowNanos = steadyClock.nowNanos();
         boolean reported =
                 nowNanos - lastReportNanos < maxHoldNanos && heldRanges.stream().anyMatch(range::overlaps);
         return reported || sentGrants.mayTake(range, nowNanos);
