Repeat a simulated run from its seed in each process

A seed of OwnershipTrial that broke a rule did not show the same run in another process, so an overlap that showed once could not be traced.

--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/MissingMembers.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/MissingMembers.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.control.internal;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.HashSet;
 import java.util.Set;
 import org.coriandercrank.kernel.id.MemberId;
@@ -38,7 +39,7 @@
 
     /** Returns the members that are still missing, and forgets them. */
     Set<MemberId> take() {
-        Set<MemberId> missing = Set.copyOf(members);
+        Set<MemberId> missing = ImmutableSet.copyOf(members);
         members.clear();
         return missing;
     }
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/OwnershipTrial.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/OwnershipTrial.java
@@ -12,8 +12,7 @@
 /**
  * Runs many schedules, by hand: {@code OwnershipTrial MIX FIRST_SEED COUNT THREADS [RULE]} prints for each rule in how many
  * runs it was broken and the first seeds, and the timeline of the first run that broke the given rule; {@code OwnershipTrial
- * MIX SEED} prints the timeline of one run. A seed repeats its run only within one process, because the order of the JDK's
- * immutable maps and sets, and so the selection of witnesses, differs between processes. Stateless.
+ * MIX SEED} prints the timeline of one run. A seed repeats its run in each process. Stateless.
  */
 public final class OwnershipTrial {
     private static final int SHOWN_SEEDS = 12;
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/RoutingSnapshot.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/RoutingSnapshot.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.kernel.ownership;
 
+import com.google.common.collect.ImmutableMap;
 import java.util.Map;
 import java.util.Optional;
 import org.coriandercrank.kernel.config.Configuration;
@@ -24,8 +25,8 @@
         Map<ServiceName, AssignmentTable> tables,
         Map<MemberId, VersionedMember> members) {
     public RoutingSnapshot {
-        tables = Map.copyOf(tables);
-        members = Map.copyOf(members);
+        tables = ImmutableMap.copyOf(tables);
+        members = ImmutableMap.copyOf(members);
     }
 
     public static RoutingSnapshot empty(MemberId self) {
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/placement/PlacementInput.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/placement/PlacementInput.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.kernel.placement;
 
+import com.google.common.collect.ImmutableMap;
 import java.util.List;
 import java.util.Map;
 import org.coriandercrank.kernel.config.Configuration;
@@ -28,6 +29,6 @@
         long imbalancedSinceMs) {
     public PlacementInput {
         candidates = List.copyOf(candidates);
-        loads = Map.copyOf(loads);
+        loads = ImmutableMap.copyOf(loads);
     }
 }
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/status/DaemonStatus.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/status/DaemonStatus.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.kernel.status;
 
+import com.google.common.collect.ImmutableMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -40,7 +41,7 @@
         int inFlight,
         List<ServingRange> serving) {
     public DaemonStatus {
-        tables = Map.copyOf(tables);
+        tables = ImmutableMap.copyOf(tables);
         serving = List.copyOf(serving);
     }
 }
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/table/BackendInfo.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/table/BackendInfo.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.kernel.table;
 
+import com.google.common.collect.Sets;
 import java.util.Set;
 import org.coriandercrank.kernel.id.HostAddress;
 import org.coriandercrank.kernel.id.ServiceName;
@@ -38,7 +39,7 @@
         if (service == null || address == null || capabilities == null) {
             throw new IllegalArgumentException("service, address and capabilities are required");
         }
-        capabilities = Set.copyOf(capabilities);
+        capabilities = Sets.immutableEnumSet(capabilities);
         if (name == null || name.isEmpty()) {
             throw new IllegalArgumentException("backend server name must not be empty");
         }
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/RecoveryTable.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/RecoveryTable.java
@@ -1,5 +1,7 @@
 package org.coriandercrank.placement.internal;
 
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -43,8 +45,8 @@
             Set<MemberId> unreported,
             Function<MemberId, Optional<MemberId>> restarted) {
         public Input {
-            reports = Map.copyOf(reports);
-            unreported = Set.copyOf(unreported);
+            reports = ImmutableMap.copyOf(reports);
+            unreported = ImmutableSet.copyOf(unreported);
         }
     }
 
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TablePlanner.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/TablePlanner.java
@@ -1,5 +1,7 @@
 package org.coriandercrank.placement.internal;
 
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -57,9 +59,9 @@
             long imbalancedSinceMs,
             long candidatesSinceMs) {
         public Input {
-            members = Map.copyOf(members);
-            removed = Set.copyOf(removed);
-            reports = Map.copyOf(reports);
+            members = ImmutableMap.copyOf(members);
+            removed = ImmutableSet.copyOf(removed);
+            reports = ImmutableMap.copyOf(reports);
         }
     }
 
