Delay heartbeats, answers and writes in the simulation of ownership

The simulation delivered each heartbeat of a server and its answer within 2 ms and froze a daemon only together with its server, so it could not show an answer that a daemon overtakes by a later decision. Servers now list their releases with tokens, as on the users' platform. The new mixes delay a tenth to more than half of the heartbeats and answers by up to 3 s, a third of the writes by up to 6 s, and pause daemons beside living servers.

--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/FaultMix.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/FaultMix.java
@@ -7,7 +7,10 @@
     DRILLS_AND_RESTARTS(true, true, false),
     /** Faults of hosts, network and store, but the store loses nothing. */
     NO_DRILLS(false, true, true),
-    ALL(true, true, true);
+    ALL(true, true, true),
+    /** Also late heartbeats, answers and writes, and daemons that pause without their servers. */
+    LATE_MESSAGES(false, true, true),
+    ALL_AND_LATE_MESSAGES(true, true, true);
 
     private final boolean drills;
     private final boolean restarts;
@@ -29,6 +32,11 @@
         return restarts;
     }
 
+    /** Whether messages between servers and daemons and writes are late, and daemons pause without their servers. */
+    boolean hasLateMessages() {
+        return this == LATE_MESSAGES || this == ALL_AND_LATE_MESSAGES;
+    }
+
     boolean hasOthers() {
         return others;
     }
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/FaultSchedule.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/FaultSchedule.java
@@ -11,6 +11,9 @@
     private static final int MAX_WINDOW_MS = 30_000;
     private static final long REWRITE_MIN_MS = 300;
     private static final long SERVER_DRAIN_MS = 4_500;
+    private static final int MAX_LATE_MS = 3_000;
+    private static final int MAX_VERY_LATE_MS = 6_000;
+    private static final int WITHIN_ACKNOWLEDGEMENT_MS = 990;
 
     private final SimulatedCluster cluster;
     private final FaultMix mix;
@@ -42,9 +45,30 @@
                 scheduleOther();
             }
         }
+        if (mix.hasLateMessages()) {
+            scheduleLateMessages();
+        }
         return endMs;
     }
 
+    /** Delays messages between servers and daemons, and writes, all the time; pauses daemons without their servers. */
+    private void scheduleLateMessages() {
+        double share = 0.1 + 0.5 * random.nextDouble();
+        int maxMs = random.nextBoolean() ? WITHIN_ACKNOWLEDGEMENT_MS : MAX_LATE_MS;
+        MessageDelays delays = new MessageDelays(share, maxMs);
+        at(EARLIEST_MS, MAX_WINDOW_MS, delays.toString(), () -> cluster.setHeartbeatDelays(delays));
+        if (random.nextBoolean()) {
+            storeFaults(EARLIEST_MS, MAX_WINDOW_MS, new SimulatedStoreClient.Faults(0, 0.3, MAX_VERY_LATE_MS));
+        }
+        for (int i = between(0, 3); i > 0; i--) {
+            SimulatedHost host = someHosts(1).get(0);
+            long atMs = anyTime();
+            long lengthMs = between(300, 5_000);
+            at(atMs, lengthMs, "pause daemon of " + host, host::pauseDaemon);
+            at(atMs + lengthMs, 0, "resume daemon of " + host, host::resumeDaemon);
+        }
+    }
+
     private void scheduleDrills() {
         int count = between(1, 3);
         boolean inSeries = random.nextInt(3) == 0;
@@ -126,8 +150,8 @@
                     }
                 });
             }
-            case 8 -> storeFaults(atMs, lengthMs, new SimulatedStoreClient.Faults(0, 0.3));
-            case 9 -> storeFaults(atMs, lengthMs, new SimulatedStoreClient.Faults(0.2, 0.1));
+            case 8 -> storeFaults(atMs, lengthMs, new SimulatedStoreClient.Faults(0, 0.3, MAX_LATE_MS));
+            case 9 -> storeFaults(atMs, lengthMs, new SimulatedStoreClient.Faults(0.2, 0.1, MAX_LATE_MS));
             default -> {
                 double loss = 0.02 + 0.2 * random.nextDouble();
                 at(
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/OwnershipSimulationTest.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/OwnershipSimulationTest.java
@@ -3,9 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against two owners of a key and against fences that do not rise, in random schedules of faults with seeds from
@@ -22,16 +24,35 @@
     }
 
     /** Without lost writes no fault of hosts, network or store breaks a rule. */
-    @Test
-    void faultsBreakNoRule() throws Exception {
-        assertThat(OwnershipTrial.seedsByRule(FaultMix.NO_DRILLS, FIRST_SEED, RUNS, THREADS))
+    @ParameterizedTest
+    @EnumSource(names = {"NO_DRILLS", "LATE_MESSAGES"})
+    void faultsBreakNoRule(FaultMix mix) throws Exception {
+        assertThat(OwnershipTrial.seedsByRule(mix, FIRST_SEED, RUNS, THREADS)).isEmpty();
+    }
+
+    /**
+     * A server takes a key from an answer that reaches it after its daemon has released the key because of a heartbeat
+     * without it, while the next owner holds the key.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {220, 238})
+    void answerOnItsWayMakesNoSecondOwner(long seed) throws Exception {
+        assertThat(OwnershipTrial.seedsByRule(FaultMix.LATE_MESSAGES, seed, 1, 1))
                 .isEmpty();
     }
 
     /** The store returns from a copy that lacks tables, seals, records and configurations which daemons have acted on. */
     @ParameterizedTest
-    @EnumSource(names = "NO_DRILLS", mode = EnumSource.Mode.EXCLUDE)
+    @EnumSource(names = {"DRILLS", "DRILLS_AND_RESTARTS", "ALL"})
     void storeThatLosesWritesBreaksNoRule(FaultMix mix) throws Exception {
         assertThat(OwnershipTrial.seedsByRule(mix, FIRST_SEED, RUNS, THREADS)).isEmpty();
     }
+
+    /** See KNOWN-RED.txt: a table that was sent before the return takes effect after it, under a fence given out again. */
+    @Test
+    @Tag("known-red")
+    void lateWritesAcrossAReturnBreakNoRule() throws Exception {
+        assertThat(OwnershipTrial.seedsByRule(FaultMix.ALL_AND_LATE_MESSAGES, 34, 1, 1))
+                .isEmpty();
+    }
 }
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedCluster.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedCluster.java
@@ -20,6 +20,7 @@
     private final Operator operator;
     private final List<SimulatedHost> hosts = new ArrayList<>();
     private SimulatedStoreClient.Faults storeFaults = SimulatedStoreClient.Faults.NONE;
+    private MessageDelays heartbeatDelays = MessageDelays.NONE;
 
     SimulatedCluster(long seed, boolean traced) {
         trace = new Trace(time, traced);
@@ -47,6 +48,7 @@
     /** Ends all faults. */
     void heal() {
         storeFaults = SimulatedStoreClient.Faults.NONE;
+        heartbeatDelays = MessageDelays.NONE;
         network.heal();
         hosts.forEach(SimulatedHost::heal);
         operator.endDrains();
@@ -60,6 +62,14 @@
         return storeFaults;
     }
 
+    void setHeartbeatDelays(MessageDelays newDelays) {
+        heartbeatDelays = newDelays;
+    }
+
+    MessageDelays heartbeatDelays() {
+        return heartbeatDelays;
+    }
+
     SimulatedTime time() {
         return time;
     }
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedDaemon.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedDaemon.java
@@ -136,7 +136,7 @@
         lifecycle.offer(() -> perform(memberLifecycle.onHeartbeat(
                 heartbeat.server(), heartbeat.sequence(), heartbeat.leaving(), nowNanos())));
         Optional<Renewal> renewal = attached.filter(a -> a.server().equals(heartbeat.server()))
-                .flatMap(a -> a.grants().onHeartbeat(heartbeat.sequence(), heartbeat.held(), List.of()));
+                .flatMap(a -> a.grants().onHeartbeat(heartbeat.sequence(), heartbeat.held(), heartbeat.released()));
         heartbeat.reply().accept(renewal);
     }
 
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedHost.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedHost.java
@@ -113,7 +113,8 @@
                 cluster.heldKeys(),
                 cluster.trace(),
                 new Random(cluster.random().nextLong()),
-                heartbeat -> daemon.ifPresent(d -> d.process().run(() -> d.onHeartbeat(heartbeat))));
+                heartbeat -> daemon.ifPresent(d -> d.process().run(() -> d.onHeartbeat(heartbeat))),
+                cluster::heartbeatDelays);
         server = Optional.of(started);
         started.start();
     }
@@ -136,6 +137,17 @@
         server.ifPresent(s -> s.process().suspend());
     }
 
+    /** Stops the daemon while its server goes on. */
+    void pauseDaemon() {
+        daemon.ifPresent(d -> d.process().suspend());
+    }
+
+    void resumeDaemon() {
+        if (!frozen) {
+            daemon.ifPresent(d -> d.process().resume());
+        }
+    }
+
     void resume() {
         if (frozen) {
             frozen = false;
@@ -147,6 +159,7 @@
     /** Ends all faults of this host. */
     void heal() {
         resume();
+        resumeDaemon();
         cutOffFromStore = false;
         startDaemon();
         startServer(false);
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedServer.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedServer.java
@@ -5,10 +5,12 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.coriandercrank.daemon.HeartbeatGrants.Renewal;
 import org.coriandercrank.daemon.ServerIncarnation;
 import org.coriandercrank.kernel.backend.Grant.GrantedRange;
 import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.ownership.Handover;
 
 /**
  * One incarnation of a backend server. It sends heartbeats to the daemon of its host and holds what the answers grant,
@@ -21,8 +23,12 @@
             long sequence,
             boolean leaving,
             List<GrantedRange> held,
+            List<Handover> released,
             Consumer<Optional<Renewal>> reply) {}
 
+    /** A heartbeat is acknowledged if it is answered within this time; later answers are taken nevertheless. */
+    private static final long ACKNOWLEDGEMENT_MS = 1_000;
+
     private static final long HEARTBEAT_MS = 500;
     private static final long HEARTBEAT_WHILE_RELEASING_MS = 100;
     private static final int MAX_REQUEST_MS = 150;
@@ -37,22 +43,36 @@
     private final Trace trace;
     private final Random random;
     private final Consumer<Heartbeat> daemon;
+    private final Supplier<MessageDelays> delays;
     private final long[] fences = new long[HeldKeys.COUNT];
     private final long[] heldUntilMs = new long[HeldKeys.COUNT];
     private final boolean[] granted = new boolean[HeldKeys.COUNT];
     private final long[] newestSeenFences = new long[HeldKeys.COUNT];
+
+    /** When the server has ended the work on a key that it is to release; 0 if it is not to release the key. */
+    private final long[] releasedAtMs = new long[HeldKeys.COUNT];
+
+    /** Releases since the last acknowledged heartbeat. */
+    private final List<Handover> released = new ArrayList<>();
+
+    private int releaseCount;
     private long lastSequence;
     private long lastAnsweredSequence;
     private boolean leaving;
 
-    /** @param daemon receives the heartbeats */
+    /**
+     * @param daemon receives the heartbeats
+     * @param delays present delays of heartbeats and their answers
+     */
     SimulatedServer(
             SimulatedTime time,
             ServerIncarnation incarnation,
             HeldKeys heldKeys,
             Trace trace,
             Random random,
-            Consumer<Heartbeat> daemon) {
+            Consumer<Heartbeat> daemon,
+            Supplier<MessageDelays> delays) {
+        this.delays = delays;
         this.time = time;
         this.incarnation = incarnation;
         this.heldKeys = heldKeys;
@@ -90,15 +110,33 @@
     private void sendHeartbeat() {
         long sequence = ++lastSequence;
         long sentAtMs = time.nowMs();
-        Consumer<Optional<Renewal>> reply = renewal -> time.schedule(
-                latencyMs(), () -> process.run(() -> renewal.ifPresent(r -> renewed(r, sequence, sentAtMs))));
-        Heartbeat heartbeat = new Heartbeat(incarnation, sequence, leaving, held(), reply);
+        addReleases();
+        List<Handover> listed = List.copyOf(released);
+        Consumer<Optional<Renewal>> reply = renewal ->
+                time.schedule(latencyMs(), () -> process.run(() -> answered(renewal, sequence, sentAtMs, listed)));
+        Heartbeat heartbeat = new Heartbeat(incarnation, sequence, leaving, held(), listed, reply);
         time.schedule(latencyMs(), () -> daemon.accept(heartbeat));
         process.schedule(isReleasing() ? HEARTBEAT_WHILE_RELEASING_MS : HEARTBEAT_MS, this::sendHeartbeat);
     }
 
     private long latencyMs() {
-        return 1L + random.nextInt(2);
+        return 1L + random.nextInt(2) + delays.get().draw(random);
+    }
+
+    private void addReleases() {
+        for (int key = 0; key < HeldKeys.COUNT; key++) {
+            if (releasedAtMs[key] > 0 && releasedAtMs[key] <= time.nowMs()) {
+                releasedAtMs[key] = 0;
+                released.add(new Handover(HeldKeys.range(key, key), this + "-" + ++releaseCount));
+            }
+        }
+    }
+
+    private void answered(Optional<Renewal> renewal, long sequence, long sentAtMs, List<Handover> listed) {
+        if (time.nowMs() - sentAtMs <= ACKNOWLEDGEMENT_MS) {
+            released.removeAll(listed);
+        }
+        renewal.ifPresent(r -> renewed(r, sequence, sentAtMs));
     }
 
     private boolean isReleasing() {
@@ -146,14 +184,22 @@
             if (newFences[key] > 0) {
                 hold(key, newFences[key], untilMs);
             } else if (granted[key]) {
-                granted[key] = false;
-                heldUntilMs[key] = Math.min(heldUntilMs[key], time.nowMs() + random.nextInt(MAX_REQUEST_MS));
-                int released = key;
-                trace.add(() -> this + " releases key " + released + " of fence " + HeldKeys.text(fences[released]));
+                release(key);
             }
         }
     }
 
+    /** Releases a key after the work on it; an expired key is not listed as released. */
+    private void release(int key) {
+        granted[key] = false;
+        long endMs = time.nowMs() + random.nextInt(MAX_REQUEST_MS);
+        if (heldUntilMs[key] > endMs) {
+            heldUntilMs[key] = endMs;
+            releasedAtMs[key] = endMs;
+        }
+        trace.add(() -> this + " releases key " + key + " of fence " + HeldKeys.text(fences[key]));
+    }
+
     /** Rejects a row with a fence below one that the server has seen on one of its keys. */
     private boolean isAccepted(GrantedRange row) {
         for (int key = HeldKeys.firstKey(row.range()); key <= HeldKeys.lastKey(row.range()); key++) {
@@ -177,6 +223,7 @@
         newestSeenFences[key] = fence;
         heldUntilMs[key] = untilMs;
         granted[key] = true;
+        releasedAtMs[key] = 0;
         if (taken || raised) {
             trace.add(() -> this + (taken ? " takes key " : " goes on with key ") + key + " under fence "
                     + HeldKeys.text(fence));
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedStoreClient.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedStoreClient.java
@@ -25,14 +25,14 @@
      *
      * @param lostAnswers probability that the answer to a call is lost
      * @param lateWrites probability that a write takes effect only later
+     * @param maxLateMs latest time at which a late write takes effect
      */
-    record Faults(double lostAnswers, double lateWrites) {
-        static final Faults NONE = new Faults(0, 0);
+    record Faults(double lostAnswers, double lateWrites, int maxLateMs) {
+        static final Faults NONE = new Faults(0, 0, 1);
     }
 
     private static final long TIMEOUT_MS = 1_000;
     private static final int MAX_LATENCY_MS = 6;
-    private static final int MAX_LATE_MS = 3_000;
 
     /** An answer with the era that it names. */
     private record Answer<T>(Era era, T value) {}
@@ -178,7 +178,7 @@
         CompletableFuture<Answer<Long>> result = new CompletableFuture<>();
         process.schedule(TIMEOUT_MS, () -> result.completeExceptionally(failure(ResultCode.WRITE_UNANSWERED)));
         boolean late = random.nextDouble() < faults.get().lateWrites();
-        send(late ? random.nextInt(MAX_LATE_MS) : latencyMs(), result, operation);
+        send(late ? random.nextInt(faults.get().maxLateMs()) : latencyMs(), result, operation);
         return result.thenApply(answer -> {
             eras.observe(answer.era());
             if (answer.value() == 0) {
