Log a revocation that waits for an earlier grant

A release that waits because an earlier grant of the range may still be on its way showed in no line, so such a wait could not be told from a server that does not acknowledge.

GateRangeTest, GatePropertiesTest, HeartbeatGrantsTest and OwnershipSimulationTest without its known-red row pass.

--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GrantManager.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GrantManager.java
@@ -136,24 +136,23 @@
 
     /** Completes the acknowledged revocations of ranges that the backend server does not hold and can no longer take. */
     private void completeRevocations() {
-        List<RangeEntry> acknowledged = ranges.inState(State.REVOKING).stream()
-                .filter(RangeEntry::isRevocationAcknowledged)
-                .toList();
-        if (acknowledged.isEmpty()) {
-            return;
-        }
-        List<KeyRange> granted =
-                ranges.grantable().stream().map(RangeEntry::range).toList();
-        for (RangeEntry entry : acknowledged) {
-            // A part that is granted again, under a newer fencing token, is held under that token.
-            if (backend == null
-                    || KeyRanges.subtract(entry.range(), granted).stream()
-                            .noneMatch(backend.server()::mayHoldEarlierGrant)) {
+        for (RangeEntry entry : ranges.inState(State.REVOKING)) {
+            if (entry.isRevocationAcknowledged() && !mayHoldEarlierGrant(entry)) {
                 ranges.transition(entry, State.REVOKED);
             }
         }
     }
 
+    /** Whether the backend server may hold a part of a range that is not granted again, under a newer fencing token. */
+    private boolean mayHoldEarlierGrant(RangeEntry entry) {
+        List<KeyRange> granted = ranges.grantable().stream()
+                .map(RangeEntry::range)
+                .filter(entry.range()::overlaps)
+                .toList();
+        return backend != null
+                && KeyRanges.subtract(entry.range(), granted).stream().anyMatch(backend.server()::mayHoldEarlierGrant);
+    }
+
     /** Whether the backend server certainly cannot use a range any more although it has not answered the revocation. */
     private boolean isExpiredWithoutAnswer(RangeEntry entry, long nowNanos) {
         if (outstandingGrant != null
@@ -242,7 +241,7 @@
         }
         for (RangeEntry entry : ranges.inState(State.REVOKING)) {
             if (!RangeTable.isGrantedBy(entry, granted)) {
-                entry.onRevocationAcknowledged();
+                onRevocationAcknowledged(entry);
             }
         }
         completeRevocations();
@@ -260,6 +259,14 @@
                 grantOutdated ? nowNanos : sent.sentAtNanos() + sent.validityNanos() / RENEWALS_PER_VALIDITY_PERIOD;
     }
 
+    private void onRevocationAcknowledged(RangeEntry entry) {
+        if (!entry.isRevocationAcknowledged() && mayHoldEarlierGrant(entry)) {
+            context.logDecision(
+                    () -> "event=revoke-awaits-earlier-grant range=" + entry.range() + " fence=" + entry.fence());
+        }
+        entry.onRevocationAcknowledged();
+    }
+
     /** Whether granted ranges with the fencing token of an entry cover it completely. */
     private static boolean isFullyGranted(RangeEntry entry, List<GrantedRange> granted) {
         List<KeyRange> pieces = granted.stream()
