--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/test/HeartbeatGrantsTest.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/test/HeartbeatGrantsTest.java
@@ -260,4 +260,55 @@
         assertThat(grants.onHeartbeat(9, held(), List.of())).isPresent();
         assertThat(grants.onHeartbeat(8, held(), List.of())).isEmpty();
     }
+
+    /**
+     * The server takes a range from a late response of the earlier process. That does not prove that it has handled a
+     * response of this process, so this process' earlier responses may still be on their way.
+     */
+    @Test
+    void rangeOfAResponseOfTheEarlierProcessSettlesNothing() {
+        advanceMs(2_000);
+        grants.offer(grant(1, MAX_HOLD_MS, LOW));
+        grants.onHeartbeat(nextSequence++, held(), List.of());
+        grants.offer(grant(2, MAX_HOLD_MS, HIGH));
+        grants.onHeartbeat(nextSequence++, held(), List.of());
+        advanceMs(3_100);
+        // Sent 0.4 s before, when the grant of the earlier process was valid.
+        grants.onHeartbeat(nextSequence++, held(HIGH), List.of());
+        assertThat(grants.mayHold(LOW)).isTrue();
+    }
+
+    /**
+     * The server held the range from the earlier process and releases it because of the first response of this process.
+     * That does not prove that it has handled the second one, which grants the range again under the same token.
+     */
+    @Test
+    void releaseOfARangeOfTheEarlierProcessDoesNotSettleALaterGrant() {
+        advanceMs(4_500);
+        grants.offer(grant(1, MAX_HOLD_MS, LOW));
+        grants.onHeartbeat(nextSequence++, held(HIGH), List.of());
+        grants.offer(grant(2, MAX_HOLD_MS, LOW, HIGH));
+        grants.onHeartbeat(nextSequence++, held(HIGH), List.of());
+        grants.offer(grant(3, MAX_HOLD_MS, LOW));
+        grants.onHeartbeat(nextSequence++, held(HIGH), List.of());
+        advanceMs(600);
+        // Sent 0.4 s before, when the grant of the earlier process was valid.
+        grants.onHeartbeat(nextSequence++, held(), List.of(new Handover(HIGH, "t1")));
+        assertThat(grants.mayHold(HIGH)).isTrue();
+    }
+
+    /** Two ranges of one table are acquired one after the other, then moved; the release must not wait for validity. */
+    @Test
+    void releaseOfRangesThatWereGrantedOneAfterTheOtherIsImmediate() {
+        startWithoutEarlierGrants();
+        grants.offer(grant(1, 3_000, LOW));
+        grants.onHeartbeat(nextSequence++, held(), List.of());
+        grants.offer(grant(2, 3_000, LOW, HIGH));
+        grants.onHeartbeat(nextSequence++, held(LOW), List.of());
+        grants.onHeartbeat(nextSequence++, held(range(0, 199)), List.of());
+        grants.offer(grant(3, 3_000, UNUSED));
+        grants.onHeartbeat(nextSequence++, held(range(0, 199)), List.of());
+        grants.onHeartbeat(nextSequence++, held(), List.of(new Handover(range(0, 199), "t1")));
+        assertThat(grants.mayHold(HIGH)).isFalse();
+    }
 }
