Count the validity of a grant from the reading of the lease

A grant whose host was suspended while the adapter read the clock of the server, or before the adapter was called, stated the time after the suspension as its sending time. The server then counted the validity of the lease before from there, up to a lease time longer than the lease.

The gate now starts a stopwatch on the clock of the lease before it reads the lease and passes it with the grant. HttpBackendServer states the start of the stopwatch on the server's clock: the estimate of the server's present clock less the elapsed time, read in this order, so a pause in between makes it earlier. A server whose clock is not known gets the rest of the validity.

Ruled out: passing a time on the clock of the gate, which would need one suspension-aware clock for gate and adapter.

--- a/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpBackendServer.java
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpBackendServer.java
@@ -25,6 +25,7 @@
 import org.coriandercrank.kernel.request.Header;
 import org.coriandercrank.kernel.store.JsonCodec;
 import org.coriandercrank.kernel.table.BackendInfo;
+import org.coriandercrank.kernel.time.Stopwatch;
 import org.coriandercrank.kernel.time.TimerService;
 
 /**
@@ -132,20 +133,23 @@
     }
 
     @Override
-    public CompletableFuture<Long> grant(Grant grant) {
+    public CompletableFuture<Long> grant(Grant grant, Stopwatch sinceValidity) {
         CompletableFuture<HttpResponse> firstResponse = serverClock.isKnown()
-                ? sendGrant(grant)
-                : controlCall(HttpRequest.of("GET", "/control/clock")).thenCompose(response -> sendGrant(grant));
+                ? sendGrant(grant, sinceValidity)
+                : controlCall(HttpRequest.of("GET", "/control/clock"))
+                        .thenCompose(response -> sendGrant(grant, sinceValidity));
         return firstResponse
                 .thenCompose(response -> response.status() == STATUS_CLOCK_MISMATCH
-                        ? sendGrant(grant)
+                        ? sendGrant(grant, sinceValidity)
                         : CompletableFuture.completedFuture(response))
                 .thenApply(BackendResponses::grantSequence);
     }
 
-    private CompletableFuture<HttpResponse> sendGrant(Grant grant) {
-        return controlCall(
-                new HttpRequest("PUT", "/control/grant", serverClock.sentAtHeader(), JsonCodec.encode(grant)));
+    private CompletableFuture<HttpResponse> sendGrant(Grant grant, Stopwatch sinceValidity) {
+        List<Header> sentAt = serverClock.sentAtHeader(sinceValidity);
+        // A server without a clock counts from the arrival.
+        Grant stated = sentAt.isEmpty() ? grant.aged(sinceValidity.elapsedNanos()) : grant;
+        return controlCall(new HttpRequest("PUT", "/control/grant", sentAt, JsonCodec.encode(stated)));
     }
 
     @Override
--- a/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/ServerClockEstimate.java
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/internal/ServerClockEstimate.java
@@ -4,10 +4,11 @@
 import org.coriandercrank.http.HttpResponse;
 import org.coriandercrank.kernel.request.Header;
 import org.coriandercrank.kernel.time.MonotonicClock;
+import org.coriandercrank.kernel.time.Stopwatch;
 
 /**
- * Estimate of the monotonic clock of a backend server, so that the validity of a grant can be measured from its
- * sending.
+ * Estimate of the monotonic clock of a backend server, so that the validity of a grant can be measured from the time
+ * at which its sender determined it.
  *
  * <p>A server process that was suspended may find an old grant in its receive buffer when it resumes. If validity were
  * measured from arrival, that grant would be valid although the daemon has already treated it as expired. The estimate
@@ -49,13 +50,19 @@
         }
     }
 
-    /** Returns the current time on the server's clock as a header; empty if the server's clock is not known. */
-    public List<Header> sentAtHeader() {
+    /**
+     * Returns the start of a stopwatch on the server's clock as a header; empty if the server's clock is not known. The
+     * stated time is never later than the start, also if the clock was read only after it or the process is suspended
+     * in between.
+     */
+    public List<Header> sentAtHeader(Stopwatch stopwatch) {
         Observation observation = latest;
         if (observation == null) {
             return List.of();
         }
-        long serverNanos = observation.serverNanos + clock.nowNanos() - observation.localNanos;
+        long nowOnServerNanos = observation.serverNanos + clock.nowNanos() - observation.localNanos;
+        // Read after the other clock, so that a pause between the two makes the stated time earlier.
+        long serverNanos = nowOnServerNanos - stopwatch.elapsedNanos();
         return List.of(new Header(SENT_AT_HEADER, observation.instance + ":" + serverNanos));
     }
 }
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedDaemon.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedDaemon.java
@@ -235,6 +235,7 @@
                         control.routing(),
                         control.lease(),
                         timers,
+                        timers.clock(),
                         log,
                         metrics,
                         executors,
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
@@ -303,6 +303,7 @@
                         control.routing(),
                         control.lease(),
                         services.timers(),
+                        services.leaseClock(),
                         services.routingLog(),
                         services.metrics(),
                         services.executors(),
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/CancelledSubmissionTest.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/CancelledSubmissionTest.java
@@ -61,6 +61,7 @@
                         requests,
                         () -> Long.MAX_VALUE,
                         requests.timers,
+                        requests.timers.clock(),
                         new DecisionLog(0, requests.timers.clock()),
                         new SimpleMeterRegistry(),
                         (name, capacity) -> executor,
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateFixture.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateFixture.java
@@ -86,6 +86,7 @@
                 this,
                 this::leaseValidUntilNanos,
                 timers,
+                timers.clock(),
                 new DecisionLog(0, timers.clock()),
                 meters,
                 (name, capacity) -> {
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateDependencies.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateDependencies.java
@@ -9,6 +9,7 @@
 import org.coriandercrank.kernel.ownership.LeaseView;
 import org.coriandercrank.kernel.ownership.RequestQuarantine;
 import org.coriandercrank.kernel.ownership.RoutingView;
+import org.coriandercrank.kernel.time.MonotonicClock;
 import org.coriandercrank.kernel.time.TimerService;
 
 /**
@@ -16,6 +17,7 @@
  *
  * @param service the only service whose requests the gate admits
  * @param lease lease of this daemon; its times are read from the clock of {@code timers}
+ * @param leaseClock clock that measures the lease; it should include the time during which the host is suspended
  * @param decisionLog log of the decisions of the gate
  * @param quarantine tells which requests the gate must not send
  * @param executorFactory creates the executor that runs all tasks of the gate
@@ -25,6 +27,7 @@
         RoutingView routingView,
         LeaseView lease,
         TimerService timers,
+        MonotonicClock leaseClock,
         DecisionLog decisionLog,
         MeterRegistry meterRegistry,
         SerialExecutor.Factory executorFactory,
@@ -34,13 +37,15 @@
         Objects.requireNonNull(routingView, "routingView");
         Objects.requireNonNull(lease, "lease");
         Objects.requireNonNull(timers, "timers");
+        Objects.requireNonNull(leaseClock, "leaseClock");
         Objects.requireNonNull(decisionLog, "decisionLog");
         Objects.requireNonNull(meterRegistry, "meterRegistry");
         Objects.requireNonNull(executorFactory, "executorFactory");
         Objects.requireNonNull(quarantine, "quarantine");
     }
 
-    /** Creates the dependencies of a gate that runs on its own thread and quarantines no request. */
+    /** Creates the dependencies of a gate that runs on its own thread, quarantines no request, and measures the lease
+     * on the clock of its timers. */
     public GateDependencies(
             ServiceName service,
             RoutingView routingView,
@@ -53,6 +58,7 @@
                 routingView,
                 lease,
                 timers,
+                timers.clock(),
                 decisionLog,
                 meterRegistry,
                 SingleThreadExecutor::new,
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateContext.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateContext.java
@@ -11,6 +11,7 @@
 import org.coriandercrank.gate.GateOptions;
 import org.coriandercrank.kernel.config.ServiceConfig;
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
+import org.coriandercrank.kernel.time.Stopwatch;
 
 /**
  * Dependencies, options and helper functions that the components of a gate share. Thread safe.
@@ -39,6 +40,11 @@
         return TimeUnit.NANOSECONDS.toMillis(dependencies.lease().validUntilNanos() - nowNanos());
     }
 
+    /** Starts to measure a time on the clock of the lease. */
+    public Stopwatch startLeaseStopwatch() {
+        return Stopwatch.start(dependencies.leaseClock());
+    }
+
     public RoutingSnapshot routing() {
         return dependencies.routingView().current();
     }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GrantManager.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GrantManager.java
@@ -14,6 +14,7 @@
 import org.coriandercrank.kernel.table.BackendInfo.Capability;
 import org.coriandercrank.kernel.table.KeyRange;
 import org.coriandercrank.kernel.table.KeyRanges;
+import org.coriandercrank.kernel.time.Stopwatch;
 
 /**
  * Sends grants to the backend server so that its granted ranges match the range table, and renews them.
@@ -168,13 +169,15 @@
     private void sendIfDue(long nowNanos) {
         List<GrantedRange> granted = new ArrayList<>();
         ranges.grantable().forEach(entry -> addGrantedRanges(entry, granted));
+        // Started before the lease is read, so that a pause before the grant is sent does not lengthen its validity.
+        Stopwatch sinceValidity = context.startLeaseStopwatch();
         long leaseMs = context.leaseRemainingMs();
         if (leaseMs >= 1 && (grantOutdated || !granted.isEmpty())) {
-            send(granted, Math.min(context.options().grantValidityMs(), leaseMs), nowNanos);
+            send(granted, Math.min(context.options().grantValidityMs(), leaseMs), sinceValidity, nowNanos);
         } else if (leaseMs < 1
                 && grantOutdated
                 && !ranges.inState(State.REVOKING).isEmpty()) {
-            send(List.of(), 0, nowNanos);
+            send(List.of(), 0, sinceValidity, nowNanos);
         }
     }
 
@@ -198,12 +201,12 @@
         remaining.forEach(range -> granted.add(new GrantedRange(range, entry.fence())));
     }
 
-    private void send(List<GrantedRange> granted, long validityMs, long nowNanos) {
+    private void send(List<GrantedRange> granted, long validityMs, Stopwatch sinceValidity, long nowNanos) {
         sequence++;
         SentGrant sent = new SentGrant(backend, new Grant(sequence, granted, validityMs), nowNanos);
         outstandingGrant = sent;
         grantOutdated = false;
-        context.call(() -> sent.backend().server().grant(sent.grant()), (answered, failure) -> {
+        context.call(() -> sent.backend().server().grant(sent.grant(), sinceValidity), (answered, failure) -> {
             onAnswer(sent, answered, failure);
             grantAnswerListener.run();
         });
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/BackendServer.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/BackendServer.java
@@ -7,6 +7,8 @@
 import org.coriandercrank.kernel.ownership.Handover;
 import org.coriandercrank.kernel.request.CallerAnswer;
 import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.time.MonotonicClock;
+import org.coriandercrank.kernel.time.Stopwatch;
 
 /**
  * Client of one backend server. Implementations are thread safe and never block the caller.
@@ -30,8 +32,16 @@
      *
      * @return the sequence of the latest grant that the server accepted; larger than the sequence of {@code grant} if
      *     the server rejected {@code grant} as outdated
+     * @param sinceValidity started before the validity of {@code grant} was determined; on a clock that includes
+     *     suspensions of the host if the lease does. The grant must not outlast its validity counted from that start,
+     *     however late it is sent.
      */
-    CompletableFuture<Long> grant(Grant grant);
+    CompletableFuture<Long> grant(Grant grant, Stopwatch sinceValidity);
+
+    /** Replaces the set of granted ranges by a grant whose validity counts from this call. */
+    default CompletableFuture<Long> grant(Grant grant) {
+        return grant(grant, Stopwatch.start(MonotonicClock.SYSTEM));
+    }
 
     /** Returns and removes the handover tokens received so far for released ranges that overlap a range. */
     default List<Handover> takeHandovers(KeyRange range) {
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/Grant.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/Grant.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.table.KeyRange;
 
@@ -11,7 +12,8 @@
  * @param sequence increases with each grant to a server; the server rejects a grant whose sequence is lower than the
  *     latest
  * @param validityMs time in milliseconds after which the server must reject requests unless it receives another grant;
- *     starts when the grant is sent if the server can determine that moment, otherwise when the grant arrives
+ *     starts when the validity was determined if the server can determine that moment, otherwise when the grant
+ *     arrives
  */
 public record Grant(long sequence, List<GrantedRange> ranges, long validityMs) {
     /**
@@ -32,4 +34,10 @@
     public Grant {
         ranges = List.copyOf(ranges);
     }
+
+    /** Returns the grant with the rest of its validity after some time, rounded down; not negative. */
+    public Grant aged(long elapsedNanos) {
+        long restNanos = TimeUnit.MILLISECONDS.toNanos(validityMs) - elapsedNanos;
+        return new Grant(sequence, ranges, Math.max(0, TimeUnit.NANOSECONDS.toMillis(restNanos)));
+    }
 }
