Log the tasks that ran while the event loop paused

control-pause says that the control thread did not run, but not what held it. EventLoopMeter creates the executors of the platform daemon and adds up the time of their tasks; after a gap of over 500 ms the lifecycle tick logs the count, total and longest time per executor as event-loop-pause.

--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/EventLoopExecutor.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/EventLoopExecutor.java
@@ -12,20 +12,22 @@
  * <p>Thread safe. A task never runs within the call that offers it, so tasks of several executors on one event loop do
  * not interleave.
  */
-public final class EventLoopExecutor implements SerialExecutor {
+final class EventLoopExecutor implements SerialExecutor {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final String name;
     private final EventLoop loop;
     private final int capacity;
+    private final EventLoopMeter meter;
     private final AtomicInteger queuedTasks = new AtomicInteger();
     private volatile boolean closed;
 
     /** @param capacity maximum number of queued tasks */
-    public EventLoopExecutor(String name, EventLoop loop, int capacity) {
+    EventLoopExecutor(String name, EventLoop loop, int capacity, EventLoopMeter meter) {
         this.name = name;
         this.loop = loop;
         this.capacity = capacity;
+        this.meter = meter;
     }
 
     @Override
@@ -48,11 +50,13 @@
 
     private void run(Runnable task) {
         queuedTasks.decrementAndGet();
+        long startNanos = meter.nowNanos();
         try {
             task.run();
         } catch (RuntimeException | Error e) {
             logger.atSevere().withCause(e).log("event=task-failed duty=%s", name);
         }
+        meter.onTaskEnd(name, meter.nowNanos() - startNanos);
     }
 
     @Override
