Find the ranges of a release request without a scan of the table

When a member with 100 stripes leaves, it gets 100 release requests. Each one, and each completed release, looked at every waiting request again; that compared the owner of each assignment of the table (1200 with 12 members), and computed the held and pending ranges by comparing each with each. So the work grew with the third power of the number of stripes and held the only thread of the daemon for seconds (control-pause).

Held ranges, own assignments and deferred releases are kept in order and found by binary search; the ranges are computed once per pass instead of once per request; one pass follows all messages that have arrived. A request that needs no release is answered when it arrives, as before.

Collections of garbage and the gate were ruled out: the gate ran 2 to 108 tasks with 0 to 88 ms in these gaps.

--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/table/KeyRanges.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/table/KeyRanges.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 import org.coriandercrank.kernel.id.KeyHash;
 
 /** Interval arithmetic on ranges of the hash space. Stateless and thread safe. */
@@ -45,6 +46,28 @@
         }
     }
 
+    /**
+     * The elements whose ranges overlap a range. Takes logarithmic time, apart from the number of these elements.
+     *
+     * @param sorted elements in ascending order of their ranges, which do not overlap each other
+     */
+    public static <T> List<T> overlapping(List<T> sorted, Function<? super T, KeyRange> rangeOf, KeyRange range) {
+        int first = 0;
+        int end = sorted.size();
+        while (first < end) {
+            int middle = (first + end) >>> 1;
+            if (rangeOf.apply(sorted.get(middle)).last().compareTo(range.first()) < 0) {
+                first = middle + 1;
+            } else {
+                end = middle;
+            }
+        }
+        while (end < sorted.size() && rangeOf.apply(sorted.get(end)).first().compareTo(range.last()) <= 0) {
+            end++;
+        }
+        return sorted.subList(first, end);
+    }
+
     /** Whether {@code b} starts immediately after the end of {@code a}. */
     public static boolean adjacent(KeyRange a, KeyRange b) {
         return !a.last().equals(KeyHash.MAX) && next(a.last()).equals(b.first());
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/RangeOwnership.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/RangeOwnership.java
@@ -71,6 +71,7 @@
     private final Counter releasedRanges;
     private final Counter failedGateCalls;
     private boolean sealed;
+    private boolean actionsScheduled;
     private final PeerHandler<ReleaseRequest> releaseHandler = this::onReleaseRequest;
     private final PeerHandler<LoadQuery> loadHandler = this::onLoadQuery;
     private final PeerHandler<HeldRangesQuery> heldRangesHandler = this::onHeldRangesQuery;
@@ -191,6 +192,20 @@
                 && !latestEra.isNewerThan(known.revision().era());
     }
 
+    /**
+     * Performs the actions after the tasks that are queued already. A member that leaves gets one message for each of its
+     * ranges, so there is one pass for all that have arrived.
+     */
+    private void scheduleActions() {
+        if (!actionsScheduled) {
+            actionsScheduled = true;
+            enqueue(() -> {
+                actionsScheduled = false;
+                performActions();
+            });
+        }
+    }
+
     private void performActions() {
         updateEra();
         RoutingSnapshot snapshot = dependencies.routingView().current();
@@ -235,7 +250,7 @@
                         logGateFailure("acquire", service, failure);
                         state.acquireFailed(action, nowMs());
                     }
-                    performActions();
+                    scheduleActions();
                 }));
     }
 
@@ -256,7 +271,7 @@
                         logGateFailure("release", service, failure);
                         state.releaseFailed(action, nowMs());
                     }
-                    performActions();
+                    scheduleActions();
                 }));
     }
 
@@ -300,7 +315,7 @@
             sendReleaseRequest(service, state, action, member.get());
         } else {
             state.memberRemoved(action.previousOwner());
-            performActions();
+            scheduleActions();
         }
     }
 
@@ -315,14 +330,14 @@
                         retryLater(state, action);
                     } else {
                         state.releaseRequestAnswered(action, answer, nowMs());
-                        performActions();
+                        scheduleActions();
                     }
                 }));
     }
 
     private void retryLater(OwnershipState state, OwnershipAction.RequestRelease action) {
         long delayMs = state.releaseRequestFailed(action, nowMs());
-        dependencies.timers().once(delayMs, executor, this::performActions);
+        dependencies.timers().once(delayMs, executor, this::scheduleActions);
     }
 
     private CompletableFuture<ReleaseAnswer> onReleaseRequest(MemberId sender, ReleaseRequest request) {
@@ -337,13 +352,13 @@
                 answer.complete(ReleaseAnswer.notReleased());
                 return;
             }
-            waitingRequests.add(new WaitingRequest(request, answer));
-            // The first pass handles the request, the second one performs the release that the request causes.
-            performActions();
-            if (!answer.isDone()) {
-                performActions();
+            updateEra();
+            WaitingRequest waiting = new WaitingRequest(request, answer);
+            if (!answerIfReleased(waiting)) {
+                waitingRequests.add(waiting);
                 dependencies.timers().once(options.maxAnswerDelayMs(), executor, () -> answerNotReleased(answer));
             }
+            scheduleActions();
         });
         if (!queued) {
             answer.complete(ReleaseAnswer.notReleased());
@@ -357,14 +372,15 @@
     }
 
     private void answerWaitingRequests() {
-        waitingRequests.removeIf(waiting -> {
-            OwnershipState state = states.get(waiting.request.service());
-            Optional<ReleaseAnswer> answer = state.handleReleaseRequest(waiting.request, nowMs())
-                    .filter(releaseAnswer ->
-                            !releaseAnswer.released() || !releaseEarlierGrant(waiting.request.range()));
-            answer.ifPresent(waiting.answer::complete);
-            return answer.isPresent();
-        });
+        waitingRequests.removeIf(this::answerIfReleased);
+    }
+
+    private boolean answerIfReleased(WaitingRequest waiting) {
+        OwnershipState state = states.get(waiting.request.service());
+        Optional<ReleaseAnswer> answer = state.handleReleaseRequest(waiting.request, nowMs())
+                .filter(releaseAnswer -> !releaseAnswer.released() || !releaseEarlierGrant(waiting.request.range()));
+        answer.ifPresent(waiting.answer::complete);
+        return answer.isPresent();
     }
 
     /**
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/OwnershipState.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/internal/OwnershipState.java
@@ -1,6 +1,7 @@
 package org.coriandercrank.placement.internal;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -64,7 +65,10 @@
     private List<RangeAssignment> ownAssignments = List.of();
     private boolean sealed;
     private boolean reconcileNeeded;
+
+    /** In ascending order of their ranges, like {@link #ownAssignments} and {@link #deferredReleases}. */
     private List<HeldRange> heldRanges = new ArrayList<>();
+
     private final ReleaseBarriers barriers = new ReleaseBarriers();
     private List<DeferredRelease> deferredReleases = new ArrayList<>();
     private Map<PendingRange.Id, PendingRange> pending = new LinkedHashMap<>();
@@ -160,25 +164,28 @@
         if (era.isNewerThan(request.generation().era())) {
             return Optional.of(ReleaseAnswer.notReleased());
         }
-        if (deferredReleases.removeIf(d -> d.range.overlaps(range))) {
-            reconcile();
-        }
+        reconcileNeeded |= deferredReleases.removeIf(d -> d.range.overlaps(range));
         if (request.generation().isNewerThan(table.generation())) {
-            if (barriers.add(range, request.generation())) {
-                reconcile();
-            }
+            reconcileNeeded |= barriers.add(range, request.generation());
         } else if (!sealed && isAssignedToSelf(range)) {
             return Optional.of(ReleaseAnswer.notReleased());
         }
-        if (heldRanges.stream().anyMatch(h -> h.range().overlaps(range))) {
+        if (!heldIn(range).isEmpty()) {
             return Optional.empty();
         }
         return Optional.of(releasedRecords.handOver(range, request.requester(), request.generation(), nowMs));
     }
 
     private boolean isAssignedToSelf(KeyRange range) {
-        return table.assignments().stream()
-                .anyMatch(a -> a.owner().equals(self) && a.range().overlaps(range));
+        return !assignedIn(range).isEmpty();
+    }
+
+    private List<RangeAssignment> assignedIn(KeyRange range) {
+        return KeyRanges.overlapping(ownAssignments, RangeAssignment::range, range);
+    }
+
+    private List<HeldRange> heldIn(KeyRange range) {
+        return KeyRanges.overlapping(heldRanges, HeldRange::range, range);
     }
 
     /** The actions to perform now. An action is not returned again before its result is reported. */
@@ -228,20 +235,16 @@
             if (heldRange.phase() != Phase.SERVING) {
                 continue;
             }
-            for (RangeAssignment assignment : movedAway) {
-                if (assignment.range().overlaps(heldRange.range())) {
-                    KeyRanges.intersect(assignment.range(), heldRange.range())
-                            .ifPresent(part -> next.add(new DeferredRelease(part, deferredUntilMs(part))));
-                }
-            }
+            KeyRanges.overlapping(movedAway, RangeAssignment::range, heldRange.range()).stream()
+                    .flatMap(a -> KeyRanges.intersect(a.range(), heldRange.range()).stream())
+                    .forEach(part -> next.add(new DeferredRelease(part, deferredUntilMs(part))));
         }
         deferredReleases = next;
     }
 
     /** Keeps the deadline of an already deferred release, so that a sequence of tables cannot extend it. */
     private long deferredUntilMs(KeyRange part) {
-        return deferredReleases.stream()
-                .filter(d -> d.range.overlaps(part))
+        return KeyRanges.overlapping(deferredReleases, DeferredRelease::range, part).stream()
                 .mapToLong(DeferredRelease::untilMs)
                 .min()
                 .orElse(DeferredRelease.NOT_SET);
@@ -266,6 +269,7 @@
             heldRanges.add(new HeldRange(
                     id.range(), id.fence(), Phase.ACQUIRING, range.transferredRecords(ownAnswer), false, false, 0));
         }
+        heldRanges.sort(Comparator.comparing(HeldRange::range));
     }
 
     /** Reports the answer of a previous owner to a release request. */
@@ -335,7 +339,7 @@
         heldRanges.replaceAll(h -> h.range().equals(range) ? change.apply(h) : h);
     }
 
-    /** Reconciles once after a batch of reported results instead of after each result. */
+    /** Reconciles once after a batch of results and requests instead of after each of them. */
     private void reconcileIfNeeded() {
         if (reconcileNeeded) {
             reconcile();
@@ -355,6 +359,7 @@
             retained.forEach(part -> next.add(heldRange.withRange(part)));
             KeyRanges.subtract(heldRange.range(), retained).forEach(part -> next.add(heldRange.asReleasing(part)));
         }
+        next.sort(Comparator.comparing(HeldRange::range));
         heldRanges = next;
         pending = findPending();
     }
@@ -365,7 +370,8 @@
         if (sealed || heldRange.phase() != Phase.SERVING) {
             return parts;
         }
-        for (DeferredRelease part : deferredReleases) {
+        for (DeferredRelease part :
+                KeyRanges.overlapping(deferredReleases, DeferredRelease::range, heldRange.range())) {
             KeyRanges.intersect(part.range, heldRange.range()).ifPresent(intersection -> {
                 List<KeyRange> excluded = new ArrayList<>(parts);
                 excluded.addAll(barriers.overlapping(intersection));
@@ -376,19 +382,13 @@
         return parts;
     }
 
-    /**
-     * The parts of a held range that the table allows this daemon to serve. Only overlapping assignments are
-     * intersected, because a service may have hundreds of ranges and this method runs for every event.
-     */
+    /** The parts of a held range that the table allows this daemon to serve. */
     private List<KeyRange> allowedParts(HeldRange heldRange) {
         if (sealed) {
             return List.of();
         }
         List<KeyRange> parts = new ArrayList<>();
-        for (RangeAssignment assignment : ownAssignments) {
-            if (!assignment.range().overlaps(heldRange.range())) {
-                continue;
-            }
+        for (RangeAssignment assignment : assignedIn(heldRange.range())) {
             boolean mayServe = assignment.fence().equals(heldRange.fence())
                     || (heldRange.phase() == Phase.SERVING
                             && assignment.previousOwners().isEmpty());
@@ -408,9 +408,7 @@
             return next;
         }
         for (RangeAssignment assignment : ownAssignments) {
-            List<HeldRange> overlapping = heldRanges.stream()
-                    .filter(h -> h.range().overlaps(assignment.range()))
-                    .toList();
+            List<HeldRange> overlapping = heldIn(assignment.range());
             if (overlapping.stream().anyMatch(h -> h.phase() != Phase.SERVING)) {
                 continue;
             }
