Count a heartbeat grant from the reading of the lease

A suspension of the host between the reading of the lease and HeartbeatGrants.offer lengthened what the server holds by the suspension: the validity counted from the offer, and the age that was subtracted before did not include a pause between its reading and that of the clock.

HeartbeatGrants.offer takes the stopwatch that the gate started before it read the lease, and reads its clock before the elapsed time, so a pause between the two shortens the validity.

--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/GrantOnlyBackendServer.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/GrantOnlyBackendServer.java
@@ -31,7 +31,7 @@
 
     @Override
     public CompletableFuture<Long> grant(Grant grant, Stopwatch sinceValidity) {
-        return grants.offer(grant.aged(sinceValidity.elapsedNanos()));
+        return grants.offer(grant, sinceValidity);
     }
 
     @Override
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HeartbeatGrants.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HeartbeatGrants.java
@@ -13,6 +13,7 @@
 import org.coriandercrank.kernel.table.KeyRange;
 import org.coriandercrank.kernel.table.KeyRanges;
 import org.coriandercrank.kernel.time.MonotonicClock;
+import org.coriandercrank.kernel.time.Stopwatch;
 
 /**
  * Delivers grants to a backend server in the responses to its heartbeats.
@@ -70,17 +71,26 @@
         sentGrants = new SentGrants(lastReportNanos, maxHoldNanos);
     }
 
+    /** Replaces the grant to be delivered by one whose validity counts from this call. */
+    public CompletableFuture<Long> offer(Grant grant) {
+        return offer(grant, Stopwatch.start(leaseClock));
+    }
+
     /**
      * Replaces the grant to be delivered. The future completes with the sequence of the grant when the server
      * acknowledges it, and fails if a newer grant replaces it first.
+     *
+     * @param sinceValidity started before the validity was determined; the validity counts from that start
      */
-    public CompletableFuture<Long> offer(Grant grant) {
+    public CompletableFuture<Long> offer(Grant grant, Stopwatch sinceValidity) {
         CompletableFuture<Long> superseded;
         CompletableFuture<Long> result = new CompletableFuture<>();
         synchronized (this) {
             superseded = acknowledgement;
             latestGrant = grant;
-            latestGrantNanos = leaseClock.nowNanos();
+            // Read before the elapsed time, so that a pause between the two shortens the validity.
+            long nowNanos = leaseClock.nowNanos();
+            latestGrantNanos = nowNanos - sinceValidity.elapsedNanos();
             acknowledgement = result;
         }
         superseded.completeExceptionally(new CrankException(ResultCode.CALL_TIMEOUT, "replaced by a newer grant"));
