--- a/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/EraDaemon.java
+++ b/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/EraDaemon.java
@@ -48,6 +48,7 @@
     private RoutingSnapshot snapshot;
     private StoreEra storeEra;
     private boolean running;
+    private int snapshotReads;
     private long nowMs = 1_000;
 
     public EraDaemon(EraStore store, MemberId self) {
@@ -86,6 +87,11 @@
         listeners.forEach(listener -> listener.accept(snapshot));
     }
 
+    /** How often a component has read the snapshot since the start. */
+    int snapshotReads() {
+        return snapshotReads;
+    }
+
     void runFor(long durationMs) {
         long endMs = nowMs + durationMs;
         while (true) {
@@ -105,6 +111,7 @@
 
     @Override
     public RoutingSnapshot current() {
+        snapshotReads++;
         return snapshot;
     }
 
--- a/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/FakeDaemons.java
+++ b/org.coriandercrank.placement.test/src/test/java/org/coriandercrank/placement/FakeDaemons.java
@@ -214,7 +214,7 @@
     }
 
     /** A gate that only records which ranges it serves. */
-    static final class Gate implements OwnerGate {
+    static class Gate implements OwnerGate {
         private List<RangeLoad> serving = new ArrayList<>();
 
         @Override
