Check that servers hold under fences of valid tables only

The simulation of ownership checks a fence when a table is written, also a table that takes effect in a later era than that of its generation. It did not check what servers then hold. A server must hold a key only under a fence that a table written in its own era gave to a member of that server, and a table of its own era repeats only such fences. FENCE_TWICE stays as it is. Ruled out: that a merged range breaks this; it takes the fence of the range of the same owner, so a repeated fence must have been given to that owner.

--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/HeldKeys.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/HeldKeys.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.coriandercrank.daemon.ServerIncarnation;
+import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.KeyHash;
 import org.coriandercrank.kernel.id.MemberId;
@@ -33,11 +36,18 @@
     /** The owner to whom a table assigned a key under a fence. */
     private final List<Map<Generation, MemberId>> assignedOwners = new ArrayList<>();
 
+    /** The same for the tables that were written in the era of their generation alone. */
+    private final List<Map<Generation, MemberId>> validOwners = new ArrayList<>();
+
+    /** The members to whom a valid table of the same generation gave a fence, of any key. */
+    private final Map<Generation, Set<MemberId>> receiversOfFence = new HashMap<>();
+
     HeldKeys(Trace trace) {
         this.trace = trace;
         for (int key = 0; key < COUNT; key++) {
             newestFences.add(new HashMap<>());
             assignedOwners.add(new HashMap<>());
+            validOwners.add(new HashMap<>());
         }
     }
 
@@ -79,13 +89,26 @@
         held(taker, key, fence);
     }
 
-    /** Notes that a server holds a key under a fence. */
+    /**
+     * Notes that a server holds a key under a fence, and checks that a table that was written in its own era has given
+     * the fence to a member of this server.
+     */
     void held(SimulatedServer server, int key, long fence) {
+        MemberId owner = validOwners.get(key).get(new Generation(fence));
+        if (owner == null || !owner.value().contains("-" + server.incarnation().id() + "-")) {
+            trace.violation(
+                    "FENCE_NOT_GIVEN",
+                    "key " + key + ": " + server + " holds it under fence " + text(fence) + " of " + owner);
+        }
         newestFences.get(key).merge(server.incarnation(), fence, Math::max);
     }
 
-    /** Checks that a table gives out no fence a second time for a key with another owner. */
-    void tableWritten(AssignmentTable table) {
+    /**
+     * Checks that a table gives out no fence a second time for a key with another owner.
+     *
+     * @param era era of the store in which the table is written; a later one than that of its generation makes it void
+     */
+    void tableWritten(AssignmentTable table, Era era) {
         trace.add(() -> "TABLE " + text(table.generation().value()) + " " + describe(table));
         for (RangeAssignment assignment : table.assignments()) {
             int first = firstKey(assignment.range());
@@ -102,6 +125,40 @@
                 }
             }
         }
+        if (table.generation().era().equals(era)) {
+            validTableWritten(table);
+        }
+    }
+
+    /**
+     * Checks that a valid table gives no fence of a key to a second owner, and has earlier fences only as a valid table
+     * gave them to the same owner. A range that is merged into another of its owner gets the fence of that.
+     */
+    private void validTableWritten(AssignmentTable table) {
+        for (RangeAssignment assignment : table.assignments()) {
+            Generation fence = assignment.fence();
+            MemberId owner = assignment.owner();
+            Set<MemberId> receivers = receiversOfFence.computeIfAbsent(fence, f -> new HashSet<>());
+            if (fence.equals(table.generation())) {
+                receivers.add(owner);
+            } else if (!receivers.contains(owner)) {
+                fenceNotGiven(table, assignment, "nobody");
+            }
+            for (int key = firstKey(assignment.range()); key <= lastKey(assignment.range()); key++) {
+                MemberId earlier = validOwners.get(key).putIfAbsent(fence, owner);
+                if (earlier != null && !earlier.equals(owner)) {
+                    fenceNotGiven(table, assignment, earlier.value());
+                }
+            }
+        }
+    }
+
+    private void fenceNotGiven(AssignmentTable table, RangeAssignment assignment, String receiver) {
+        trace.violation(
+                "FENCE_NOT_GIVEN",
+                "table " + text(table.generation().value()) + " has key " + firstKey(assignment.range())
+                        + " under fence " + text(assignment.fence().value()) + " of " + assignment.owner()
+                        + ", given to " + receiver);
     }
 
     boolean allHeld() {
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedCluster.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedCluster.java
@@ -33,7 +33,7 @@
 
     private void written(String name, byte[] value) {
         if (name.equals(ObjectNames.assignments(SERVICE))) {
-            heldKeys.tableWritten(TableCodec.decode(value));
+            heldKeys.tableWritten(TableCodec.decode(value), store.era());
         }
     }
 
