Publish a table only with the era of its position

The view now publishes a newer era before the changes that name it; the tick still reports it once. Ruled out: the store client, which learns the era from each answer.

--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
@@ -16,6 +16,7 @@
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.config.Configuration;
+import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.Revision;
@@ -63,6 +64,7 @@
     private final MissingMembers missingMembers = new MissingMembers();
     private volatile RoutingSnapshot snapshot;
     private volatile StoreEra storeEra = StoreEra.NONE;
+    private Era reportedEra = Era.NONE;
 
     /** @param memberListener called on the control thread with each member record that is new or has changed */
     public ClusterView(ControlContext context, MemberId self, Consumer<Member> memberListener) {
@@ -98,14 +100,15 @@
      * Returns whether the era is new.
      */
     public boolean updateEra() {
-        StoreEra before = storeEra;
         storeEra = new StoreEra(context.eras().era(), isEraSettled());
         if (storeEra.settled() && !missingMembers.isEmpty()) {
             context.log(() -> "event=store-era-settled era=" + storeEra.era() + " lost=" + missingMembers);
             missingMembers.take().forEach(this::removeMember);
             publish(snapshot.self());
         }
-        return !before.era().equals(storeEra.era());
+        boolean isNew = !reportedEra.equals(storeEra.era());
+        reportedEra = storeEra.era();
+        return isNew;
     }
 
     private boolean isEraSettled() {
@@ -163,6 +166,10 @@
     /** Applies changes and returns whether any was newer than the known state. See {@link ObjectCache#apply}. */
     public boolean apply(FetchObject.Kind kind, List<StoredObject> changes, Revision upTo, boolean reset) {
         context.eras().observe(upTo.era(), context.nowNanos());
+        if (context.eras().era().isNewerThan(storeEra.era())) {
+            // A table of an earlier era must not be published without the era of its position.
+            storeEra = new StoreEra(context.eras().era(), false);
+        }
         List<StoredObject> applied = caches.get(kind).apply(changes, upTo, reset);
         applied.forEach(change -> decode(kind, change));
         if (!applied.isEmpty()) {
