--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/OwnershipSimulationTest.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/OwnershipSimulationTest.java
@@ -48,6 +48,16 @@
         assertThat(OwnershipTrial.seedsByRule(mix, FIRST_SEED, RUNS, THREADS)).isEmpty();
     }
 
+    /**
+     * A table that was sent before the return of the store takes effect after it, and a daemon that hears of the table
+     * before the new era acquires a range under it.
+     */
+    @Test
+    void rangeIsNotAcquiredUnderATableOfAnEarlierEra() throws Exception {
+        assertThat(OwnershipTrial.seedsByRule(FaultMix.ALL_AND_LATE_MESSAGES, 92, 1, 1))
+                .isEmpty();
+    }
+
     /** See KNOWN-RED.txt: a table that was sent before the return takes effect after it, under a fence given out again. */
     @Test
     @Tag("known-red")
