--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateDependencies.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateDependencies.java
@@ -17,7 +17,8 @@
  *
  * @param service the only service whose requests the gate admits
  * @param lease lease of this daemon; its times are read from the clock of {@code timers}
- * @param leaseClock clock that measures the lease; it should include the time during which the host is suspended
+ * @param leaseClock clock that measures the age of a grant from the reading of the lease until the grant is sent;
+ *     includes the time during which the host is suspended if the lease does
  * @param decisionLog log of the decisions of the gate
  * @param quarantine tells which requests the gate must not send
  * @param executorFactory creates the executor that runs all tasks of the gate
@@ -44,8 +45,10 @@
         Objects.requireNonNull(quarantine, "quarantine");
     }
 
-    /** Creates the dependencies of a gate that runs on its own thread, quarantines no request, and measures the lease
-     * on the clock of its timers. */
+    /**
+     * Creates the dependencies of a gate that runs on its own thread, quarantines no request, and measures the age of its
+     * grants on the clock of its timers.
+     */
     public GateDependencies(
             ServiceName service,
             RoutingView routingView,
