Read again what the store may have withheld from a watch

Callers would be served by an old configuration until the next change. Cause: a watch that ends without changes counted as proof up to the revision that it names. A store that withholds changes for a moment and names its current revision made the position of the relay, and so of all peers, pass the change, and nobody read it again; changes at or below the position were also dropped.

A watch of the configuration now asks from the position of 5 s ago or from the known object, whichever is later. Members and tables are read again once they do not change, or after 15 s. A change that the position has passed is accepted unless a deletion after it may be forgotten, is sent to the other members and counted (crank.control.changes.missed). A peer is asked for what is newer than the known configuration, in the messages that are sent anyway.

Not shown: a store that withholds a change for longer than 5 s.

--- a/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/FakeStore.java
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/FakeStore.java
@@ -25,6 +25,8 @@
         DOWN,
         /** Calls are not answered and have no effect. */
         SILENT,
+        /** Watches report no changes but name the current revision; all other calls work. */
+        WITHHOLDS_CHANGES,
         /** Calls take effect, but writes are not answered. */
         UNANSWERED_WRITES,
         /** Writes take effect after 3 s and are not answered; reads work. */
@@ -154,7 +156,8 @@
             time.schedule(LATENCY_MS, () -> result.completeExceptionally(failure(ResultCode.STORE_UNAVAILABLE)));
             return;
         }
-        boolean changed = latestChanges.getOrDefault(prefix, Revision.NONE).isNewerThan(after);
+        boolean changed = mode != Mode.WITHHOLDS_CHANGES
+                && latestChanges.getOrDefault(prefix, Revision.NONE).isNewerThan(after);
         List<StoredObject> changes = changed ? changes(prefix, after, true) : List.of();
         if (!changes.isEmpty() || time.nowMs() >= endMs) {
             Revision upTo = new Revision(lastRevision);
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
@@ -150,6 +150,11 @@
         return caches.get(kind).completeUpTo();
     }
 
+    /** Returns the highest revision of a known object of a kind. */
+    public Revision latestObjectRevision(FetchObject.Kind kind) {
+        return caches.get(kind).latestObjectRevision();
+    }
+
     /** Returns the revisions up to which this daemon knows every change of each kind. */
     public Digest digest() {
         return new Digest(
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlMetrics.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlMetrics.java
@@ -15,6 +15,7 @@
     private final Counter recordWrites;
     private final Counter storeReturns;
     private final Counter missingAnswers;
+    private final Counter missedChanges;
 
     public ControlMetrics(
             MeterRegistry registry,
@@ -29,6 +30,7 @@
         storeReturns = registry.counter("crank.control.store.returns");
         recordWrites = registry.counter("crank.control.record.writes");
         missingAnswers = registry.counter("crank.control.store.answers.missing");
+        missedChanges = registry.counter("crank.control.changes.missed");
         Gauge.builder("crank.lease.remaining.ms", leaseRemainingMs).register(registry);
         Gauge.builder("crank.control.takeovers.running", takeovers).register(registry);
         Gauge.builder("crank.control.quarantined.requests", quarantinedRequests).register(registry);
@@ -64,6 +66,11 @@
         missingAnswers.increment();
     }
 
+    /** Counts changes that the store had withheld from an earlier watch. */
+    public void changesMissed(int count) {
+        missedChanges.increment(count);
+    }
+
     public void recordWritten() {
         recordWrites.increment();
     }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -17,9 +17,11 @@
 import org.coriandercrank.kernel.message.FetchObject;
 import org.coriandercrank.kernel.message.ObjectData;
 import org.coriandercrank.kernel.ownership.VersionedMember;
+import org.coriandercrank.kernel.peer.PeerTarget;
 import org.coriandercrank.kernel.store.StoredObject;
 import org.coriandercrank.kernel.store.WatchBatch;
 import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.MemberState;
 
 /**
  * Keeps the {@link ClusterView} up to date.
@@ -95,6 +97,9 @@
     /** After a call without an answer, the next watch does not wait, so that it shows soon whether the store answers. */
     private static final long PROBE_WAIT_MS = 1;
 
+    /** Bounds the bytes that one missed change costs the daemon that finds it. */
+    private static final int MAX_PUSH_RECEIVERS = 128;
+
     private final ControlContext context;
     private final ClusterView view;
     private final ControlMetrics metrics;
@@ -345,7 +350,8 @@
         long nowNanos = context.nowNanos();
         long timeoutMs = waitMs + context.options().storeTimeoutMs();
         StoreCall call = new StoreCall(false, nowNanos, waitMs, waitMs + ANSWER_DUE_MS, timeoutMs);
-        Revision after = view.completeUpTo(sync.kind());
+        Revision after =
+                sync.watchAfter(view.completeUpTo(sync.kind()), view.latestObjectRevision(sync.kind()), nowNanos);
         start(
                 sync,
                 call,
@@ -375,15 +381,44 @@
         boolean reset = call.listing() || batch.reset();
         if (reset) {
             sync.setListed();
+            sync.listingRead(batch.upTo());
+        } else {
+            sync.watchRead();
         }
         ObjectData data = new ObjectData(sync.kind(), batch.upTo(), reset, batch.changes());
         Revision before = view.completeUpTo(sync.kind());
-        apply(sync, data, reset ? UpdateSource.LISTING : UpdateSource.WATCH);
+        List<StoredObject> applied = apply(sync, data, reset ? UpdateSource.LISTING : UpdateSource.WATCH);
+        if (!reset) {
+            pushMissed(sync.kind(), before, applied);
+        }
         if (!view.completeUpTo(sync.kind()).isNewerThan(before) && (relay || sync.isFallback())) {
             storeUnchanged(sync, nowNanos);
         }
     }
 
+    /** Sends peers the changes that the store withheld while it advanced the position, which they do not ask for. */
+    private void pushMissed(FetchObject.Kind kind, Revision before, List<StoredObject> applied) {
+        List<StoredObject> missed = applied.stream()
+                .filter(object -> !object.revision().isNewerThan(before))
+                .toList();
+        if (missed.isEmpty()) {
+            return;
+        }
+        metrics.changesMissed(missed.size());
+        context.log(() -> "event=missed-changes kind=" + kind + " position=" + before + " objects="
+                + missed.stream()
+                        .map(object -> object.name() + "@" + object.revision())
+                        .toList());
+        ObjectData push = new ObjectData(kind, Revision.NONE, false, missed);
+        MemberId self = view.current().self();
+        view.current().members().values().stream()
+                .map(VersionedMember::member)
+                .filter(member ->
+                        member.state() != MemberState.SEALED && !member.id().equals(self))
+                .limit(MAX_PUSH_RECEIVERS)
+                .forEach(member -> context.dependencies().peerClient().send(PeerTarget.of(member), push));
+    }
+
     private long watchIntervalNanos() {
         long intervalMs = relay
                 ? context.options().relayWatchIntervalMs()
@@ -435,7 +470,7 @@
         List<StoredObject> applied = view.apply(data, source);
         pushPending |= !applied.isEmpty();
         if (view.completeUpTo(sync.kind()).isNewerThan(before)) {
-            sync.confirmed(context.nowNanos());
+            sync.positionReached(view.completeUpTo(sync.kind()), context.nowNanos());
         }
         return applied;
     }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/KindSync.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/KindSync.java
@@ -1,15 +1,19 @@
 package org.coriandercrank.control.internal;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.message.FetchObject;
 
 /**
- * Synchronization state of the control objects of one kind: outstanding calls to the store, and when the position
- * advanced.
+ * Synchronization state of the control objects of one kind: outstanding calls to the store, and when which position was
+ * reached.
  *
  * <p>Invariants: at most two calls are outstanding, the second only while the first is overdue. An answer ends the calls
  * that were started before it. Control thread only.
@@ -19,9 +23,20 @@
 
     private static final int MAX_CALLS = 2;
 
+    /** A change that the store withholds is reported within this time. */
+    private static final long OVERLAP_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    /** Below the time for which the store keeps its history. */
+    private static final long MAX_REREAD_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(15);
+
+    private record Reached(Revision position, long atNanos) {}
+
     private final FetchObject.Kind kind;
     private final List<StoreCall> calls = new ArrayList<>();
 
+    /** Positions of about the last {@link #OVERLAP_NANOS}, the oldest of which is older than that if there is one. */
+    private final Deque<Reached> reached = new ArrayDeque<>();
+
     private boolean listed;
     private boolean fallback;
     private boolean unanswered;
@@ -29,6 +44,14 @@
     private long retryAtNanos;
     private long lastAdvanceNanos;
     private long lastPeerAdvanceNanos;
+    private long lastRereadNanos;
+
+    /** Changes after this position have been read at most once. */
+    private Revision rereadFrom = Revision.NONE;
+
+    /** Where {@link #rereadFrom} will be after the answer to the latest watch. */
+    private Revision rereadUpTo = Revision.NONE;
+
     private OptionalLong fetchStartedNanos = OptionalLong.empty();
     private OptionalLong outdatedSinceNanos = OptionalLong.empty();
 
@@ -37,6 +60,7 @@
         retryAtNanos = nowNanos;
         lastAdvanceNanos = nowNanos;
         lastPeerAdvanceNanos = nowNanos;
+        lastRereadNanos = nowNanos;
     }
 
     FetchObject.Kind kind() {
@@ -132,11 +156,36 @@
         retryMs = INITIAL_RETRY_MS;
     }
 
+    /** Notes that every change up to a position is known. */
+    void positionReached(Revision position, long nowNanos) {
+        lastAdvanceNanos = nowNanos;
+        reached.addLast(new Reached(position, nowNanos));
+        dropOldPositions(nowNanos);
+    }
+
+    /** Notes that a complete listing was read, in which nothing can have been withheld. */
+    void listingRead(Revision upTo) {
+        reached.clear();
+        rereadFrom = upTo;
+        rereadUpTo = Revision.NONE;
+    }
+
+    private void dropOldPositions(long nowNanos) {
+        while (reached.size() > 1) {
+            Iterator<Reached> i = reached.iterator();
+            i.next();
+            if (nowNanos - i.next().atNanos() < OVERLAP_NANOS) {
+                return;
+            }
+            reached.removeFirst();
+        }
+    }
+
     long lastAdvanceNanos() {
         return lastAdvanceNanos;
     }
 
-    /** Notes that the position advanced, or that the store has nothing newer. */
+    /** Notes that the store has nothing newer. */
     void confirmed(long nowNanos) {
         lastAdvanceNanos = nowNanos;
     }
@@ -149,6 +198,42 @@
         lastPeerAdvanceNanos = nowNanos;
     }
 
+    /**
+     * Returns the position from which the next watch asks for changes. It lies before the present one, because a store
+     * that withholds changes for a moment names a position that passes them. A watch that reads known changes again is
+     * answered at once, so kinds of several objects are read again only while they do not change, or after a time.
+     *
+     * @param position revision up to which every change is known
+     * @param latestObject highest revision of a known object of the kind
+     */
+    Revision watchAfter(Revision position, Revision latestObject, long nowNanos) {
+        dropOldPositions(nowNanos);
+        Revision settled = reached.isEmpty() ? position : reached.peekFirst().position();
+        rereadUpTo = Revision.NONE;
+        if (!settled.era().equals(position.era()) || settled.isNewerThan(position)) {
+            return position;
+        }
+        if (kind == FetchObject.Kind.CONFIGURATION) {
+            boolean knownObject = latestObject.isNewerThan(settled) && !latestObject.isNewerThan(position);
+            return knownObject ? latestObject : settled;
+        }
+        boolean due = nowNanos - lastRereadNanos >= MAX_REREAD_INTERVAL_NANOS;
+        boolean sameEra = rereadFrom.era().equals(position.era());
+        if (!sameEra || rereadFrom.isNewerThan(position) || (latestObject.isNewerThan(rereadFrom) && !due)) {
+            return position;
+        }
+        lastRereadNanos = nowNanos;
+        rereadUpTo = settled;
+        return rereadFrom;
+    }
+
+    /** Notes that the latest watch was answered with all changes after the position from which it asked. */
+    void watchRead() {
+        if (rereadUpTo.isNewerThan(rereadFrom)) {
+            rereadFrom = rereadUpTo;
+        }
+    }
+
     /** Whether a fetch was started so recently that its answer may still come. */
     boolean isFetching(long nowNanos, long patienceNanos) {
         return fetchStartedNanos.isPresent() && nowNanos - fetchStartedNanos.getAsLong() < patienceNanos;
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ObjectCache.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ObjectCache.java
@@ -17,9 +17,10 @@
 /**
  * Cache of the control objects of one kind.
  *
- * <p>Invariants: the cache contains every change up to {@link #completeUpTo()}; an object never reverts to an older
- * revision, though to an older state if the store did so and began a new era; a deleted object does not reappear, because changes at or below {@link #completeUpTo()} are ignored. Not
- * thread safe.
+ * <p>Invariants: an object never reverts to an older revision, though to an older state if the store did so and began a
+ * new era. A deleted object does not reappear, because each deletion that is not remembered is older than every change
+ * that is accepted. The cache contains every change up to {@link #completeUpTo()} that the store reported; one that it
+ * withheld and reports later is still accepted. Not thread safe.
  */
 public final class ObjectCache {
     private static final int MAX_TOMBSTONES = 1_024;
@@ -43,6 +44,14 @@
         return completeUpTo;
     }
 
+    /** Returns the highest revision of an object in the cache. */
+    public Revision latestObjectRevision() {
+        return objects.values().stream()
+                .map(StoredObject::revision)
+                .max(Revision::compareTo)
+                .orElse(Revision.NONE);
+    }
+
     public Optional<StoredObject> get(String name) {
         return Optional.ofNullable(objects.get(name));
     }
@@ -62,7 +71,7 @@
             return applied;
         }
         for (StoredObject change : changes) {
-            if (change.revision().isNewerThan(completeUpTo) && put(change)) {
+            if (change.revision().isNewerThan(tombstonesCompleteSince) && put(change)) {
                 applied.add(change);
             }
         }
@@ -80,7 +89,7 @@
      * one.
      */
     public boolean applySingle(StoredObject change) {
-        return change.revision().isNewerThan(completeUpTo) && put(change);
+        return change.revision().isNewerThan(tombstonesCompleteSince) && put(change);
     }
 
     /**
@@ -92,7 +101,10 @@
             return new ObjectData(kind, completeUpTo, false, List.of());
         }
         boolean otherEra = !newerThan.equals(Revision.NONE) && !newerThan.era().equals(completeUpTo.era());
-        if (otherEra || tombstonesCompleteSince.isNewerThan(newerThan)) {
+        // A configuration that was deleted stays in force, so its deletions need not be sent.
+        boolean deletionsUnknown =
+                kind != FetchObject.Kind.CONFIGURATION && tombstonesCompleteSince.isNewerThan(newerThan);
+        if (otherEra || deletionsUnknown) {
             return new ObjectData(kind, completeUpTo, true, List.copyOf(objects.values()));
         }
         List<StoredObject> changes = new ArrayList<>();
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/PeerFetcher.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/PeerFetcher.java
@@ -45,7 +45,7 @@
             sync.fetchStarted(nowNanos);
             metrics.fetched();
             PeerTarget target = PeerTarget.of(record.member());
-            FetchObject request = new FetchObject(sync.kind(), position);
+            FetchObject request = new FetchObject(sync.kind(), fetchAfter(sync.kind(), position));
             context.callWithTimeout(
                     () -> context.dependencies().peerClient().call(target, request, ObjectData.class, TIMEOUT_MS),
                     TIMEOUT_MS,
@@ -57,4 +57,14 @@
                     });
         });
     }
+
+    /**
+     * Returns the revision after which a peer is asked for changes. For the configuration it is that of the known object,
+     * so that a peer also sends a change that the position has passed.
+     */
+    private Revision fetchAfter(FetchObject.Kind kind, Revision position) {
+        Revision object = view.latestObjectRevision(kind);
+        boolean usable = kind == FetchObject.Kind.CONFIGURATION && object.era().equals(position.era());
+        return usable ? object : position;
+    }
 }
