Track until when the configuration is known to be the newest

A daemon answers that a route does not exist as if its configuration were the newest, however long ago it had proof of that. The dissemination now knows the age of the proof: an empty answer to a watch proves the end of its wait, any other answer its start, an advance by a peer the moment at which it arrives. A caller can have the configuration read from the store, at most one read at a time and one per second while the store does not answer.

--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlPlane.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlPlane.java
@@ -9,6 +9,7 @@
 import org.coriandercrank.control.internal.ControlLoop;
 import org.coriandercrank.kernel.concurrent.SerialExecutor;
 import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.ownership.ConfigurationProof;
 import org.coriandercrank.kernel.ownership.LeaseView;
 import org.coriandercrank.kernel.ownership.RequestQuarantine;
 import org.coriandercrank.kernel.ownership.RoutingView;
@@ -92,6 +93,11 @@
         return loop.routing();
     }
 
+    /** Returns what is known about how recent the configuration is. */
+    public ConfigurationProof configurationProof() {
+        return loop.configurationProof();
+    }
+
     /** Returns the lease of the current incarnation, on the clock of the timers. */
     public LeaseView lease() {
         return loop.lease();
--- /dev/null
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ConfigurationConfirmation.java
@@ -0,0 +1,111 @@
+package org.coriandercrank.control.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.coriandercrank.kernel.message.FetchObject;
+import org.coriandercrank.kernel.ownership.ConfigurationProof;
+import org.coriandercrank.kernel.store.WatchBatch;
+
+/**
+ * Knows until when the configuration in force was the newest, and reads it from the store when a caller must know.
+ *
+ * <p>Invariant: at most one read is outstanding; requests that wait at the same time share it. {@link #ageMs} and {@link
+ * #confirm} are thread safe; the other methods must be called on the control thread.
+ */
+final class ConfigurationConfirmation implements ConfigurationProof {
+    private static final long NEVER = Long.MIN_VALUE;
+
+    /** A store that does not answer is not read again within this time. */
+    private static final long RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final ControlContext context;
+    private final BiConsumer<StoreCall, WatchBatch> readListener;
+    private final Runnable failureListener;
+    private final List<CompletableFuture<Boolean>> waiting = new ArrayList<>();
+    private boolean reading;
+    private OptionalLong failedNanos = OptionalLong.empty();
+    private volatile long provenNanos = NEVER;
+
+    /**
+     * @param readListener applies a listing that was read, before those who wait for it are told
+     * @param failureListener called after a read without an answer
+     */
+    ConfigurationConfirmation(
+            ControlContext context, BiConsumer<StoreCall, WatchBatch> readListener, Runnable failureListener) {
+        this.context = context;
+        this.readListener = readListener;
+        this.failureListener = failureListener;
+    }
+
+    /** Notes that the configuration in force was the newest at a time of the clock of the timers. */
+    void proven(long nanos) {
+        if (provenNanos == NEVER || nanos - provenNanos > 0) {
+            provenNanos = nanos;
+        }
+    }
+
+    @Override
+    public OptionalLong ageMs() {
+        long nanos = provenNanos;
+        return nanos == NEVER
+                ? OptionalLong.empty()
+                : OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(Math.max(0, context.nowNanos() - nanos)));
+    }
+
+    @Override
+    public CompletableFuture<Boolean> confirm(long maxAgeMs) {
+        if (isProvenWithin(maxAgeMs)) {
+            return CompletableFuture.completedFuture(true);
+        }
+        return context.submit(() -> confirmOnControlThread(maxAgeMs)).thenCompose(result -> result);
+    }
+
+    private boolean isProvenWithin(long maxAgeMs) {
+        OptionalLong ageMs = ageMs();
+        return ageMs.isPresent() && ageMs.getAsLong() <= maxAgeMs;
+    }
+
+    private CompletableFuture<Boolean> confirmOnControlThread(long maxAgeMs) {
+        if (isProvenWithin(maxAgeMs)) {
+            return CompletableFuture.completedFuture(true);
+        }
+        boolean failedRecently = failedNanos.isPresent() && context.nowNanos() - failedNanos.getAsLong() < RETRY_NANOS;
+        if (!reading && failedRecently) {
+            return CompletableFuture.completedFuture(false);
+        }
+        CompletableFuture<Boolean> result = new CompletableFuture<>();
+        waiting.add(result);
+        if (!reading) {
+            read();
+        }
+        return result;
+    }
+
+    private void read() {
+        reading = true;
+        long timeoutMs = context.options().storeTimeoutMs();
+        StoreCall call = new StoreCall(true, context.nowNanos(), 0, timeoutMs, timeoutMs);
+        context.callWithTimeout(
+                () -> context.dependencies().store().list(ClusterView.prefix(FetchObject.Kind.CONFIGURATION)),
+                timeoutMs,
+                (listing, failure) -> {
+                    reading = false;
+                    context.log(() -> "event=configuration-confirmed success=" + (failure == null) + " waiting="
+                            + waiting.size());
+                    if (failure == null) {
+                        failedNanos = OptionalLong.empty();
+                        readListener.accept(call, new WatchBatch(listing.upTo(), listing.changes(), true));
+                    } else {
+                        failedNanos = OptionalLong.of(context.nowNanos());
+                        failureListener.run();
+                    }
+                    List<CompletableFuture<Boolean>> told = List.copyOf(waiting);
+                    waiting.clear();
+                    told.forEach(result -> result.complete(failure == null));
+                });
+    }
+}
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
@@ -18,6 +18,7 @@
 import org.coriandercrank.kernel.message.ObjectData;
 import org.coriandercrank.kernel.message.RefusalNotice;
 import org.coriandercrank.kernel.message.RefusalRequest;
+import org.coriandercrank.kernel.ownership.ConfigurationProof;
 import org.coriandercrank.kernel.ownership.LeaseView;
 import org.coriandercrank.kernel.ownership.RequestQuarantine;
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
@@ -101,6 +102,11 @@
         return view;
     }
 
+    /** Returns what is known about how recent the configuration is. */
+    public ConfigurationProof configurationProof() {
+        return dissemination.configurationProof();
+    }
+
     /** Returns the lease of this daemon, with its expiry converted from the lease clock to the clock of the timers. */
     public LeaseView lease() {
         return () -> context.nowNanos() + membership.validUntilNanos() - context.leaseNowNanos();
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -16,6 +16,7 @@
 import org.coriandercrank.kernel.message.Digest;
 import org.coriandercrank.kernel.message.FetchObject;
 import org.coriandercrank.kernel.message.ObjectData;
+import org.coriandercrank.kernel.ownership.ConfigurationProof;
 import org.coriandercrank.kernel.ownership.VersionedMember;
 import org.coriandercrank.kernel.peer.PeerTarget;
 import org.coriandercrank.kernel.store.StoredObject;
@@ -112,6 +113,7 @@
     private final Set<MemberId> heardMembers = new HashSet<>();
 
     private final RelayRanking ranking;
+    private final ConfigurationConfirmation confirmation;
     private final PeerFetcher fetcher;
     private boolean relay;
     private boolean pushPending;
@@ -123,6 +125,7 @@
         this.fallbackRankOffset = context.random().nextInt(MAX_FALLBACK_RANK);
         this.ranking = new RelayRanking(view);
         this.fetcher = new PeerFetcher(context, view, metrics, this::peerAnswered);
+        this.confirmation = new ConfigurationConfirmation(context, this::configurationRead, this::storeDidNotAnswer);
         long nowNanos = context.nowNanos();
         startedNanos = nowNanos;
         for (FetchObject.Kind kind : FetchObject.Kind.values()) {
@@ -135,6 +138,11 @@
         return syncs.values().stream().allMatch(KindSync::isListed);
     }
 
+    /** Returns what is known about how recent the configuration is. */
+    public ConfigurationProof configurationProof() {
+        return confirmation;
+    }
+
     public boolean isRelay() {
         return relay;
     }
@@ -385,6 +393,9 @@
         } else {
             sync.watchRead();
         }
+        if (sync.kind() == FetchObject.Kind.CONFIGURATION) {
+            confirmation.proven(call.provenNanos(batch.changes().isEmpty(), nowNanos));
+        }
         ObjectData data = new ObjectData(sync.kind(), batch.upTo(), reset, batch.changes());
         Revision before = view.completeUpTo(sync.kind());
         List<StoredObject> applied = apply(sync, data, reset ? UpdateSource.LISTING : UpdateSource.WATCH);
@@ -456,6 +467,9 @@
         boolean changed = !apply(sync, data, UpdateSource.PEER).isEmpty();
         if (view.completeUpTo(sync.kind()).isNewerThan(before)) {
             sync.advancedByPeer(nowNanos);
+            if (sync.kind() == FetchObject.Kind.CONFIGURATION) {
+                confirmation.proven(nowNanos);
+            }
         }
         if (changed) {
             sync.latestCall()
@@ -474,4 +488,8 @@
         }
         return applied;
     }
+
+    private void configurationRead(StoreCall call, WatchBatch listing) {
+        storeAnswered(syncs.get(FetchObject.Kind.CONFIGURATION), call, listing);
+    }
 }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/StoreCall.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/StoreCall.java
@@ -72,6 +72,15 @@
         return suspect;
     }
 
+    /**
+     * Returns until when the answer proves that nothing has changed. An empty answer is sent after the whole wait, unless
+     * the store ends the wait early; any other answer proves only what held at the start.
+     */
+    long provenNanos(boolean empty, long nowNanos) {
+        long waitEndNanos = startedNanos + TimeUnit.MILLISECONDS.toNanos(waitMs);
+        return empty && nowNanos - waitEndNanos >= 0 ? waitEndNanos : startedNanos;
+    }
+
     void setCancellation(Runnable newCancellation) {
         cancellation = newCancellation;
     }
