--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -1,7 +1,6 @@
 package org.coriandercrank.control.internal;
 
 import java.util.EnumMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,12 +16,9 @@
 import org.coriandercrank.kernel.message.FetchObject;
 import org.coriandercrank.kernel.message.ObjectData;
 import org.coriandercrank.kernel.ownership.ConfigurationProof;
-import org.coriandercrank.kernel.ownership.VersionedMember;
-import org.coriandercrank.kernel.peer.PeerTarget;
 import org.coriandercrank.kernel.store.StoredObject;
 import org.coriandercrank.kernel.store.WatchBatch;
 import org.coriandercrank.kernel.table.Member;
-import org.coriandercrank.kernel.table.MemberState;
 
 /**
  * Keeps the {@link ClusterView} up to date.
@@ -63,12 +59,6 @@
      */
     private static final int MAX_FALLBACK_RANK = 8;
 
-    /** A backend server that runs announces itself within this time, and the daemon then joins. */
-    private static final long UNJOINED_WATCH_DELAY_MS = 3_000;
-
-    /** Time after the join in which peers answer, so that of many daemons that start together only a few watch. */
-    private static final long SETTLE_MS = 500;
-
     private static final long NANOS_PER_MS = 1_000_000;
     private static final long MAX_RETRY_MS = 1_000;
 
@@ -98,20 +88,12 @@
     /** After a call without an answer, the next watch does not wait, so that it shows soon whether the store answers. */
     private static final long PROBE_WAIT_MS = 1;
 
-    /** Bounds the bytes that one missed change costs the daemon that finds it. */
-    private static final int MAX_PUSH_RECEIVERS = 128;
-
     private final ControlContext context;
     private final ClusterView view;
     private final ControlMetrics metrics;
     private final Map<FetchObject.Kind, KindSync> syncs = new EnumMap<>(FetchObject.Kind.class);
     private final int fallbackRankOffset;
-    private final long startedNanos;
-    private OptionalLong participatingSinceNanos = OptionalLong.empty();
-
-    /** Members from which this daemon received a digest during its startup watch. */
-    private final Set<MemberId> heardMembers = new HashSet<>();
-
+    private final StartupWatch startupWatch;
     private final RelayRanking ranking;
     private final ConfigurationConfirmation confirmation;
     private final PeerFetcher fetcher;
@@ -127,7 +109,7 @@
         this.fetcher = new PeerFetcher(context, view, metrics, this::peerAnswered);
         this.confirmation = new ConfigurationConfirmation(context, this::configurationRead, this::storeDidNotAnswer);
         long nowNanos = context.nowNanos();
-        startedNanos = nowNanos;
+        startupWatch = new StartupWatch(context, view);
         for (FetchObject.Kind kind : FetchObject.Kind.values()) {
             syncs.put(kind, new KindSync(kind, nowNanos));
         }
@@ -167,11 +149,10 @@
      * @param suspects members that do not answer this daemon
      */
     public void tick(Member self, boolean participating, Set<MemberId> suspects, long nowNanos) {
-        if (participating && participatingSinceNanos.isEmpty()) {
-            participatingSinceNanos = OptionalLong.of(nowNanos);
+        if (participating) {
+            startupWatch.participating(nowNanos);
         }
-        boolean settled = participatingSinceNanos.isPresent()
-                && nowNanos - participatingSinceNanos.getAsLong() >= SETTLE_MS * NANOS_PER_MS;
+        boolean settled = startupWatch.isSettled(nowNanos);
         updateRoles(self, settled, suspects, nowNanos);
         for (KindSync sync : syncs.values()) {
             keepInformed(sync, watchWaitMs(sync, self, participating, settled, nowNanos), nowNanos);
@@ -264,40 +245,15 @@
             return OptionalLong.of(options.configurationWatchWaitMs());
         }
         boolean uninformed = participating
-                ? settled && kind == FetchObject.Kind.MEMBERS && isStartupWatchActive(self, nowNanos)
-                : isUnjoinedWatchActive(nowNanos);
+                ? settled && kind == FetchObject.Kind.MEMBERS && startupWatch.isNeeded(self, nowNanos)
+                : startupWatch.isNeededUnjoined(nowNanos);
         return uninformed ? OptionalLong.of(options.relayWatchWaitMs(kind)) : OptionalLong.empty();
     }
 
-    /** Whether a daemon that does not join, for lack of a backend server, must watch the store: no peer informs it. */
-    private boolean isUnjoinedWatchActive(long nowNanos) {
-        return nowNanos - startedNanos > UNJOINED_WATCH_DELAY_MS * NANOS_PER_MS;
-    }
-
-    /**
-     * Whether this daemon has just joined and heard from no member that precedes it as relay of its region, so that
-     * peers may not keep it up to date.
-     */
-    private boolean isStartupWatchActive(Member self, long nowNanos) {
-        return isStarting(nowNanos)
-                && heardMembers.stream()
-                        .flatMap(heard -> view.member(heard).stream())
-                        .map(VersionedMember::member)
-                        .filter(heard -> heard.region().equals(self.region()))
-                        .noneMatch(heard -> RelayRanking.precedes(heard, self));
-    }
-
-    private boolean isStarting(long nowNanos) {
-        long sinceNanos = participatingSinceNanos.orElse(nowNanos);
-        return nowNanos - sinceNanos < context.options().startupWatchMs() * NANOS_PER_MS;
-    }
-
     /** Handles the digest of a peer: fetches the changes that the peer knows and this daemon does not. */
     public void digestReceived(MemberId peer, Digest digest) {
         context.eras().observe(digest.latestEra(), context.nowNanos());
-        if (isStarting(context.nowNanos())) {
-            heardMembers.add(peer);
-        }
+        startupWatch.heardFrom(peer);
         fetcher.fetchIfAhead(peer, syncs.get(FetchObject.Kind.CONFIGURATION), digest.configuration());
         fetcher.fetchIfAhead(peer, syncs.get(FetchObject.Kind.MEMBERS), digest.members());
         fetcher.fetchIfAhead(peer, syncs.get(FetchObject.Kind.ASSIGNMENTS), digest.assignments());
@@ -420,14 +376,7 @@
                 + missed.stream()
                         .map(object -> object.name() + "@" + object.revision())
                         .toList());
-        ObjectData push = new ObjectData(kind, Revision.NONE, false, missed);
-        MemberId self = view.current().self();
-        view.current().members().values().stream()
-                .map(VersionedMember::member)
-                .filter(member ->
-                        member.state() != MemberState.SEALED && !member.id().equals(self))
-                .limit(MAX_PUSH_RECEIVERS)
-                .forEach(member -> context.dependencies().peerClient().send(PeerTarget.of(member), push));
+        MemberPush.send(context, view, new ObjectData(kind, Revision.NONE, false, missed));
     }
 
     private long watchIntervalNanos() {
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
@@ -49,9 +49,6 @@
     /** After an outage of the store, all daemons must learn within seconds which requests crash servers. */
     private static final long MAX_CRASH_REPORT_RETRY_NANOS = 500 * NANOS_PER_MS;
 
-    /** Bounds the bytes that one crash costs the daemon that reports it. */
-    private static final int MAX_CRASH_REPORT_RECEIVERS = 128;
-
     private final ControlContext context;
     private final ClusterView view;
     private final Dissemination dissemination;
@@ -382,13 +379,7 @@
         pushedReports = writtenReports;
         StoredObject object =
                 StoredObject.of(ObjectNames.member(id), written.revision(), JsonCodec.encode(written.member()));
-        ObjectData push = new ObjectData(FetchObject.Kind.MEMBERS, Revision.NONE, false, List.of(object));
-        view.current().members().values().stream()
-                .map(VersionedMember::member)
-                .filter(other ->
-                        other.state() != MemberState.SEALED && !other.id().equals(id))
-                .limit(MAX_CRASH_REPORT_RECEIVERS)
-                .forEach(other -> context.dependencies().peerClient().send(PeerTarget.of(other), push));
+        MemberPush.send(context, view, new ObjectData(FetchObject.Kind.MEMBERS, Revision.NONE, false, List.of(object)));
     }
 
     private void writeFailed(LeaseHolder lease, HolderAction.WriteRecord write, CrankException failure, long nowNanos) {
