Refuse a request as unknown only by a current configuration

Cause: a daemon that had missed a configuration answered from its absence as if it knew. If the configuration in force does not allow a request and was last known to be the newest over 2.5 s ago, the daemon now reads it once from the store and decides again; requests that wait share the read. A route that no configuration has still gets 404.

Ruled out: refusing at once with Retry-After, because the read takes milliseconds and the caller would wait longer.

--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
@@ -352,6 +352,7 @@
                 options.protocol(),
                 services.executors(),
                 control.quarantine(),
+                control.configurationProof(),
                 services.leaseClock());
     }
 }
--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/IngressFixture.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/IngressFixture.java
@@ -57,6 +57,7 @@
     final FakeGate gate = new FakeGate();
     final FakePeers peers = new FakePeers();
     final FakeQuarantine quarantine = new FakeQuarantine();
+    final FakeConfigurationProof configurationProof = new FakeConfigurationProof();
     final FakeView view;
     final Ingress ingress;
     final HostAddress address;
@@ -80,6 +81,7 @@
                         Optional.empty(),
                         SingleThreadExecutor::new,
                         quarantine,
+                        configurationProof,
                         timers.clock()),
                 options);
         address = ingress.start(LOOPBACK);
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
@@ -47,6 +47,21 @@
     /** Service name in metrics and log lines for a request without a known service. */
     private static final String NO_SERVICE = "none";
 
+    /** A refusal with one of these codes is right only if the configuration is current. */
+    private static final Set<ResultCode> REFUSALS_BY_CONFIGURATION = Set.of(
+            ResultCode.UNKNOWN_SERVICE,
+            ResultCode.UNKNOWN_ROUTE,
+            ResultCode.METHOD_NOT_ALLOWED,
+            ResultCode.MALFORMED_KEY,
+            ResultCode.BAD_DEADLINE,
+            ResultCode.BODY_TOO_LARGE);
+
+    /** A configuration may come into force this long after it was confirmed. */
+    private static final long CONFIGURATION_PROOF_MAX_AGE_MS = 2_500;
+
+    /** The store is read again at the soonest after this time. */
+    private static final long CONFIGURATION_RETRY_AFTER_MS = 1_000;
+
     private static final int STATUS_BODY_TOO_LARGE = 413;
     private static final int STATUS_HEADER_TOO_LARGE = 431;
 
@@ -190,8 +205,52 @@
 
     private CompletableFuture<HttpResponse> handle(
             HttpRequest request, CompletableFuture<Void> connectionClosed, long receivedAtNanos) {
-        ParsedRequest parsed =
-                protocol.parse(request, dependencies.routingView().current());
+        ParsedRequest parsed = parse(request);
+        Optional<CallerAnswer> refusal = parsed.refusal();
+        if (refusal.isPresent()
+                && REFUSALS_BY_CONFIGURATION.contains(refusal.get().code())) {
+            return handleByCurrentConfiguration(request, connectionClosed, receivedAtNanos);
+        }
+        return handle(parsed, connectionClosed, receivedAtNanos);
+    }
+
+    private ParsedRequest parse(HttpRequest request) {
+        return protocol.parse(request, dependencies.routingView().current());
+    }
+
+    /**
+     * Handles a request that the configuration in force does not allow. A newer one may, so the request is refused only
+     * by a configuration that is known to be current.
+     */
+    private CompletableFuture<HttpResponse> handleByCurrentConfiguration(
+            HttpRequest request, CompletableFuture<Void> connectionClosed, long receivedAtNanos) {
+        inFlight.incrementAndGet();
+        return dependencies
+                .configurationProof()
+                .confirm(CONFIGURATION_PROOF_MAX_AGE_MS)
+                .exceptionally(failure -> false)
+                .thenComposeAsync(
+                        current -> {
+                            ParsedRequest parsed = parse(request);
+                            CompletableFuture<HttpResponse> response =
+                                    current || parsed.refusal().isEmpty()
+                                            ? handle(parsed, connectionClosed, receivedAtNanos)
+                                            : refuse(parsed, configurationUnconfirmed(), receivedAtNanos);
+                            onRequestFinished();
+                            return response;
+                        },
+                        dependencies.ioGroup());
+    }
+
+    private static CallerAnswer configurationUnconfirmed() {
+        return CallerAnswer.retryLater(
+                ResultCode.CONFIGURATION_UNCONFIRMED,
+                "the configuration of this daemon does not allow the request, and the store does not answer",
+                CONFIGURATION_RETRY_AFTER_MS);
+    }
+
+    private CompletableFuture<HttpResponse> handle(
+            ParsedRequest parsed, CompletableFuture<Void> connectionClosed, long receivedAtNanos) {
         if (parsed.refusal().isPresent()) {
             return refuse(parsed, parsed.refusal().get(), receivedAtNanos);
         }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/IngressDependencies.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/IngressDependencies.java
@@ -7,6 +7,7 @@
 import org.coriandercrank.kernel.id.FailureDomain;
 import org.coriandercrank.kernel.id.Region;
 import org.coriandercrank.kernel.log.DecisionLog;
+import org.coriandercrank.kernel.ownership.ConfigurationProof;
 import org.coriandercrank.kernel.ownership.OwnerGate;
 import org.coriandercrank.kernel.ownership.RequestQuarantine;
 import org.coriandercrank.kernel.ownership.RoutingView;
@@ -26,6 +27,7 @@
  * @param protocol the caller protocol; empty for the native protocol of this project
  * @param executorFactory creates the executor that routes requests
  * @param quarantine tells which requests must not be sent to backend servers
+ * @param configurationProof tells whether the configuration is recent enough to say that something is not in it
  * @param suspensionAwareClock measures the age of attempts; it should include the time in which the host is suspended
  */
 public record IngressDependencies(
@@ -43,4 +45,5 @@
         Optional<CallerProtocol> protocol,
         SerialExecutor.Factory executorFactory,
         RequestQuarantine quarantine,
+        ConfigurationProof configurationProof,
         MonotonicClock suspensionAwareClock) {}
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/code/ResultCode.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/code/ResultCode.java
@@ -44,6 +44,7 @@
     FENCE_REJECTED(214, 503, Outcome.NOT_RUN, "the backend server rejected the fencing token"),
     RETRY_BUDGET_EXHAUSTED(215, 503, Outcome.NOT_RUN, "too many retries at this daemon"),
     QUARANTINED(216, 503, Outcome.NOT_RUN, "servers crashed each time they ran the request; it is not sent to more"),
+    CONFIGURATION_UNCONFIRMED(217, 503, Outcome.NOT_RUN, "the daemon cannot tell whether its configuration is current"),
 
     OUTCOME_UNKNOWN(300, 504, Outcome.UNKNOWN, "the request was sent to a server and its answer was lost"),
     DEADLINE_EXPIRED_RUNNING(301, 504, Outcome.UNKNOWN, "the deadline passed while a server had the request"),
