Keep the evidence of a lost answer until a watch can be replaced

A suspect watch is now replaced once it is 2 s old, whenever it became suspect. Daemons that no peer informs watch the configuration as relays do. After an overdue call the next one does not wait. An overdue call that is no longer needed does not count again at every tick, and a failed call beside another one counts as a failure. A 404 needs a listing: a peer that is ahead may be behind others. A removal that is read again is no change, and one that was followed by a creation does not hide it. A relay that did not watch before does not ask for old history.

Ruled out: replacing suspects at once (calls in a store that loses many answers).

--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ConfigurationConfirmation.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ConfigurationConfirmation.java
@@ -13,6 +13,9 @@
 /**
  * Knows until when the configuration in force was the newest, and reads it from the store when a caller must know.
  *
+ * <p>Only a listing confirms: a peer that is ahead may be behind others, and a watch may end while the store withholds a
+ * change.
+ *
  * <p>Invariant: at most one read is outstanding; requests that wait at the same time share it. {@link #ageMs} and {@link
  * #confirm} are thread safe; the other methods must be called on the control thread.
  */
@@ -27,8 +30,9 @@
     private final Runnable failureListener;
     private final List<CompletableFuture<Boolean>> waiting = new ArrayList<>();
     private boolean reading;
-    private OptionalLong failedNanos = OptionalLong.empty();
     private volatile long provenNanos = NEVER;
+    private volatile long readNanos = NEVER;
+    private volatile long failedNanos = NEVER;
 
     /**
      * @param readListener applies a listing that was read, before those who wait for it are told
@@ -48,6 +52,13 @@
         }
     }
 
+    /** Notes that a listing which was started at this time has been applied. */
+    void read(long nanos) {
+        if (readNanos == NEVER || nanos - readNanos > 0) {
+            readNanos = nanos;
+        }
+    }
+
     @Override
     public OptionalLong ageMs() {
         long nanos = provenNanos;
@@ -58,25 +69,23 @@
 
     @Override
     public CompletableFuture<Boolean> confirm(long maxAgeMs) {
-        if (isProvenWithin(maxAgeMs)) {
+        if (isWithin(readNanos, TimeUnit.MILLISECONDS.toNanos(maxAgeMs))) {
             return CompletableFuture.completedFuture(true);
         }
+        if (isWithin(failedNanos, RETRY_NANOS)) {
+            return CompletableFuture.completedFuture(false);
+        }
         return context.submit(() -> confirmOnControlThread(maxAgeMs)).thenCompose(result -> result);
     }
 
-    private boolean isProvenWithin(long maxAgeMs) {
-        OptionalLong ageMs = ageMs();
-        return ageMs.isPresent() && ageMs.getAsLong() <= maxAgeMs;
+    private boolean isWithin(long nanos, long limitNanos) {
+        return nanos != NEVER && context.nowNanos() - nanos <= limitNanos;
     }
 
     private CompletableFuture<Boolean> confirmOnControlThread(long maxAgeMs) {
-        if (isProvenWithin(maxAgeMs)) {
+        if (isWithin(readNanos, TimeUnit.MILLISECONDS.toNanos(maxAgeMs))) {
             return CompletableFuture.completedFuture(true);
         }
-        boolean failedRecently = failedNanos.isPresent() && context.nowNanos() - failedNanos.getAsLong() < RETRY_NANOS;
-        if (!reading && failedRecently) {
-            return CompletableFuture.completedFuture(false);
-        }
         CompletableFuture<Boolean> result = new CompletableFuture<>();
         waiting.add(result);
         if (!reading) {
@@ -97,10 +106,10 @@
                     context.log(() -> "event=configuration-confirmed success=" + (failure == null) + " waiting="
                             + waiting.size());
                     if (failure == null) {
-                        failedNanos = OptionalLong.empty();
+                        failedNanos = NEVER;
                         readListener.accept(call, new WatchBatch(listing.upTo(), listing.changes(), true));
                     } else {
-                        failedNanos = OptionalLong.of(context.nowNanos());
+                        failedNanos = context.nowNanos();
                         failureListener.run();
                     }
                     List<CompletableFuture<Boolean>> told = List.copyOf(waiting);
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
@@ -242,7 +242,8 @@
             }
         }
         quarantine.expire();
-        dissemination.tick(membership.desired(), joinRequested, membership.suspects(), nowNanos);
+        boolean participating = joinRequested && !membership.isEnded();
+        dissemination.tick(membership.desired(), participating, membership.suspects(), nowNanos);
         status = buildStatus();
     }
 
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -44,21 +44,6 @@
  * succession are returned together. Control thread only.
  */
 public final class Dissemination {
-    /** The daemon with rank 1 starts a fallback watch after this many watch waits without an advance of its digest. */
-    private static final double FALLBACK_AFTER_WAITS = 2.5;
-
-    /** A fallback watch is no longer needed if a peer advanced the digest within this many watch waits. */
-    private static final int FALLBACK_PEER_SILENCE_WAITS = 2;
-
-    /** Additional watch waits before a fallback watch, for each rank above 1. */
-    private static final double EXTRA_WAITS_PER_RANK = 1;
-
-    /**
-     * Up to this rank, the wait depends on the rank alone. Daemons of higher ranks wait longer, by a random number of
-     * watch waits.
-     */
-    private static final int MAX_FALLBACK_RANK = 8;
-
     private static final long NANOS_PER_MS = 1_000_000;
     private static final long MAX_RETRY_MS = 1_000;
 
@@ -79,7 +64,7 @@
     /** A watch answers a change that this daemon has learned from a peer within this time. */
     private static final long KNOWN_CHANGE_ANSWER_NANOS = 500 * NANOS_PER_MS;
 
-    /** Younger calls are not suspected, so that a store that loses many answers is not called ever more often. */
+    /** Suspects are replaced at this age, so that a store that loses many answers is not called ever more often. */
     private static final long MIN_SUSPECT_AGE_NANOS = 2_000 * NANOS_PER_MS;
 
     /** Time in which the answer that names a new era is followed by the listing that it leads to. */
@@ -92,7 +77,7 @@
     private final ClusterView view;
     private final ControlMetrics metrics;
     private final Map<FetchObject.Kind, KindSync> syncs = new EnumMap<>(FetchObject.Kind.class);
-    private final int fallbackRankOffset;
+    private final FallbackPolicy fallbackPolicy;
     private final StartupWatch startupWatch;
     private final RelayRanking ranking;
     private final ConfigurationConfirmation confirmation;
@@ -104,7 +89,7 @@
         this.context = context;
         this.view = view;
         this.metrics = metrics;
-        this.fallbackRankOffset = context.random().nextInt(MAX_FALLBACK_RANK);
+        this.fallbackPolicy = new FallbackPolicy(context);
         this.ranking = new RelayRanking(view);
         this.fetcher = new PeerFetcher(context, view, metrics, this::peerAnswered);
         this.confirmation = new ConfigurationConfirmation(context, this::configurationRead, this::storeDidNotAnswer);
@@ -176,10 +161,12 @@
             boolean earlierEra = outdatedForNanos > ERA_ANSWER_NANOS && call.ageNanos(nowNanos) > outdatedForNanos;
             boolean waitsTooLong = !mustList && waitMs.isPresent() && waitMs.getAsLong() < call.waitMs();
             boolean lost = call.isOverdue(nowNanos) && call.remainingNanos(nowNanos) > LATE_ANSWER_NANOS;
-            if (earlierEra || waitsTooLong || lost || call.isSuspect()) {
+            boolean suspect = call.isSuspect() && call.ageNanos(nowNanos) >= MIN_SUSPECT_AGE_NANOS;
+            boolean needed = mustList || waitMs.isPresent();
+            if (needed && (earlierEra || waitsTooLong || lost || suspect)) {
                 callReplaced(sync, call, lost, nowNanos);
                 sync.cancelCalls();
-            } else if (call.isOverdue(nowNanos) && sync.mayAddCall()) {
+            } else if (needed && call.isOverdue(nowNanos) && sync.mayAddCall()) {
                 callReplaced(sync, call, true, nowNanos);
             } else {
                 return;
@@ -199,9 +186,13 @@
         context.log(() -> "event=store-call-replaced kind=" + sync.kind() + " listing=" + call.listing() + " waitMs="
                 + call.waitMs() + " ageMs=" + call.ageNanos(nowNanos) / NANOS_PER_MS + " overdue=" + overdue
                 + " suspect=" + call.isSuspect() + " relay=" + relay + " fallback=" + sync.isFallback());
+        if (call.isSuspect()) {
+            sync.setUnanswered();
+        }
         if (overdue) {
+            sync.setUnanswered();
             metrics.storeAnswerMissing();
-            syncs.values().stream().filter(other -> other != sync).forEach(other -> suspectCall(other, nowNanos));
+            syncs.values().stream().filter(other -> other != sync).forEach(this::suspectCall);
         }
     }
 
@@ -210,17 +201,11 @@
      * outstanding watches are replaced.
      */
     public void storeDidNotAnswer() {
-        long nowNanos = context.nowNanos();
-        syncs.values().forEach(sync -> suspectCall(sync, nowNanos));
+        syncs.values().forEach(this::suspectCall);
     }
 
-    private void suspectCall(KindSync sync, long nowNanos) {
-        sync.latestCall()
-                .filter(call -> call.ageNanos(nowNanos) >= MIN_SUSPECT_AGE_NANOS && !call.isOverdue(nowNanos))
-                .ifPresent(call -> {
-                    call.markSuspect();
-                    sync.setUnanswered();
-                });
+    private void suspectCall(KindSync sync) {
+        sync.latestCall().ifPresent(StoreCall::markSuspect);
     }
 
     /**
@@ -229,7 +214,7 @@
      */
     public void peerDidNotAnswer(MemberId peer) {
         if (ranking.isRelayOfRegion(peer)) {
-            suspectCall(syncs.get(FetchObject.Kind.CONFIGURATION), context.nowNanos());
+            suspectCall(syncs.get(FetchObject.Kind.CONFIGURATION));
         }
     }
 
@@ -241,13 +226,14 @@
         if (relay || sync.isFallback()) {
             return OptionalLong.of(options.relayWatchWaitMs(kind));
         }
-        if (kind == FetchObject.Kind.CONFIGURATION && options.configurationWatchWaitMs() > 0) {
-            return OptionalLong.of(options.configurationWatchWaitMs());
-        }
         boolean uninformed = participating
                 ? settled && kind == FetchObject.Kind.MEMBERS && startupWatch.isNeeded(self, nowNanos)
                 : startupWatch.isNeededUnjoined(nowNanos);
-        return uninformed ? OptionalLong.of(options.relayWatchWaitMs(kind)) : OptionalLong.empty();
+        if (uninformed) {
+            return OptionalLong.of(options.relayWatchWaitMs(kind));
+        }
+        boolean ownWatch = kind == FetchObject.Kind.CONFIGURATION && options.configurationWatchWaitMs() > 0;
+        return ownWatch ? OptionalLong.of(options.configurationWatchWaitMs()) : OptionalLong.empty();
     }
 
     /** Handles the digest of a peer: fetches the changes that the peer knows and this daemon does not. */
@@ -276,7 +262,9 @@
     private void updateFallback(KindSync sync, Member self, boolean settled, long nowNanos) {
         boolean newFallback = settled
                 && !relay
-                && (sync.isFallback() ? isFallbackStillNeeded(sync, nowNanos) : isFallbackDue(sync, nowNanos));
+                && (sync.isFallback()
+                        ? fallbackPolicy.isStillNeeded(sync, nowNanos)
+                        : fallbackPolicy.isDue(sync, ranking.rank(), nowNanos));
         if (newFallback != sync.isFallback()) {
             sync.setFallback(newFallback);
             context.log(() -> "event=fallback-watch member=" + self.id() + " kind=" + sync.kind() + " active="
@@ -284,24 +272,6 @@
         }
     }
 
-    /**
-     * Whether the digest has not advanced for so long that this daemon must watch the store. The wait grows with the
-     * rank. Beyond the largest rank it has a random part, so that not all daemons of a large cluster start to watch
-     * together.
-     */
-    private boolean isFallbackDue(KindSync sync, long nowNanos) {
-        int rank = ranking.rank();
-        int rankSteps = rank <= MAX_FALLBACK_RANK ? rank - 1 : MAX_FALLBACK_RANK + fallbackRankOffset;
-        double waits = FALLBACK_AFTER_WAITS + EXTRA_WAITS_PER_RANK * Math.max(0, rankSteps);
-        return nowNanos - sync.lastAdvanceNanos() > waits * context.options().watchWaitMs() * NANOS_PER_MS;
-    }
-
-    /** Whether peers have not advanced the digest recently, so that this daemon still has to watch the store. */
-    private boolean isFallbackStillNeeded(KindSync sync, long nowNanos) {
-        return nowNanos - sync.lastPeerAdvanceNanos()
-                > FALLBACK_PEER_SILENCE_WAITS * context.options().watchWaitMs() * NANOS_PER_MS;
-    }
-
     private void list(KindSync sync) {
         long timeoutMs = sync.kind() == FetchObject.Kind.CONFIGURATION
                 ? context.options().storeTimeoutMs()
@@ -345,26 +315,32 @@
         boolean reset = call.listing() || batch.reset();
         if (reset) {
             sync.setListed();
-            sync.listingRead(batch.upTo());
+            sync.listingRead(batch.upTo(), nowNanos);
         } else {
             sync.watchRead();
         }
-        if (sync.kind() == FetchObject.Kind.CONFIGURATION) {
-            confirmation.proven(call.provenNanos(batch.changes().isEmpty(), nowNanos));
-        }
         ObjectData data = new ObjectData(sync.kind(), batch.upTo(), reset, batch.changes());
         Revision before = view.completeUpTo(sync.kind());
         List<StoredObject> applied = apply(sync, data, reset ? UpdateSource.LISTING : UpdateSource.WATCH);
+        if (sync.kind() == FetchObject.Kind.CONFIGURATION) {
+            confirmation.proven(call.provenNanos(batch.changes().isEmpty(), nowNanos));
+            if (reset) {
+                confirmation.read(call.startedNanos());
+            }
+        }
         if (!reset) {
-            pushMissed(sync.kind(), before, applied);
+            changesMissed(sync, before, applied);
         }
         if (!view.completeUpTo(sync.kind()).isNewerThan(before) && (relay || sync.isFallback())) {
             storeUnchanged(sync, nowNanos);
         }
     }
 
-    /** Sends peers the changes that the store withheld while it advanced the position, which they do not ask for. */
-    private void pushMissed(FetchObject.Kind kind, Revision before, List<StoredObject> applied) {
+    /**
+     * Handles changes that the store withheld while it advanced the position. Other members do not ask for them, so the
+     * relay sends them.
+     */
+    private void changesMissed(KindSync sync, Revision before, List<StoredObject> applied) {
         List<StoredObject> missed = applied.stream()
                 .filter(object -> !object.revision().isNewerThan(before))
                 .toList();
@@ -372,11 +348,13 @@
             return;
         }
         metrics.changesMissed(missed.size());
-        context.log(() -> "event=missed-changes kind=" + kind + " position=" + before + " objects="
+        context.log(() -> "event=missed-changes kind=" + sync.kind() + " position=" + before + " objects="
                 + missed.stream()
                         .map(object -> object.name() + "@" + object.revision())
                         .toList());
-        MemberPush.send(context, view, new ObjectData(kind, Revision.NONE, false, missed));
+        if (relay || sync.isFallback()) {
+            MemberPush.sendMissed(context, view, new ObjectData(sync.kind(), Revision.NONE, false, missed));
+        }
     }
 
     private long watchIntervalNanos() {
@@ -396,11 +374,10 @@
         long retryMs = context.jitteredMs(sync.retryMs());
         context.log(() -> "event=store-retry operation=" + (call.listing() ? "list" : "watch") + " kind=" + sync.kind()
                 + " code=" + failure.code() + " retryMs=" + retryMs);
-        if (sync.hasCalls()) {
-            return;
-        }
-        sync.retryAt(context.nowNanos() + retryMs * NANOS_PER_MS);
         sync.failed(maxRetryMs(sync));
+        if (!sync.hasCalls()) {
+            sync.retryAt(context.nowNanos() + retryMs * NANOS_PER_MS);
+        }
     }
 
     private long maxRetryMs(KindSync sync) {
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/KindSync.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/KindSync.java
@@ -164,7 +164,8 @@
     }
 
     /** Notes that a complete listing was read, in which nothing can have been withheld. */
-    void listingRead(Revision upTo) {
+    void listingRead(Revision upTo, long nowNanos) {
+        lastRereadNanos = nowNanos;
         reached.clear();
         rereadFrom = upTo;
         rereadUpTo = Revision.NONE;
@@ -217,7 +218,12 @@
             boolean knownObject = latestObject.isNewerThan(settled) && !latestObject.isNewerThan(position);
             return knownObject ? latestObject : settled;
         }
-        boolean due = nowNanos - lastRereadNanos >= MAX_REREAD_INTERVAL_NANOS;
+        long sinceRereadNanos = nowNanos - lastRereadNanos;
+        if (sinceRereadNanos > 2 * MAX_REREAD_INTERVAL_NANOS) {
+            // This daemon has not watched the kind, and the store may no longer have the history since it last did.
+            rereadFrom = settled;
+        }
+        boolean due = sinceRereadNanos >= MAX_REREAD_INTERVAL_NANOS;
         boolean sameEra = rereadFrom.era().equals(position.era());
         if (!sameEra || rereadFrom.isNewerThan(position) || (latestObject.isNewerThan(rereadFrom) && !due)) {
             return position;
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ObjectCache.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ObjectCache.java
@@ -70,8 +70,11 @@
         if ((reset && completeUpTo.isNewerThan(upTo)) || (!reset && otherEra)) {
             return applied;
         }
+        Map<String, StoredObject> latest = new HashMap<>();
+        changes.forEach(change -> latest.put(change.name(), change));
         for (StoredObject change : changes) {
-            if (change.revision().isNewerThan(tombstonesCompleteSince) && put(change)) {
+            boolean recreated = change.deleted() && !latest.get(change.name()).deleted();
+            if (!recreated && change.revision().isNewerThan(tombstonesCompleteSince) && put(change)) {
                 applied.add(change);
             }
         }
@@ -121,15 +124,15 @@
         if (!change.revision().isNewerThan(knownRevision(change.name()))) {
             return false;
         }
-        tombstones.remove(change.name());
-        if (change.deleted()) {
-            objects.remove(change.name());
-            tombstones.put(change.name(), change);
-            evictOldTombstones();
-        } else {
+        boolean alreadyDeleted = tombstones.remove(change.name()) != null;
+        if (!change.deleted()) {
             objects.put(change.name(), change);
+            return true;
         }
-        return true;
+        objects.remove(change.name());
+        tombstones.put(change.name(), change);
+        evictOldTombstones();
+        return !alreadyDeleted;
     }
 
     private Revision knownRevision(String name) {
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
@@ -224,7 +224,13 @@
      */
     private CompletableFuture<HttpResponse> handleByCurrentConfiguration(
             HttpRequest request, CompletableFuture<Void> connectionClosed, long receivedAtNanos) {
-        inFlight.incrementAndGet();
+        if (inFlight.incrementAndGet() > options.maxInFlight()) {
+            onRequestFinished();
+            return refuse(
+                    parse(request),
+                    CallerAnswer.of(ResultCode.OVERLOADED, "this daemon has too many requests in flight"),
+                    receivedAtNanos);
+        }
         return dependencies
                 .configurationProof()
                 .confirm(CONFIGURATION_PROOF_MAX_AGE_MS)
