Name the configuration in each line about a request

The lines refuse, route and answer now have the version by which the request was read (configurationVersion) and how long ago the configuration in force was known to be the newest (configurationProofMs, or none).

Evidence: LoggedConfigurationTest over HTTP, 2 tests, for refuse and route; StaleConfigurationTest still passes. No test reads the fields of answer.

--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/IngressFixture.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/IngressFixture.java
@@ -64,6 +64,10 @@
     private final HttpClient client;
 
     IngressFixture(RoutingSnapshot snapshot, IngressOptions options) {
+        this(snapshot, options, 0);
+    }
+
+    IngressFixture(RoutingSnapshot snapshot, IngressOptions options, long logLinesPerSecond) {
         view = new FakeView(snapshot);
         ingress = new Ingress(
                 new IngressDependencies(
@@ -74,7 +78,7 @@
                         peerHandlers,
                         timers,
                         PluginRegistry.load(),
-                        new DecisionLog(0, timers.clock()),
+                        new DecisionLog(logLinesPerSecond, timers.clock()),
                         meters,
                         new Region("east"),
                         new FailureDomain("east-a"),
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
@@ -26,6 +26,7 @@
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.id.HostAddress;
 import org.coriandercrank.kernel.id.RequestId;
+import org.coriandercrank.kernel.ownership.RoutingSnapshot;
 import org.coriandercrank.kernel.request.CallerAnswer;
 
 /**
@@ -189,6 +190,13 @@
         executor.close();
     }
 
+    /** A request and the version of the configuration by which it was parsed. */
+    private record Parsed(ParsedRequest request, long configurationVersion) {
+        Optional<CallerAnswer> refusal() {
+            return request.refusal();
+        }
+    }
+
     private final class CallerHandler implements HttpHandler {
         @Override
         public CompletableFuture<HttpResponse> handle(HttpRequest request, CompletableFuture<Void> connectionClosed) {
@@ -205,7 +213,7 @@
 
     private CompletableFuture<HttpResponse> handle(
             HttpRequest request, CompletableFuture<Void> connectionClosed, long receivedAtNanos) {
-        ParsedRequest parsed = parse(request);
+        Parsed parsed = parse(request);
         Optional<CallerAnswer> refusal = parsed.refusal();
         if (refusal.isPresent()
                 && REFUSALS_BY_CONFIGURATION.contains(refusal.get().code())) {
@@ -214,8 +222,10 @@
         return handle(parsed, connectionClosed, receivedAtNanos);
     }
 
-    private ParsedRequest parse(HttpRequest request) {
-        return protocol.parse(request, dependencies.routingView().current());
+    private Parsed parse(HttpRequest request) {
+        RoutingSnapshot snapshot = dependencies.routingView().current();
+        return new Parsed(
+                protocol.parse(request, snapshot), snapshot.configuration().version());
     }
 
     /**
@@ -231,7 +241,7 @@
                 .exceptionally(failure -> false)
                 .thenComposeAsync(
                         current -> {
-                            ParsedRequest parsed = parse(request);
+                            Parsed parsed = parse(request);
                             CompletableFuture<HttpResponse> response =
                                     current || parsed.refusal().isEmpty()
                                             ? handle(parsed, connectionClosed, receivedAtNanos)
@@ -250,7 +260,7 @@
     }
 
     private CompletableFuture<HttpResponse> handle(
-            ParsedRequest parsed, CompletableFuture<Void> connectionClosed, long receivedAtNanos) {
+            Parsed parsed, CompletableFuture<Void> connectionClosed, long receivedAtNanos) {
         if (parsed.refusal().isPresent()) {
             return refuse(parsed, parsed.refusal().get(), receivedAtNanos);
         }
@@ -263,8 +273,12 @@
             return refuse(parsed, refusal, receivedAtNanos);
         }
         CompletableFuture<DispatchResult> result = new CompletableFuture<>();
-        RequestDispatch dispatch =
-                new RequestDispatch(context, parsed.accepted().orElseThrow(), receivedAtNanos, result);
+        RequestDispatch dispatch = new RequestDispatch(
+                context,
+                parsed.request().accepted().orElseThrow(),
+                parsed.configurationVersion(),
+                receivedAtNanos,
+                result);
         dispatches.add(dispatch);
         if (!executor.offer(() -> startDispatch(dispatch, result))) {
             dispatches.remove(dispatch);
@@ -283,8 +297,9 @@
             dispatches.remove(dispatch);
             onRequestFinished();
             return failure == null
-                    ? toHttpResponse(parsed.id(), answer)
-                    : toHttpResponse(parsed.id(), new DispatchResult(internalErrorAnswer(failure), Optional.empty()));
+                    ? toHttpResponse(parsed.request().id(), answer)
+                    : toHttpResponse(
+                            parsed.request().id(), new DispatchResult(internalErrorAnswer(failure), Optional.empty()));
         });
     }
 
@@ -307,15 +322,17 @@
         return CallerAnswer.of(ResultCode.INTERNAL, "unexpected error");
     }
 
-    private CompletableFuture<HttpResponse> refuse(ParsedRequest parsed, CallerAnswer refusal, long receivedAtNanos) {
-        String service = parsed.accepted().map(a -> a.service().name().value()).orElse(NO_SERVICE);
+    private CompletableFuture<HttpResponse> refuse(Parsed parsed, CallerAnswer refusal, long receivedAtNanos) {
+        ParsedRequest request = parsed.request();
+        String service = request.accepted().map(a -> a.service().name().value()).orElse(NO_SERVICE);
         metrics.recordRequest(
                 service, refusal.code(), dependencies.timers().clock().nowNanos() - receivedAtNanos);
         dependencies
                 .decisionLog()
-                .log(() -> "event=refuse service=" + service + " request=" + parsed.id() + " result=" + refusal.code());
+                .log(() -> "event=refuse service=" + service + " request=" + request.id() + " result=" + refusal.code()
+                        + context.configurationFields(parsed.configurationVersion()));
         return CompletableFuture.completedFuture(
-                protocol.render(parsed.id(), refusal, Optional.empty(), keepAliveDisabled));
+                protocol.render(request.id(), refusal, Optional.empty(), keepAliveDisabled));
     }
 
     /** Renders the response to a request that the HTTP server rejected with a status. */
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
@@ -255,7 +255,8 @@
                         + " attempt=" + attempt.number()
                         + " reason=" + attempt.reason()
                         + " result=" + result
-                        + " latencyMs=" + latencyMs);
+                        + " latencyMs=" + latencyMs
+                        + dispatch.configurationFields());
     }
 
     private boolean isLoadBalanced() {
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/DispatchContext.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/DispatchContext.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.ingress.internal.routing;
 
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.coriandercrank.ingress.IngressDependencies;
 import org.coriandercrank.ingress.IngressOptions;
@@ -34,6 +35,18 @@
         return dependencies.timers().once(Math.max(0, delayMs), executor, task);
     }
 
+    /**
+     * Returns the fields of a log line about a request that tell by which configuration it was decided, and how long ago
+     * the configuration in force was known to be the newest.
+     *
+     * @param version version of the configuration by which the request was parsed
+     */
+    public String configurationFields(long version) {
+        OptionalLong proofAgeMs = dependencies.configurationProof().ageMs();
+        return " configurationVersion=" + version + " configurationProofMs="
+                + (proofAgeMs.isPresent() ? Long.toString(proofAgeMs.getAsLong()) : "none");
+    }
+
     long nowNanos() {
         return dependencies.timers().clock().nowNanos();
     }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
@@ -47,6 +47,7 @@
     private final DispatchContext context;
     private final CallerRequest request;
     private final ServiceConfig service;
+    private final long configurationVersion;
     private final boolean repeatable;
     private final int maxServers;
     private final Optional<KeyHash> keyHash;
@@ -68,15 +69,20 @@
     /** Set when the caller leaves; the cancellation itself waits behind earlier tasks of the executor. */
     private volatile boolean callerLeft;
 
-    /** @param receivedAtNanos clock time when the request was received, from which its deadline counts */
+    /**
+     * @param configurationVersion version of the configuration that has the service
+     * @param receivedAtNanos clock time when the request was received, from which its deadline counts
+     */
     public RequestDispatch(
             DispatchContext context,
             ParsedRequest.Accepted accepted,
+            long configurationVersion,
             long receivedAtNanos,
             CompletableFuture<DispatchResult> result) {
         this.context = context;
         this.request = accepted.request();
         this.service = accepted.service();
+        this.configurationVersion = configurationVersion;
         this.repeatable = request.isRepeatable(service);
         this.maxServers = request.rules().map(RequestRules::maxServers).orElse(Integer.MAX_VALUE);
         this.keyHash = request.key().map(key -> key.hash());
@@ -394,7 +400,8 @@
                             + request.fingerprint().map(Object::toString).orElse("-")
                             + " attempt=" + history.sendCount()
                             + " result=" + code
-                            + " latencyMs=" + latencyMs);
+                            + " latencyMs=" + latencyMs
+                            + configurationFields());
         }
     }
 
@@ -414,6 +421,11 @@
         return request;
     }
 
+    /** Returns the fields of a log line that tell by which configuration the request is routed. */
+    String configurationFields() {
+        return context.configurationFields(configurationVersion);
+    }
+
     Optional<KeyHash> keyHash() {
         return keyHash;
     }
