Count a configuration as proven only once it is in force

The age of the proof is read on other threads. An answer of the store with a newer configuration set the proof first and published the configuration afterwards, so that a request in between could be refused by the old configuration as if that were the newest. The order is reversed.

--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -349,12 +349,12 @@
         } else {
             sync.watchRead();
         }
-        if (sync.kind() == FetchObject.Kind.CONFIGURATION) {
-            confirmation.proven(call.provenNanos(batch.changes().isEmpty(), nowNanos));
-        }
         ObjectData data = new ObjectData(sync.kind(), batch.upTo(), reset, batch.changes());
         Revision before = view.completeUpTo(sync.kind());
         List<StoredObject> applied = apply(sync, data, reset ? UpdateSource.LISTING : UpdateSource.WATCH);
+        if (sync.kind() == FetchObject.Kind.CONFIGURATION) {
+            confirmation.proven(call.provenNanos(batch.changes().isEmpty(), nowNanos));
+        }
         if (!reset) {
             pushMissed(sync.kind(), before, applied);
         }
