Log how old the proof of a replaced configuration was

configuration-in-force did not tell whether the daemon had taken the former configuration for current until the change. The lines configuration-in-force and configuration-kept now have proofAgeMs, or none before the first proof.

--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.config.Configuration;
@@ -65,6 +66,7 @@
     private volatile RoutingSnapshot snapshot;
     private volatile StoreEra storeEra = StoreEra.NONE;
     private Era reportedEra = Era.NONE;
+    private Supplier<OptionalLong> proofAgeMs = OptionalLong::empty;
 
     /** @param memberListener called on the control thread with each member record that is new or has changed */
     public ClusterView(ControlContext context, MemberId self, Consumer<Member> memberListener) {
@@ -76,6 +78,19 @@
         }
     }
 
+    /**
+     * Sets what tells, for log lines, how many milliseconds ago the configuration in force was known to be the newest;
+     * empty if it never was.
+     */
+    void reportProofAge(Supplier<OptionalLong> newProofAgeMs) {
+        proofAgeMs = newProofAgeMs;
+    }
+
+    private String proofAge() {
+        OptionalLong ageMs = proofAgeMs.get();
+        return ageMs.isPresent() ? Long.toString(ageMs.getAsLong()) : "none";
+    }
+
     /** Returns the prefix of the object names of a kind. */
     public static String prefix(FetchObject.Kind kind) {
         return switch (kind) {
@@ -235,13 +250,14 @@
         if (change.revision().era().isNewerThan(configurationRevision.era())
                 && changed.version() < configuration.version()) {
             context.log(() -> "event=configuration-kept revision=" + configurationRevision + " version="
-                    + configuration.version() + " stored=" + changed.version());
+                    + configuration.version() + " stored=" + changed.version() + " proofAgeMs=" + proofAge());
             return;
         }
         configuration = changed;
         configurationRevision = change.revision();
         context.log(() -> "event=configuration-in-force version=" + changed.version() + " revision=" + change.revision()
-                + " source=" + source + " position=" + completeUpTo(FetchObject.Kind.CONFIGURATION));
+                + " source=" + source + " position=" + completeUpTo(FetchObject.Kind.CONFIGURATION)
+                + " proofAgeMs=" + proofAge());
     }
 
     private void decodeMember(StoredObject change) {
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -108,6 +108,7 @@
         this.ranking = new RelayRanking(view);
         this.fetcher = new PeerFetcher(context, view, metrics, this::peerAnswered);
         this.confirmation = new ConfigurationConfirmation(context, this::configurationRead, this::storeDidNotAnswer);
+        view.reportProofAge(confirmation::ageMs);
         long nowNanos = context.nowNanos();
         startupWatch = new StartupWatch(context, view);
         for (FetchObject.Kind kind : FetchObject.Kind.values()) {
