Show operators a daemon without proof of its configuration

The gauges crank.configuration.version and crank.configuration.proof.age.ms show it, and a daemon without a proof for 10 s writes configuration-proof-old once, and configuration-proof-regained when it has one again. The limit lies above the ages of a fleet in which nothing is wrong.

Evidence: ConfigurationProofTest, 16 hosts in virtual time with the options of the users' platform. 120 s of a quiet fleet, from 5 s after the restart of all hosts: no line, oldest proof 8920 ms. A store that is silent for 15 s: one line by each daemon, and one by each within 5 s of its return. Not covered: several regions, fleets of more hosts, the values of the gauges.

--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
@@ -48,6 +48,7 @@
     private final ControlContext context;
     private final ClusterView view;
     private final Dissemination dissemination;
+    private final ConfigurationProofMonitor proofMonitor;
     private final ControlMetrics metrics;
     private final QuarantineLedger quarantine;
     private final TakeoverCoordinator takeovers;
@@ -80,6 +81,9 @@
                 () -> status.takeovers().size(),
                 quarantine::quarantinedRequests);
         dissemination = new Dissemination(context, view, metrics);
+        proofMonitor = new ConfigurationProofMonitor(dissemination.configurationProof(), context.nowNanos());
+        metrics.registerConfiguration(
+                () -> view.current().configuration().version(), dissemination.configurationProof());
         takeovers = new TakeoverCoordinator(context, view, metrics, self);
         predecessors = new PredecessorSealer(context, view);
         membership = newMembership(parameters);
@@ -243,6 +247,7 @@
         }
         quarantine.expire();
         dissemination.tick(membership.desired(), joinRequested, membership.suspects(), nowNanos);
+        proofMonitor.tick(view.current().configuration().version(), nowNanos);
         status = buildStatus();
     }
 
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlMetrics.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlMetrics.java
@@ -3,10 +3,13 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
+import java.util.OptionalLong;
 import java.util.function.Supplier;
+import org.coriandercrank.kernel.ownership.ConfigurationProof;
 
 /** Metrics of the control plane. Thread safe. */
 public final class ControlMetrics {
+    private final MeterRegistry registry;
     private final Counter heartbeats;
     private final Counter refusals;
     private final Counter seals;
@@ -22,6 +25,7 @@
             Supplier<Number> leaseRemainingMs,
             Supplier<Number> takeovers,
             Supplier<Number> quarantinedRequests) {
+        this.registry = registry;
         heartbeats = registry.counter("crank.control.heartbeats.sent");
         refusals = registry.counter("crank.control.refusals");
         seals = registry.counter("crank.control.seals");
@@ -36,6 +40,22 @@
         Gauge.builder("crank.control.quarantined.requests", quarantinedRequests).register(registry);
     }
 
+    /**
+     * Registers what is known about the configuration.
+     *
+     * @param proof its age is not a number as long as there is no proof
+     */
+    public void registerConfiguration(Supplier<Number> version, ConfigurationProof proof) {
+        Gauge.builder("crank.configuration.version", version).register(registry);
+        Gauge.builder("crank.configuration.proof.age.ms", () -> proofAgeMs(proof))
+                .register(registry);
+    }
+
+    private static Number proofAgeMs(ConfigurationProof proof) {
+        OptionalLong ageMs = proof.ageMs();
+        return ageMs.isPresent() ? (double) ageMs.getAsLong() : Double.NaN;
+    }
+
     public void heartbeatSent() {
         heartbeats.increment();
     }
