Write one line for links that close for the same reason

The first link to a daemon that ends for a reason still has its line at once; further ones within 5 s are counted in one line at the end of that time, or at the stop of this daemon. Links that a daemon closes because it stops have one line together. Each closed link is in exactly one line, with the number of links and of outstanding calls. Numbers in a reason, such as the time of a silence, do not make it another one.

Evidence: ClosedLinkLinesTest: a stop with 5 links writes 1 line, 20 attempts to a daemon that is down write 2. The line at the end of the 5 s is tested only in the form that a stop writes. CutAnswerTest and WaitingRequestTest pass.

--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/LinkTable.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/LinkTable.java
@@ -32,6 +32,7 @@
     private final TrafficMeter meter;
     private final Map<LinkKey, PeerLink> links = new ConcurrentHashMap<>();
     private final UnansweredTargets unanswered = new UnansweredTargets();
+    private final ClosedLinkLog closedLinks;
 
     public LinkTable(
             EventLoopGroup group, Supplier<MemberId> self, String localIp, PeerOptions options, MeterRegistry metrics) {
@@ -40,6 +41,7 @@
         this.localIp = localIp;
         this.options = options;
         this.meter = new TrafficMeter(metrics);
+        this.closedLinks = new ClosedLinkLog(group);
         metrics.gaugeMapSize("crank.peer.links", List.of(), links);
     }
 
@@ -50,13 +52,22 @@
 
     private PeerLink open(LinkKey ends) {
         PeerLink link = new PeerLink(
-                ends.source(), ends.target(), options, meter, group.next(), unanswered, () -> links.remove(ends));
+                ends.source(),
+                ends.target(),
+                options,
+                meter,
+                group.next(),
+                unanswered,
+                closedLinks,
+                () -> links.remove(ends));
         link.open();
         return link;
     }
 
     @Override
     public void close() {
-        List.copyOf(links.values()).forEach(PeerLink::close);
+        List<PeerLink> open = List.copyOf(links.values());
+        closedLinks.stopping(open.size());
+        open.forEach(PeerLink::close);
     }
 }
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
@@ -1,6 +1,5 @@
 package org.coriandercrank.peer.internal;
 
-import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -44,7 +43,8 @@
  * request that is cancelled meanwhile is not written, and its remaining time is shorter by the wait.
  */
 public final class PeerLink {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    static final String CLOSED_BY_THIS_DAEMON = "connection closed by this daemon";
+
     private static final long SILENCE_CHECK_PERIOD_MS = 100;
 
     private record OutstandingCall(
@@ -73,6 +73,7 @@
     private final TrafficMeter meter;
     private final EventLoop loop;
     private final UnansweredTargets unanswered;
+    private final ClosedLinkLog closedLinks;
     private final Runnable onClosed;
 
     /** Whether calls fail until the handshake is complete, because the attempt before this one was not answered. */
@@ -104,6 +105,7 @@
             TrafficMeter meter,
             EventLoop loop,
             UnansweredTargets unanswered,
+            ClosedLinkLog closedLinks,
             Runnable onClosed) {
         this.source = source;
         this.target = target;
@@ -112,6 +114,7 @@
         this.loop = loop;
         this.unanswered = unanswered;
         this.failFast = unanswered.contains(target, System.nanoTime());
+        this.closedLinks = closedLinks;
         this.onClosed = onClosed;
         this.silence = new SilenceDetector(options, SILENCE_CHECK_PERIOD_MS);
     }
@@ -152,8 +155,15 @@
         return !withdrawn.isEmpty();
     }
 
+    /** Closes the connection because this daemon stops. */
     void close() {
-        loop.execute(() -> fail(ResultCode.LINK_LOST, "connection closed by this daemon"));
+        loop.execute(() -> {
+            if (!closed) {
+                closedLinks.closedByStop(outstandingCalls.size());
+                end(ResultCode.LINK_LOST, CLOSED_BY_THIS_DAEMON);
+            }
+            closedLinks.stopFinished();
+        });
     }
 
     private void connect() {
@@ -320,11 +330,15 @@
         }
     }
 
-    /** Closes the connection and fails all outstanding calls. Calls that were never written fail as not handled. */
     private void fail(ResultCode code, String reason) {
-        if (closed) {
-            return;
+        if (!closed) {
+            closedLinks.closed(target, code, outstandingCalls.size(), reason);
+            end(code, reason);
         }
+    }
+
+    /** Closes the connection and fails all outstanding calls. Calls that were never written fail as not handled. */
+    private void end(ResultCode code, String reason) {
         closed = true;
         if (!handshakeComplete) {
             unanswered.attemptFailed(target, openedNanos, System.nanoTime());
@@ -335,9 +349,6 @@
         if (channel != null) {
             channel.close();
         }
-        logger.atInfo().log(
-                "event=link-closed peer=%s address=%s code=%s outstanding=%d reason=\"%s\"",
-                target.member(), target.address(), code, outstandingCalls.size(), reason);
         onClosed.run();
         ResultCode codeBeforeHandshake = code == ResultCode.LINK_LOST ? ResultCode.PEER_UNREACHABLE : code;
         List<OutstandingCall> calls = new ArrayList<>(outstandingCalls.values());
