End the requests of cancelled calls to the store

Cause: the futures of the store clients depend on that of the request, and cancelling a dependent does not reach it. The requests of a read, listing or watch, and of the listing after a watch, now end with the future of the call; a request that waits for a connection leaves the queue. ObjectStore states it. A write goes on, as it may have taken effect.

--- a/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpObjectStore.java
+++ b/org.coriandercrank.adapters/src/main/java/org/coriandercrank/adapters/HttpObjectStore.java
@@ -10,6 +10,7 @@
 import org.coriandercrank.http.HttpClient;
 import org.coriandercrank.http.HttpClientOptions;
 import org.coriandercrank.http.HttpRequest;
+import org.coriandercrank.http.RequestSequence;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.id.Era;
@@ -68,18 +69,26 @@
 
     @Override
     public CompletableFuture<Optional<StoredObject>> get(String name) {
-        return StoreResponses.read(
+        RequestSequence requests = new RequestSequence();
+        return requests.cancelWith(StoreResponses.read(
                 eras,
-                callClient.send(HttpRequest.of("GET", objectTarget(name)), callTimeoutMs),
-                (response, era) -> StoreResponses.object(name, response, era));
+                requests.send(() -> callClient.send(HttpRequest.of("GET", objectTarget(name)), callTimeoutMs)),
+                (response, era) -> StoreResponses.object(name, response, era)));
     }
 
     @Override
     public CompletableFuture<WatchBatch> list(String prefix) {
+        RequestSequence requests = new RequestSequence();
+        return requests.cancelWith(list(requests, prefix));
+    }
+
+    private CompletableFuture<WatchBatch> list(RequestSequence requests, String prefix) {
         QueryStringEncoder target = new QueryStringEncoder("/v1/list");
         target.addParam("prefix", prefix);
         return StoreResponses.read(
-                eras, callClient.send(HttpRequest.of("GET", target.toString()), callTimeoutMs), StoreResponses::batch);
+                eras,
+                requests.send(() -> callClient.send(HttpRequest.of("GET", target.toString()), callTimeoutMs)),
+                StoreResponses::batch);
     }
 
     @Override
@@ -117,13 +126,15 @@
         target.addParam("prefix", prefix);
         target.addParam("after", Long.toString(after.number()));
         target.addParam("wait-ms", Long.toString(waitMs));
-        return StoreResponses.read(
+        RequestSequence requests = new RequestSequence();
+        return requests.cancelWith(StoreResponses.read(
                         eras,
-                        watchClient.send(HttpRequest.of("GET", target.toString()), waitMs + callTimeoutMs),
+                        requests.send(() ->
+                                watchClient.send(HttpRequest.of("GET", target.toString()), waitMs + callTimeoutMs)),
                         StoreResponses::batch)
                 .thenCompose(batch -> batch.upTo().era().isNewerThan(after.era()) && !batch.reset()
-                        ? list(prefix)
-                        : CompletableFuture.completedFuture(batch));
+                        ? list(requests, prefix)
+                        : CompletableFuture.completedFuture(batch)));
     }
 
     @Override
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClient.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClient.java
@@ -25,7 +25,8 @@
  *
  * <p>Thread safe. The pool hands out the most recently used idle connection first. A request is written to at most one
  * connection and never retried by this class. Futures fail with {@link HttpClientException}. Cancelling a future closes
- * the connection of its request, from which the server can see that the response is no longer wanted.
+ * the connection of its request, from which the server can see that the response is no longer wanted, or drops the
+ * request if it still waits for a connection.
  */
 public final class HttpClient implements AutoCloseable {
     private record QueuedRequest(HttpRequest request, long deadlineNanos, CompletableFuture<HttpResponse> result) {}
@@ -98,6 +99,7 @@
             connect(queued);
         } else {
             scheduleQueueTimeout(queued, timeoutMs);
+            dropWhenCancelled(queued);
         }
         return queued.result;
     }
@@ -170,12 +172,23 @@
         bootstrap.config().group().next().schedule(() -> failIfQueued(queued), timeoutMs, TimeUnit.MILLISECONDS);
     }
 
-    private void failIfQueued(QueuedRequest queued) {
-        boolean removed;
+    /** A cancelled request must not count against the limit of the queue. */
+    private void dropWhenCancelled(QueuedRequest queued) {
+        queued.result.whenComplete((response, failure) -> {
+            if (queued.result.isCancelled()) {
+                removeFromQueue(queued);
+            }
+        });
+    }
+
+    private boolean removeFromQueue(QueuedRequest queued) {
         synchronized (lock) {
-            removed = queue.remove(queued);
+            return queue.remove(queued);
         }
-        if (removed) {
+    }
+
+    private void failIfQueued(QueuedRequest queued) {
+        if (removeFromQueue(queued)) {
             queued.result.completeExceptionally(notSentFailure("no connection to " + target + " became free", null));
         }
     }
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/store/ObjectStore.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/store/ObjectStore.java
@@ -18,6 +18,9 @@
  * the latest known one fails with {@code REVISION_CONFLICT}; one that takes effect in another era than that of the
  * expected revision fails with {@code WRITE_UNANSWERED}. A watch from a revision of an earlier era returns a complete
  * listing.
+ *
+ * <p>Cancelling the future of a read, listing or watch ends its request at once, also that of the listing that follows a
+ * watch, and frees what the request occupies. Cancelling the future of a write has no effect on the write.
  */
 public interface ObjectStore extends AutoCloseable {
     /** The object, or empty if it does not exist. */
