Ask members for a configuration that the store has lost

A daemon that has listed a new era asks two members at once, and two more in each of eleven rounds, for changes after the end of the era. A member whose configuration in force is of an earlier era answers with it, also if it does not know the new era yet; others answer with no objects. The one with the higher version comes into force at its revision of the earlier era and stays out of the cache, so each later object of the store is compared with it as at the member that kept it. Versions of 0 behave as before. No calls of the store and no message types are added.

Ruled out: handing out the kept object at the stored object's revision (a cache would hold content that the store does not have, and a daemon with the same position still does not ask); a push to new members (each of N members would send the whole configuration, and a daemon that resumes its member is not new).

--- a/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/FakeStore.java
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/FakeStore.java
@@ -11,12 +11,16 @@
 import java.util.function.Supplier;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
+import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.store.ObjectStore;
 import org.coriandercrank.kernel.store.StoredObject;
 import org.coriandercrank.kernel.store.WatchBatch;
 
-/** In-memory object store in virtual time that simulates outages. Not thread safe. */
+/**
+ * In-memory object store in virtual time that simulates outages and returns from an older copy. Daemons learn the era from
+ * the positions in the answers. Not thread safe.
+ */
 final class FakeStore implements ObjectStore {
     /** Behaviour of the store. */
     enum Mode {
@@ -33,6 +37,9 @@
         LATE_WRITES
     }
 
+    /** State of the store to which it may return. */
+    record Copy(Map<String, StoredObject> objects, long lastRevision) {}
+
     private static final long LATENCY_MS = 2;
     private static final long LATE_WRITE_DELAY_MS = 3_000;
     private static final long WATCH_POLL_MS = 10;
@@ -41,6 +48,7 @@
     private final Map<String, StoredObject> objects = new HashMap<>();
     private Mode mode = Mode.UP;
     private long lastRevision = 100;
+    private Era era = Era.NONE;
     private final Map<String, Long> callsByOperation = new TreeMap<>();
     /** Revision of the latest change of the objects whose names begin with a prefix. */
     private final Map<String, Revision> latestChanges = new HashMap<>();
@@ -69,6 +77,27 @@
         return callsByOperation;
     }
 
+    Copy copy() {
+        return new Copy(Map.copyOf(objects), lastRevision);
+    }
+
+    /** Begins a new era with the objects of a copy; all of them get revisions of the new era. */
+    void returnFrom(Copy copy) {
+        era = new Era(era.value() + 1);
+        lastRevision = copy.lastRevision();
+        objects.clear();
+        latestChanges.clear();
+        copy.objects().values().forEach(object -> {
+            Revision revision = Revision.of(era, object.revision().number());
+            objects.put(object.name(), new StoredObject(object.name(), revision, object.value(), object.deleted()));
+            latestChanges.merge(prefix(object.name()), revision, (a, b) -> a.isNewerThan(b) ? a : b);
+        });
+    }
+
+    private Revision position() {
+        return Revision.of(era, lastRevision);
+    }
+
     private void count(String operation, String name) {
         calls++;
         callsByOperation.merge(operation + " " + prefix(name), 1L, Long::sum);
@@ -82,15 +111,15 @@
     /** Writes an object without a revision check, as an operator's tool does. */
     Revision putUnconditionally(String name, byte[] value) {
         lastRevision++;
-        objects.put(name, StoredObject.of(name, new Revision(lastRevision), value));
-        latestChanges.put(prefix(name), new Revision(lastRevision));
-        return new Revision(lastRevision);
+        objects.put(name, StoredObject.of(name, position(), value));
+        latestChanges.put(prefix(name), position());
+        return position();
     }
 
     void deleteUnconditionally(String name) {
         lastRevision++;
-        objects.put(name, new StoredObject(name, new Revision(lastRevision), new byte[0], true));
-        latestChanges.put(prefix(name), new Revision(lastRevision));
+        objects.put(name, new StoredObject(name, position(), new byte[0], true));
+        latestChanges.put(prefix(name), position());
     }
 
     Optional<StoredObject> find(String name) {
@@ -106,7 +135,7 @@
     @Override
     public CompletableFuture<WatchBatch> list(String prefix) {
         count("list", prefix);
-        return read(() -> new WatchBatch(new Revision(lastRevision), changes(prefix, Revision.NONE, false), true));
+        return read(() -> new WatchBatch(position(), changes(prefix, Revision.NONE, false), true));
     }
 
     @Override
@@ -156,11 +185,16 @@
             time.schedule(LATENCY_MS, () -> result.completeExceptionally(failure(ResultCode.STORE_UNAVAILABLE)));
             return;
         }
+        if (era.isNewerThan(after.era()) && !after.equals(Revision.NONE)) {
+            WatchBatch listing = new WatchBatch(position(), changes(prefix, Revision.NONE, false), true);
+            time.schedule(LATENCY_MS, () -> result.complete(listing));
+            return;
+        }
         boolean changed = mode != Mode.WITHHOLDS_CHANGES
                 && latestChanges.getOrDefault(prefix, Revision.NONE).isNewerThan(after);
         List<StoredObject> changes = changed ? changes(prefix, after, true) : List.of();
         if (!changes.isEmpty() || time.nowMs() >= endMs) {
-            Revision upTo = new Revision(lastRevision);
+            Revision upTo = position();
             time.schedule(LATENCY_MS, () -> result.complete(new WatchBatch(upTo, changes, false)));
         } else {
             time.schedule(WATCH_POLL_MS, () -> poll(prefix, after, endMs, result));
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
@@ -60,6 +60,10 @@
     private final List<Waiter> waiters = new ArrayList<>();
     private Configuration configuration = Configuration.EMPTY;
     private Revision configurationRevision = Revision.NONE;
+
+    /** The configuration in force as the store had it, which is not in the cache if the store has lost it. */
+    private Optional<StoredObject> configurationObject = Optional.empty();
+
     private long snapshotVersion;
     private final MissingMembers missingMembers = new MissingMembers();
     private volatile RoutingSnapshot snapshot;
@@ -163,9 +167,42 @@
                 completeUpTo(FetchObject.Kind.ASSIGNMENTS));
     }
 
-    /** Returns the changes of a kind after a revision. See {@link ObjectCache#changesSince}. */
+    /**
+     * Returns the changes of a kind after a revision. See {@link ObjectCache#changesSince}. If the revision is beyond the
+     * position of this daemon and of a later era than the configuration in force, that configuration is returned, because
+     * the store may have lost it.
+     */
     public ObjectData changesSince(FetchObject.Kind kind, Revision newerThan) {
-        return caches.get(kind).changesSince(newerThan);
+        boolean maybeLost = kind == FetchObject.Kind.CONFIGURATION
+                && newerThan.era().isNewerThan(configurationRevision.era())
+                && !completeUpTo(kind).isNewerThan(newerThan);
+        return maybeLost && configurationObject.isPresent()
+                ? new ObjectData(kind, completeUpTo(kind), false, List.of(configurationObject.get()))
+                : caches.get(kind).changesSince(newerThan);
+    }
+
+    /**
+     * Puts a configuration of an earlier era into force if its version is higher than that of the one in force. The
+     * stored object stays in the cache, and each later one with at least this version replaces it.
+     */
+    public void offerEarlierConfiguration(StoredObject object) {
+        if (!object.name().equals(ObjectNames.CONFIGURATION)
+                || object.deleted()
+                || !completeUpTo(FetchObject.Kind.CONFIGURATION)
+                        .era()
+                        .isNewerThan(object.revision().era())) {
+            return;
+        }
+        try {
+            Configuration offered = JsonCodec.decode(object.value(), Configuration.class);
+            if (offered.version() > configuration.version()) {
+                putIntoForce(object, offered, UpdateSource.PEER);
+                publish(snapshot.self());
+            }
+        } catch (CrankException | IllegalArgumentException e) {
+            logger.atWarning().withCause(e).log(
+                    "event=object-unreadable name=%s revision=%s", object.name(), object.revision());
+        }
     }
 
     /** Applies changes and returns those that were newer than the known state. See {@link ObjectCache#apply}. */
@@ -238,8 +275,13 @@
                     + configuration.version() + " stored=" + changed.version());
             return;
         }
+        putIntoForce(change, changed, source);
+    }
+
+    private void putIntoForce(StoredObject change, Configuration changed, UpdateSource source) {
         configuration = changed;
         configurationRevision = change.revision();
+        configurationObject = Optional.of(change);
         context.log(() -> "event=configuration-in-force version=" + changed.version() + " revision=" + change.revision()
                 + " source=" + source + " position=" + completeUpTo(FetchObject.Kind.CONFIGURATION));
     }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -97,6 +97,7 @@
     private final RelayRanking ranking;
     private final ConfigurationConfirmation confirmation;
     private final PeerFetcher fetcher;
+    private final LostConfigurationSearch lostConfigurationSearch;
     private boolean relay;
     private boolean pushPending;
 
@@ -108,6 +109,7 @@
         this.ranking = new RelayRanking(view);
         this.fetcher = new PeerFetcher(context, view, metrics, this::peerAnswered);
         this.confirmation = new ConfigurationConfirmation(context, this::configurationRead, this::storeDidNotAnswer);
+        this.lostConfigurationSearch = new LostConfigurationSearch(context, view);
         long nowNanos = context.nowNanos();
         startupWatch = new StartupWatch(context, view);
         for (FetchObject.Kind kind : FetchObject.Kind.values()) {
@@ -157,6 +159,7 @@
         for (KindSync sync : syncs.values()) {
             keepInformed(sync, watchWaitMs(sync, self, participating, settled, nowNanos), nowNanos);
         }
+        lostConfigurationSearch.tick(nowNanos);
     }
 
     /**
@@ -361,6 +364,7 @@
         if (!view.completeUpTo(sync.kind()).isNewerThan(before) && (relay || sync.isFallback())) {
             storeUnchanged(sync, nowNanos);
         }
+        lostConfigurationSearch.tick(nowNanos);
     }
 
     /** Sends peers the changes that the store withheld while it advanced the position, which they do not ask for. */
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/id/Revision.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/id/Revision.java
@@ -36,6 +36,11 @@
         return number == 0 ? NONE : new Revision(era.value() << NUMBER_BITS | number);
     }
 
+    /** Returns the highest revision that an era can have. */
+    public static Revision lastOf(Era era) {
+        return of(era, NUMBER_MASK);
+    }
+
     /** Returns the era in which the store named the object's version; {@link Era#NONE} for {@link #NONE}. */
     public Era era() {
         return new Era(value >>> NUMBER_BITS);
