--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -82,6 +82,7 @@
     private final RelayRanking ranking;
     private final ConfigurationConfirmation confirmation;
     private final PeerFetcher fetcher;
+    private final LostConfigurationSearch lostConfigurationSearch;
     private boolean relay;
     private boolean pushPending;
 
@@ -94,6 +95,7 @@
         this.fetcher = new PeerFetcher(context, view, metrics, this::peerAnswered);
         this.confirmation = new ConfigurationConfirmation(context, this::configurationRead, this::storeDidNotAnswer);
         view.reportProofAge(confirmation::ageMs);
+        this.lostConfigurationSearch = new LostConfigurationSearch(context, view);
         long nowNanos = context.nowNanos();
         startupWatch = new StartupWatch(context, view);
         for (FetchObject.Kind kind : FetchObject.Kind.values()) {
@@ -143,6 +145,7 @@
         for (KindSync sync : syncs.values()) {
             keepInformed(sync, watchWaitMs(sync, self, participating, settled, nowNanos), nowNanos);
         }
+        lostConfigurationSearch.tick(nowNanos);
     }
 
     /**
@@ -335,6 +338,7 @@
         if (!view.completeUpTo(sync.kind()).isNewerThan(before) && (relay || sync.isFallback())) {
             storeUnchanged(sync, nowNanos);
         }
+        lostConfigurationSearch.tick(nowNanos);
     }
 
     /**
