--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Daemon.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Daemon.java
@@ -110,8 +110,12 @@
         return HostOptions.defaults(
                 identity,
                 settings.peerListen(),
-                ControlOptions.DEFAULTS.withLeaseTiming(
-                        settings.ttlMs(), settings.heartbeatMs(), settings.marginPercent()));
+                ControlOptions.DEFAULTS
+                        .withLeaseTiming(settings.ttlMs(), settings.heartbeatMs(), settings.marginPercent())
+                        .withWatchWaits(
+                                settings.watchWaitMs(),
+                                settings.configurationWatchWaitMs(),
+                                settings.startupWatchMs()));
     }
 
     @Override
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/DaemonSettings.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/DaemonSettings.java
@@ -65,6 +65,24 @@
             usage = "time after which others treat a vote as expired, in percent of the TTL")
     private int marginPercent = 105;
 
+    @Option(
+            name = "--watch-wait-ms",
+            metaVar = "MS",
+            usage = "how long a watch of the store by a relay waits for a change")
+    private long watchWaitMs = 1_000;
+
+    @Option(
+            name = "--configuration-watch-wait-ms",
+            metaVar = "MS",
+            usage = "how long a watch of the configuration by other daemons waits; 0: they learn it from peers only")
+    private long configurationWatchWaitMs = 0;
+
+    @Option(
+            name = "--startup-watch-ms",
+            metaVar = "MS",
+            usage = "time after the start during which a daemon without a relay watches the store as well")
+    private long startupWatchMs = 0;
+
     @Option(name = "--drain-timeout-ms", metaVar = "MS", usage = "maximum duration of a graceful shutdown")
     private long drainTimeoutMs = 30_000;
 
@@ -109,6 +127,9 @@
         errors.requireRange("--ttl-ms", ttlMs, 200, 60_000);
         errors.requireRange("--heartbeat-ms", heartbeatMs, 10, ttlMs / 2);
         errors.requireRange("--margin-percent", marginPercent, 101, 200);
+        errors.requireRange("--watch-wait-ms", watchWaitMs, 10, 60_000);
+        errors.requireRange("--configuration-watch-wait-ms", configurationWatchWaitMs, 0, 60_000);
+        errors.requireRange("--startup-watch-ms", startupWatchMs, 0, 600_000);
         errors.requireRange("--drain-timeout-ms", drainTimeoutMs, 0, 600_000);
         errors.requireRange("--io-threads", ioThreads, 1, 64);
         errors.requireRange("--routing-log-lines-per-second", routingLogLinesPerSecond, 0, MAX_LOG_LINES_PER_SECOND);
@@ -170,6 +191,18 @@
         return marginPercent;
     }
 
+    public long watchWaitMs() {
+        return watchWaitMs;
+    }
+
+    public long configurationWatchWaitMs() {
+        return configurationWatchWaitMs;
+    }
+
+    public long startupWatchMs() {
+        return startupWatchMs;
+    }
+
     public long drainTimeoutMs() {
         return drainTimeoutMs;
     }
