--- a/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/TestCluster.java
+++ b/org.coriandercrank.system.test/src/test/java/org/coriandercrank/system/TestCluster.java
@@ -71,7 +71,7 @@
             specs.add(new HostSpec("desk-" + (specs.size() + 1), parts[0], parts[1], SERVICE));
         }
         TestCluster cluster = new TestCluster(directory, specs);
-        cluster.startHosts(startedHosts, backendFlags, KEYED_SERVICE_NOTE);
+        cluster.startHosts(startedHosts, List.of(), backendFlags, KEYED_SERVICE_NOTE);
         return cluster;
     }
 
@@ -81,15 +81,20 @@
     }
 
     static TestCluster start(Path directory, List<HostSpec> specs, String note, List<String> backendFlags) {
+        return start(directory, specs, note, List.of(), backendFlags);
+    }
+
+    static TestCluster start(
+            Path directory, List<HostSpec> specs, String note, List<String> daemonFlags, List<String> backendFlags) {
         TestCluster cluster = new TestCluster(directory, specs);
-        cluster.startHosts(specs.size(), List.of(backendFlags), note);
+        cluster.startHosts(specs.size(), daemonFlags, List.of(backendFlags), note);
         return cluster;
     }
 
-    private void startHosts(int startedHosts, List<List<String>> backendFlags, String note) {
+    private void startHosts(int startedHosts, List<String> daemonFlags, List<List<String>> backendFlags, String note) {
         List<ClusterHost> started = hosts().subList(0, startedHosts);
         for (int i = 0; i < startedHosts; i++) {
-            host(i).startDaemon(List.of());
+            host(i).startDaemon(daemonFlags);
             host(i).startBackend(backendFlags.get(i % backendFlags.size()));
         }
         waitUntil("all daemons have a backend server", () -> started.stream().allMatch(this::hasBackend));
