--- a/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/FakeCluster.java
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/FakeCluster.java
@@ -64,6 +64,16 @@
         }
     }
 
+    /** Starts a daemon on the address of a killed one. */
+    FakeHost restart(FakeHost killed, ControlOptions options, String location, int seed) {
+        int index = hosts.indexOf(killed);
+        FakeHost host = new FakeHost(time, network, store, index + 1, location, options, seed);
+        hosts.set(index, host);
+        host.control().start();
+        host.control().backendAnnounced(backend(index + 1));
+        return host;
+    }
+
     VirtualTime time() {
         return time;
     }
--- a/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/FakeStore.java
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/FakeStore.java
@@ -33,13 +33,14 @@
         LATE_WRITES
     }
 
-    private static final long LATENCY_MS = 2;
+    private static final long DEFAULT_LATENCY_MS = 2;
     private static final long LATE_WRITE_DELAY_MS = 3_000;
     private static final long WATCH_POLL_MS = 10;
 
     private final VirtualTime time;
     private final Map<String, StoredObject> objects = new HashMap<>();
     private Mode mode = Mode.UP;
+    private long latencyMs = DEFAULT_LATENCY_MS;
     private long lastRevision = 100;
     private final Map<String, Long> callsByOperation = new TreeMap<>();
     /** Revision of the latest change of the objects whose names begin with a prefix. */
@@ -56,6 +57,17 @@
         mode = newMode;
     }
 
+    /** Sets the time that each answer takes. */
+    void setLatencyMs(long newLatencyMs) {
+        latencyMs = newLatencyMs;
+    }
+
+    /** Sets the usual latency and mode. */
+    void restore() {
+        mode = Mode.UP;
+        latencyMs = DEFAULT_LATENCY_MS;
+    }
+
     long calls() {
         return calls;
     }
@@ -116,9 +128,9 @@
         CompletableFuture<Revision> result = new CompletableFuture<>();
         Mode atCall = mode;
         if (atCall == Mode.DOWN) {
-            time.schedule(LATENCY_MS, () -> result.completeExceptionally(failure(ResultCode.STORE_UNAVAILABLE)));
+            time.schedule(latencyMs, () -> result.completeExceptionally(failure(ResultCode.STORE_UNAVAILABLE)));
         } else if (atCall != Mode.SILENT) {
-            time.schedule(atCall == Mode.LATE_WRITES ? LATE_WRITE_DELAY_MS : LATENCY_MS, () -> {
+            time.schedule(atCall == Mode.LATE_WRITES ? LATE_WRITE_DELAY_MS : latencyMs, () -> {
                 Revision current = find(name).map(StoredObject::revision).orElse(Revision.NONE);
                 boolean matches = current.equals(expected);
                 Revision written = matches ? putUnconditionally(name, value) : Revision.NONE;
@@ -153,7 +165,7 @@
             return;
         }
         if (mode == Mode.DOWN) {
-            time.schedule(LATENCY_MS, () -> result.completeExceptionally(failure(ResultCode.STORE_UNAVAILABLE)));
+            time.schedule(latencyMs, () -> result.completeExceptionally(failure(ResultCode.STORE_UNAVAILABLE)));
             return;
         }
         boolean changed = mode != Mode.WITHHOLDS_CHANGES
@@ -161,7 +173,7 @@
         List<StoredObject> changes = changed ? changes(prefix, after, true) : List.of();
         if (!changes.isEmpty() || time.nowMs() >= endMs) {
             Revision upTo = new Revision(lastRevision);
-            time.schedule(LATENCY_MS, () -> result.complete(new WatchBatch(upTo, changes, false)));
+            time.schedule(latencyMs, () -> result.complete(new WatchBatch(upTo, changes, false)));
         } else {
             time.schedule(WATCH_POLL_MS, () -> poll(prefix, after, endMs, result));
         }
@@ -170,9 +182,9 @@
     private <T> CompletableFuture<T> read(Supplier<T> value) {
         CompletableFuture<T> result = new CompletableFuture<>();
         if (mode == Mode.DOWN) {
-            time.schedule(LATENCY_MS, () -> result.completeExceptionally(failure(ResultCode.STORE_UNAVAILABLE)));
+            time.schedule(latencyMs, () -> result.completeExceptionally(failure(ResultCode.STORE_UNAVAILABLE)));
         } else if (mode != Mode.SILENT) {
-            time.schedule(LATENCY_MS, () -> result.complete(value.get()));
+            time.schedule(latencyMs, () -> result.complete(value.get()));
         }
         return result;
     }
