Read the configuration before a 404 only without a recent proof

Cause: since only a listing counted as proof, so requests without a route cost a read per daemon and 2.5 s.

An answer to any read and the advance by a peer count again if they are at most 5 s old. The first peer that is ahead after 10 s without news does not count, because it may itself be far behind; the second one does.

Ruled out: a stale read (it may be seconds old).

--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ConfigurationConfirmation.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ConfigurationConfirmation.java
@@ -13,9 +13,6 @@
 /**
  * Knows until when the configuration in force was the newest, and reads it from the store when a caller must know.
  *
- * <p>Only a listing confirms: a peer that is ahead may be behind others, and a watch may end while the store withholds a
- * change.
- *
  * <p>Invariant: at most one read is outstanding; requests that wait at the same time share it. {@link #ageMs} and {@link
  * #confirm} are thread safe; the other methods must be called on the control thread.
  */
@@ -25,13 +22,16 @@
     /** A store that does not answer is not read again within this time. */
     private static final long RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /** A daemon that peers inform hears of a later position at shorter intervals. */
+    private static final long MAX_NEWS_GAP_NANOS = TimeUnit.SECONDS.toNanos(10);
+
     private final ControlContext context;
     private final BiConsumer<StoreCall, WatchBatch> readListener;
     private final Runnable failureListener;
     private final List<CompletableFuture<Boolean>> waiting = new ArrayList<>();
     private boolean reading;
     private volatile long provenNanos = NEVER;
-    private volatile long readNanos = NEVER;
+    private long informedNanos = NEVER;
     private volatile long failedNanos = NEVER;
 
     /**
@@ -52,10 +52,15 @@
         }
     }
 
-    /** Notes that a listing which was started at this time has been applied. */
-    void read(long nanos) {
-        if (readNanos == NEVER || nanos - readNanos > 0) {
-            readNanos = nanos;
+    /**
+     * Notes that a peer was ahead. After a long time without news, the first peer that is ahead may itself be far behind
+     * others, so it takes a second one.
+     */
+    void informedByPeer(long nanos) {
+        boolean continuous = isWithin(provenNanos, MAX_NEWS_GAP_NANOS) || isWithin(informedNanos, MAX_NEWS_GAP_NANOS);
+        informedNanos = nanos;
+        if (continuous) {
+            proven(nanos);
         }
     }
 
@@ -69,7 +74,7 @@
 
     @Override
     public CompletableFuture<Boolean> confirm(long maxAgeMs) {
-        if (isWithin(readNanos, TimeUnit.MILLISECONDS.toNanos(maxAgeMs))) {
+        if (isWithin(provenNanos, TimeUnit.MILLISECONDS.toNanos(maxAgeMs))) {
             return CompletableFuture.completedFuture(true);
         }
         if (isWithin(failedNanos, RETRY_NANOS)) {
@@ -83,7 +88,7 @@
     }
 
     private CompletableFuture<Boolean> confirmOnControlThread(long maxAgeMs) {
-        if (isWithin(readNanos, TimeUnit.MILLISECONDS.toNanos(maxAgeMs))) {
+        if (isWithin(provenNanos, TimeUnit.MILLISECONDS.toNanos(maxAgeMs))) {
             return CompletableFuture.completedFuture(true);
         }
         CompletableFuture<Boolean> result = new CompletableFuture<>();
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -329,9 +329,6 @@
         List<StoredObject> applied = apply(sync, data, reset ? UpdateSource.LISTING : UpdateSource.WATCH);
         if (sync.kind() == FetchObject.Kind.CONFIGURATION) {
             confirmation.proven(call.provenNanos(batch.changes().isEmpty(), nowNanos));
-            if (reset) {
-                confirmation.read(call.startedNanos());
-            }
         }
         if (!reset) {
             changesMissed(sync, before, applied);
@@ -400,7 +397,7 @@
         if (view.completeUpTo(sync.kind()).isNewerThan(before)) {
             sync.advancedByPeer(nowNanos);
             if (sync.kind() == FetchObject.Kind.CONFIGURATION) {
-                confirmation.proven(nowNanos);
+                confirmation.informedByPeer(nowNanos);
             }
         }
         if (changed) {
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
@@ -57,8 +57,8 @@
             ResultCode.BAD_DEADLINE,
             ResultCode.BODY_TOO_LARGE);
 
-    /** A configuration may come into force this long after it was confirmed. */
-    private static final long CONFIGURATION_PROOF_MAX_AGE_MS = 2_500;
+    /** Peers prove to a daemon more often than this that its configuration is current. */
+    private static final long CONFIGURATION_PROOF_MAX_AGE_MS = 5_000;
 
     /** The store is read again at the soonest after this time. */
     private static final long CONFIGURATION_RETRY_AFTER_MS = 1_000;
