Log whether a detached server has ended and how long it is granted keys

The line detach has both now. Ruled out: a metric, because a detach is rare and its line is never suppressed.

--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateCore.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateCore.java
@@ -46,6 +46,10 @@
     private final List<AttachedBackend> replacedBackends = new ArrayList<>();
     private final long startedAtNanos;
     private AttachedBackend backend;
+
+    /** Whether the process of the latest backend server is known to have ended. */
+    private boolean serverEnded;
+
     private long loadsUpdatedAtNanos;
     private volatile GateStatus publishedStatus = new GateStatus(false, false, 0, 0, List.of());
     private volatile List<RangeLoad> publishedLoads = List.of();
@@ -131,6 +135,7 @@
             replacedBackends.add(backend);
         }
         backend = new AttachedBackend(info, server);
+        serverEnded = false;
         publishedBackend = backend;
         requestService.attach(backend);
         rangeService.attach(backend);
@@ -148,7 +153,8 @@
         if (backend == null) {
             return;
         }
-        context.logDecision(() -> "event=detach backend=" + backend.info().name());
+        context.logDecision(() -> "event=detach backend=" + backend.info().name() + " server-ended=" + serverEnded
+                + " granted-ms=" + rangeTable.longestGrantMs(context.nowNanos()));
         requestService.refuseQueued(ResultCode.BACKEND_UNAVAILABLE, "the backend server was detached");
         replacedBackends.add(backend);
         backend = null;
@@ -162,6 +168,7 @@
 
     /** Notes that the process of the backend server has ended; called before {@link #detach()}. */
     public void onServerEnded() {
+        serverEnded = true;
         requestService.onServerEnded();
     }
 
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeEntry.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeEntry.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.coriandercrank.kernel.backend.Grant.GrantedRange;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.id.Generation;
@@ -229,6 +230,11 @@
         }
     }
 
+    /** Returns for how long a grant of the range may still be valid at the backend server, in milliseconds. */
+    long grantRemainingMs(long nowNanos) {
+        return isGrantExpired(nowNanos) ? 0 : TimeUnit.NANOSECONDS.toMillis(grantExpiresAtNanos - nowNanos);
+    }
+
     /** Whether all grants of the range have certainly expired at the backend server. */
     public boolean isGrantExpired(long nowNanos) {
         return !everGranted || nowNanos - grantExpiresAtNanos >= 0;
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeTable.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeTable.java
@@ -118,6 +118,14 @@
         }
     }
 
+    /** Returns for how long the longest grant of an entry may still be valid, in milliseconds. */
+    long longestGrantMs(long nowNanos) {
+        return entries.stream()
+                .mapToLong(entry -> entry.grantRemainingMs(nowNanos))
+                .max()
+                .orElse(0);
+    }
+
     /** Whether any granted range applies to part of an entry. */
     public static boolean isGrantedBy(RangeEntry entry, List<GrantedRange> granted) {
         return granted.stream().anyMatch(entry::isGrantedBy);
