Count a server that lives as the holder of its grants after its member has ended

A gate without a backend server took every grant for ended, and the next member of a host sealed the former one at once. Both hold only if the process of the server has ended. A member also ends because its record was lost or sealed, or because the server withdrew its leave, while the server goes on under valid grants. The class: absence (no server, no member) taken as proof that nothing is held.

The end of a grant now needs evidence in one of three forms: the process has ended (onServerEnded), the server has released the range, or its validity has passed. detach() is none of them: the gate keeps the server until its ranges are revoked, and answers mayHoldEarlierGrant from it. A former member is sealed, by the next one or by itself, only after the gate says that its grants have ended. The daemon keeps the grants of a server across its members, and answers its heartbeats with the revocation meanwhile. A daemon of the product's own protocol calls onServerEnded() if the server's port refuses connections.

ServerLifeTest#releaseCompletesAfterDetach required the fault: it has become releaseCompletesAfterTheEndOfTheServer, which does the same after the end of the process, and the new tests require the wait otherwise.

Ruled out: a parameter of detach() (each caller would have to know); a detach that waits (the next member would join up to 3.6 s later).

Evidence: ServerLifeTest#releaseWaitsForTheGrantOfADetachedServerThatLives fails before and passes now.

--- a/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/MembershipTest.java
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/MembershipTest.java
@@ -56,7 +56,7 @@
         FakeHost restarted = cluster.add("r/a");
         restarted.control().sealSelf();
         cluster.time().runFor(1_000);
-        restarted.control().rejoin(new JoinParameters(id, true));
+        restarted.control().rejoin(new JoinParameters(id, true, CompletableFuture.completedFuture(null)));
         cluster.time().runFor(1_000);
         restarted.control().backendAnnounced(FakeCluster.backend(1));
         cluster.time().runFor(1_000);
@@ -64,6 +64,24 @@
         assertThat(cluster.record(id).orElseThrow().state()).isEqualTo(MemberState.LEAVING);
     }
 
+    /** Others acquired the ranges of a member whose server still held them, because the next member sealed it at once. */
+    @Test
+    void formerMemberIsSealedOnlyAfterItsGrantsHaveEnded() {
+        FakeCluster cluster = new FakeCluster("r/a");
+        FakeHost host = cluster.host(0);
+        MemberId former = host.control().self();
+        cluster.time().runFor(3_000);
+        host.control().abandon();
+        CompletableFuture<Void> grantsEnded = new CompletableFuture<>();
+        host.control().rejoin(new JoinParameters(new MemberId("next"), true, grantsEnded));
+        cluster.time().runFor(1_000);
+        assertThat(host.isLeaseValid()).isTrue();
+        assertThat(cluster.isSealed(former)).isFalse();
+        grantsEnded.complete(null);
+        cluster.time().runFor(300);
+        assertThat(cluster.isSealed(former)).isTrue();
+    }
+
     @Test
     void singleMemberRenewsThroughTheStore() {
         FakeCluster cluster = new FakeCluster("r/a");
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlPlane.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlPlane.java
@@ -32,7 +32,7 @@
     private ControlPlane(ControlContext context, boolean joinOnStart, Runnable closeExecutor) {
         this.context = context;
         Optional<JoinParameters> initial = joinOnStart
-                ? Optional.of(new JoinParameters(ControlLoop.newMemberId(context), false))
+                ? Optional.of(JoinParameters.withoutFormer(ControlLoop.newMemberId(context)))
                 : Optional.empty();
         this.loop = new ControlLoop(context, initial);
         this.closeExecutor = closeExecutor;
@@ -144,7 +144,7 @@
 
     /** Joins under a new id; the future fails with {@code INTERNAL} if the previous incarnation has not ended. */
     public CompletableFuture<MemberId> rejoin() {
-        return rejoin(new JoinParameters(ControlLoop.newMemberId(context), false));
+        return rejoin(JoinParameters.withoutFormer(ControlLoop.newMemberId(context)));
     }
 
     /**
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
@@ -68,7 +68,7 @@
     public ControlLoop(ControlContext context, Optional<JoinParameters> initial) {
         this.context = context;
         joinRequested = initial.isPresent();
-        JoinParameters parameters = initial.orElseGet(() -> new JoinParameters(newMemberId(context), false));
+        JoinParameters parameters = initial.orElseGet(() -> JoinParameters.withoutFormer(newMemberId(context)));
         MemberId self = parameters.id();
         quarantine = new QuarantineLedger(
                 context.dependencies().timers().clock(),
@@ -242,7 +242,7 @@
         if (dissemination.isListed()) {
             takeovers.tick(nowNanos);
             if (membership.isJoined() && membership.mayResume()) {
-                predecessors.tick(membership.id());
+                predecessors.tick(membership.id(), membership.formerGrantsEnded());
             }
         }
         quarantine.expire();
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
@@ -57,6 +57,7 @@
     private final IncarnationListener incarnationListener;
     private final MemberId id;
     private final boolean mayResume;
+    private final CompletableFuture<Void> formerGrantsEnded;
     private final WitnessReview witnessReview;
     private final long startedNanos;
     private final CompletableFuture<Void> leaveFuture = new CompletableFuture<>();
@@ -82,6 +83,7 @@
         this.context = context;
         this.id = parameters.id();
         this.mayResume = parameters.mayResume();
+        this.formerGrantsEnded = parameters.formerGrantsEnded();
         this.view = view;
         this.dissemination = dissemination;
         this.metrics = metrics;
@@ -114,6 +116,11 @@
         return mayResume;
     }
 
+    /** Completes when no grant of the former members of this process can be used any more. */
+    CompletableFuture<Void> formerGrantsEnded() {
+        return formerGrantsEnded;
+    }
+
     public MemberId id() {
         return id;
     }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/PredecessorSealer.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/PredecessorSealer.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.MemberId;
@@ -18,17 +19,15 @@
  *
  * <p>The address is used by one process at a time, so the earlier processes have ended, and so have the grants of a
  * backend server that was replaced. A backend server that lives on may hold what an earlier process has granted until the
- * longest validity has passed since the start of this process; its earlier member is not sealed before. Without the
- * seals, the ranges would stay unavailable until witnesses detect the missing heartbeats. Control thread only.
+ * longest validity has passed since the start of this process, and what a former member of this process has granted until
+ * the gate says otherwise; no member is sealed before. Without the seals, the ranges would stay unavailable until
+ * witnesses detect the missing heartbeats. Control thread only.
  */
 final class PredecessorSealer {
     private final ControlContext context;
     private final ClusterView view;
     private final long startedAtNanos;
 
-    /** Members that this process has been; it ends each of them only after their grants have ended. */
-    private final Set<MemberId> ownMembers = new HashSet<>();
-
     /** Members whose seal is in flight, succeeded or waits for a retry. */
     private final Set<MemberId> sealRequested = new HashSet<>();
 
@@ -43,8 +42,7 @@
     }
 
     /** Starts the seals that are due. Only a new snapshot changes the set of predecessors. */
-    void tick(MemberId self) {
-        ownMembers.add(self);
+    void tick(MemberId self, CompletableFuture<Void> formerGrantsEnded) {
         if (!context.eras().era().equals(checkedEra)) {
             // The store may have lost the seals of the earlier era.
             checkedEra = context.eras().era();
@@ -62,7 +60,7 @@
                     .toList();
         }
         for (VersionedMember predecessor : predecessors) {
-            if (haveGrantsEnded(predecessor.member(), self)
+            if (haveGrantsEnded(predecessor.member(), self, formerGrantsEnded.isDone())
                     && sealRequested.add(predecessor.member().id())) {
                 seal(predecessor);
             }
@@ -70,12 +68,14 @@
     }
 
     /** Whether no backend server can hold a range that the predecessor has granted. */
-    private boolean haveGrantsEnded(Member predecessor, MemberId self) {
-        return ownMembers.contains(predecessor.id())
-                || predecessor.backend().isEmpty()
-                || context.nowNanos() - startedAtNanos
-                        >= TimeUnit.MILLISECONDS.toNanos(context.options().ttlMs())
-                || isServerReplaced(predecessor.backend().get(), self);
+    private boolean haveGrantsEnded(Member predecessor, MemberId self, boolean formerGrantsEnded) {
+        if (predecessor.backend().isEmpty()
+                || isServerReplaced(predecessor.backend().get(), self)) {
+            return true;
+        }
+        boolean earlierProcessGrantsEnded = context.nowNanos() - startedAtNanos
+                >= TimeUnit.MILLISECONDS.toNanos(context.options().ttlMs());
+        return earlierProcessGrantsEnded && formerGrantsEnded;
     }
 
     private boolean isServerReplaced(BackendInfo earlier, MemberId self) {
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/internal/BackendFailureDetectorTest.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/internal/BackendFailureDetectorTest.java
@@ -73,16 +73,17 @@
     @MethodSource("histories")
     void detectsFailedServer(String name, boolean honoursValidity, List<Observation> observations, String expected) {
         BackendFailureDetector detector = new BackendFailureDetector(honoursValidity);
-        Optional<String> reason = Optional.empty();
+        Optional<BackendFailureDetector.Failure> failure = Optional.empty();
         for (Observation observation : observations) {
-            assertThat(reason).isEmpty();
+            assertThat(failure).isEmpty();
             long nowNanos = TimeUnit.MILLISECONDS.toNanos(observation.atMs());
             if (observation.probeResult().isPresent()) {
-                reason = detector.onProbeResult(observation.probeResult().get(), nowNanos);
+                failure = detector.onProbeResult(observation.probeResult().get(), nowNanos);
             } else {
                 detector.onAnnounced();
             }
         }
-        assertThat(reason).isEqualTo(Optional.of(expected).filter(text -> !text.isEmpty()));
+        assertThat(failure.map(BackendFailureDetector.Failure::toString))
+                .isEqualTo(Optional.of(expected).filter(text -> !text.isEmpty()));
     }
 }
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/GrantOnlyBackendServer.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/GrantOnlyBackendServer.java
@@ -39,6 +39,11 @@
         return grants.mayHold(range);
     }
 
+    @Override
+    public boolean hasCertainlyReleased(KeyRange range) {
+        return grants.hasCertainlyReleased(range);
+    }
+
     @Override
     public List<Handover> takeHandovers(KeyRange range) {
         return grants.takeHandovers(range);
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedDaemon.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedDaemon.java
@@ -47,7 +47,9 @@
     private static final int SLOTS = 8;
     private static final int LOG_LINES_PER_SECOND = 100_000;
 
-    private record AttachedServer(ServerIncarnation server, MemberId member, HeartbeatGrants grants) {}
+    private record AttachedServer(ServerIncarnation server, MemberId member) {}
+
+    private record GrantedServer(ServerIncarnation server, HeartbeatGrants grants) {}
 
     private final SimulatedProcess process;
     private final HostIdentity identity;
@@ -65,6 +67,7 @@
     private final MemberLifecycle memberLifecycle;
     private Optional<MemberComponents> components = Optional.empty();
     private Optional<AttachedServer> attached = Optional.empty();
+    private Optional<GrantedServer> granted = Optional.empty();
     private Optional<BackendInfo> backend = Optional.empty();
     private CompletableFuture<Void> lastStep = CompletableFuture.completedFuture(null);
 
@@ -135,7 +138,7 @@
     void onHeartbeat(SimulatedServer.Heartbeat heartbeat) {
         lifecycle.offer(() -> perform(memberLifecycle.onHeartbeat(
                 heartbeat.server(), heartbeat.sequence(), heartbeat.leaving(), nowNanos())));
-        Optional<Renewal> renewal = attached.filter(a -> a.server().equals(heartbeat.server()))
+        Optional<Renewal> renewal = granted.filter(a -> a.server().equals(heartbeat.server()))
                 .flatMap(a -> a.grants().onHeartbeat(heartbeat.sequence(), heartbeat.held(), heartbeat.released()));
         heartbeat.reply().accept(renewal);
     }
@@ -163,7 +166,7 @@
                 gate.detach();
                 enqueueStep(() -> {
                     components.ifPresent(MemberComponents::seal);
-                    return detach.replaced() ? control.abandon() : control.sealSelf();
+                    return detach.replaced() ? control.abandon() : sealMember();
                 });
             } else if (action instanceof Action.Leave) {
                 gate.onServerLeaving();
@@ -176,24 +179,26 @@
             } else if (action instanceof Action.JoinAlone) {
                 MemberId alone =
                         new MemberId(identity.name() + "-alone-" + Long.toString(nowNanos(), Character.MAX_RADIX));
-                enqueueStep(() -> join(new JoinParameters(alone, false)));
+                enqueueStep(() -> join(alone, false));
             }
         }
     }
 
     private void attach(Action.Attach attach) {
         ServerIncarnation server = attach.server();
-        HeartbeatGrants grants =
-                new HeartbeatGrants(timers.clock(), timers.clock(), SimulationOptions.TTL_MS, MAX_ROWS);
+        if (granted.filter(g -> g.server().equals(server)).isEmpty()) {
+            granted = Optional.of(new GrantedServer(
+                    server, new HeartbeatGrants(timers.clock(), timers.clock(), SimulationOptions.TTL_MS, MAX_ROWS)));
+        }
         BackendInfo info = new BackendInfo(
                 server.id(), service, identity.peerAddress(), SLOTS, 2 * SLOTS, SimulationOptions.CAPABILITIES);
         backend = Optional.of(info);
-        gate.attach(info, new GrantOnlyBackendServer(grants));
+        gate.attach(info, new GrantOnlyBackendServer(granted.orElseThrow().grants()));
         MemberId member = new MemberId(identity.name() + "-" + server.id() + "-"
                 + Long.toString(server.bornMs(), Character.MAX_RADIX) + "-" + attach.life());
-        attached = Optional.of(new AttachedServer(server, member, grants));
+        attached = Optional.of(new AttachedServer(server, member));
         enqueueStep(() -> delay(attach.joinAfterMs()));
-        enqueueStep(() -> join(new JoinParameters(member, true)));
+        enqueueStep(() -> join(member, true));
         enqueueStep(() -> {
             backend.ifPresent(control::backendAnnounced);
             return CompletableFuture.completedFuture(null);
@@ -206,8 +211,14 @@
         return elapsed;
     }
 
-    private CompletableFuture<Void> join(JoinParameters parameters) {
-        return control.rejoin(parameters).thenAccept(id -> startMember());
+    private CompletableFuture<Void> sealMember() {
+        return gate.endMember().thenCompose(done -> gate.awaitRevocations()).thenCompose(done -> control.sealSelf());
+    }
+
+    private CompletableFuture<Void> join(MemberId id, boolean mayResume) {
+        return gate.endMember()
+                .thenCompose(done -> control.rejoin(new JoinParameters(id, mayResume, gate.awaitRevocations())))
+                .thenAccept(joined -> startMember());
     }
 
     private void startMember() {
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/test/MemberLifecycleTest.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/test/MemberLifecycleTest.java
@@ -18,6 +18,15 @@
     private long nextSequence = 1;
     private final MemberLifecycle lifecycle = new MemberLifecycle(new MemberLifecycle.Timeouts(5_000, 8_000, 2_000), 0);
 
+    /** The grants of a server that was detached as silent end at once when another process has taken its place. */
+    @Test
+    void detachedServerHasEndedWhenAnotherOneStarts() {
+        lifecycle.onHeartbeat(FIRST, nextSequence++, false, 0);
+        lifecycle.onTick(5_000 * NANOS_PER_MS);
+        assertThat(lifecycle.onHeartbeat(OTHER, nextSequence++, false, 6_000 * NANOS_PER_MS))
+                .containsExactly(new Action.ServerEnded(FIRST), new Action.Attach(OTHER, 1, 0));
+    }
+
     @Test
     void repeatedHeartbeatsAttachOnce() {
         assertThat(lifecycle.onHeartbeat(FIRST, nextSequence++, false, 10 * NANOS_PER_MS))
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
@@ -117,9 +117,15 @@
         components.start();
     }
 
-    /** Joins under a member id; allowed if the daemon has not joined yet or its previous member has ended. */
-    public CompletableFuture<Void> join(JoinParameters parameters) {
-        return gate.endMember().thenCompose(done -> control.rejoin(parameters)).thenAccept(id -> startMember());
+    /**
+     * Joins under a member id; allowed if the daemon has not joined yet or its previous member has ended.
+     *
+     * @param mayResume see {@link JoinParameters}
+     */
+    public CompletableFuture<Void> join(MemberId id, boolean mayResume) {
+        return gate.endMember()
+                .thenCompose(done -> control.rejoin(new JoinParameters(id, mayResume, gate.awaitRevocations())))
+                .thenAccept(joined -> startMember());
     }
 
     /** Rejoins under a generated member id after the member was sealed, and announces the backend server again. */
@@ -135,10 +141,13 @@
         Optional.ofNullable(memberComponents.get()).ifPresent(MemberComponents::seal);
     }
 
-    /** Gives up all ranges and seals the record of the own member; completes when the record is sealed. */
+    /**
+     * Gives up all ranges and seals the record of the own member once the backend server can use none of them any more,
+     * because others acquire the ranges of a sealed member at once. Completes when the record is sealed.
+     */
     public CompletableFuture<Void> sealMember() {
         sealOwnership();
-        return control.sealSelf();
+        return gate.endMember().thenCompose(done -> gate.awaitRevocations()).thenCompose(done -> control.sealSelf());
     }
 
     /**
@@ -161,7 +170,10 @@
         backend().ifPresent(control::backendAnnounced);
     }
 
-    /** Removes the backend server, whose process has definitely ended or whose grants have definitely expired. */
+    /**
+     * Removes the backend server. Unless {@link #onServerEnded} was called, it counts as the holder of its ranges until it
+     * has released them or their grants have expired.
+     */
     public void detach() {
         attachedBackend.set(null);
         gate.detach();
@@ -219,7 +231,7 @@
         return control.leave();
     }
 
-    /** Notes that the process of the backend server has ended; called before {@link #detach()}. */
+    /** Notes that the process of the backend server, attached or detached, has ended, so that it holds nothing. */
     public void onServerEnded() {
         gate.onServerEnded();
     }
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HeartbeatGrants.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HeartbeatGrants.java
@@ -155,6 +155,17 @@
         return reported || sentGrants.mayTake(range, nowNanos);
     }
 
+    /** Whether the server neither holds part of a range nor can take it, and no response will grant it. */
+    public synchronized boolean hasCertainlyReleased(KeyRange range) {
+        return !isOffered(range) && !mayHold(range);
+    }
+
+    private boolean isOffered(KeyRange range) {
+        return latestGrant != null
+                && leaseClock.nowNanos() - latestGrantNanos < TimeUnit.MILLISECONDS.toNanos(latestGrant.validityMs())
+                && latestGrant.ranges().stream().anyMatch(row -> row.range().overlaps(range));
+    }
+
     /** Returns and removes the handover tokens of released ranges that overlap a range. */
     public synchronized List<Handover> takeHandovers(KeyRange range) {
         List<Handover> matching = handovers.stream()
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/MemberLifecycle.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/MemberLifecycle.java
@@ -33,13 +33,14 @@
         record Attach(ServerIncarnation server, int life, long joinAfterMs) implements Action {}
 
         /**
-         * Detach the server and end the member.
+         * End the member and send the server no more requests. The server may live and hold what the member has granted,
+         * unless {@link ServerEnded} came before.
          *
          * @param replaced whether another member of this host follows immediately
          */
         record Detach(String reason, boolean replaced) implements Action {}
 
-        /** Note that the process of the server has ended, because another one has started in its place. */
+        /** Note that the process of the latest server has ended, because another one has started in its place. */
         record ServerEnded(ServerIncarnation server) implements Action {}
 
         /** Mark the member as leaving, so that the planner moves its ranges; the server still receives requests. */
@@ -113,9 +114,9 @@
         }
         lastSequence = sequence;
         boolean leaveWithdrawn = leaving && !serverLeaving && sameServer && !mayPrecedeStatement(nowNanos);
-        if (currentServer.isPresent() && !sameServer) {
-            actions.add(new Action.ServerEnded(currentServer.get()));
-        }
+        newestServer()
+                .filter(newest -> !newest.equals(server))
+                .ifPresent(ended -> actions.add(new Action.ServerEnded(ended)));
         if (leaveWithdrawn || (currentServer.isPresent() && !sameServer)) {
             detach(leaveWithdrawn ? "server-returned" : "server-replaced", true, nowNanos, actions);
         }
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/BackendFailureDetector.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/BackendFailureDetector.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.daemon.internal;
 
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -12,12 +13,25 @@
  * first probe without an answer, so a suspension of the daemon does not count as silence of the server.
  */
 final class BackendFailureDetector {
+    /** Reason for which a server counts as failed. */
+    enum Failure {
+        /** No process listens at the address of the server, so it has ended. */
+        CONNECTIONS_REFUSED,
+        /** The server does not answer; it may be running and hold its ranges until their grants expire. */
+        SILENT;
+
+        /** Returns the name for the log. */
+        @Override
+        public String toString() {
+            return name().toLowerCase(Locale.ROOT).replace('_', '-');
+        }
+    }
+
     /** A server whose port refuses connections for this long has failed; a restart takes less. */
     private static final long REFUSED_TIMEOUT_MS = 1_000;
 
     /**
-     * Long enough for two more probes without an answer, and longer than a grant is valid. The ranges must be served
-     * again within 5 s.
+     * Long enough for two more probes without an answer. The ranges must be served again within 5 s.
      */
     private static final long SILENCE_TIMEOUT_MS = 1_200;
 
@@ -41,18 +55,18 @@
         silentSinceNanos = OptionalLong.empty();
     }
 
-    /** Records the result of a probe; returns the reason if the server has failed. */
-    Optional<String> onProbeResult(ProbeResult result, long nowNanos) {
+    /** Records the result of a probe; returns the failure if the server has failed. */
+    Optional<Failure> onProbeResult(ProbeResult result, long nowNanos) {
         switch (result) {
             case ANSWERED -> onAnnounced();
             case REFUSED -> refusedSinceNanos = OptionalLong.of(refusedSinceNanos.orElse(nowNanos));
             case SILENT -> silentSinceNanos = OptionalLong.of(silentSinceNanos.orElse(nowNanos));
         }
         if (hasElapsed(refusedSinceNanos, REFUSED_TIMEOUT_MS, nowNanos)) {
-            return Optional.of("connections-refused");
+            return Optional.of(Failure.CONNECTIONS_REFUSED);
         }
         return honoursValidity && hasElapsed(silentSinceNanos, SILENCE_TIMEOUT_MS, nowNanos)
-                ? Optional.of("silent")
+                ? Optional.of(Failure.SILENT)
                 : Optional.empty();
     }
 
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Daemon.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Daemon.java
@@ -216,20 +216,23 @@
         }
         probed.failureDetector()
                 .onProbeResult(result, timers.clock().nowNanos())
-                .ifPresent(reason -> detachServer(probed.info(), reason));
+                .ifPresent(failure -> detachServer(probed.info(), failure));
     }
 
     /**
      * Detaches a failed server and ends its member, so that other members take its ranges over. The next member owns no
      * ranges until a server announces itself again.
      */
-    private void detachServer(BackendInfo info, String reason) {
-        logger.atWarning().log("event=backend-lost backend=%s member=%s reason=%s", info.name(), host.self(), reason);
+    private void detachServer(BackendInfo info, BackendFailureDetector.Failure failure) {
+        logger.atWarning().log("event=backend-lost backend=%s member=%s reason=%s", info.name(), host.self(), failure);
         monitored = Optional.empty();
+        if (failure == BackendFailureDetector.Failure.CONNECTIONS_REFUSED) {
+            host.onServerEnded();
+        }
         host.detach();
         if (!replacementPending) {
             replacementPending = true;
-            host.sealMember().whenComplete((done, failure) -> lifecycle.offer(this::replaceMember));
+            host.sealMember().whenComplete((done, thrown) -> lifecycle.offer(this::replaceMember));
         }
     }
 
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/LocalGate.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/LocalGate.java
@@ -108,6 +108,11 @@
         return currentGate().map(Gate::endMember).orElseGet(() -> CompletableFuture.completedFuture(null));
     }
 
+    /** Completes when no backend server can use a grant any more of a range that was given up before this call. */
+    public CompletableFuture<Void> awaitRevocations() {
+        return currentGate().map(Gate::awaitRevocations).orElseGet(() -> CompletableFuture.completedFuture(null));
+    }
+
     @Override
     public CompletableFuture<Void> drain() {
         return currentGate().map(Gate::drain).orElseGet(() -> CompletableFuture.completedFuture(null));
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/ServerLifeTest.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/ServerLifeTest.java
@@ -10,8 +10,9 @@
 import org.coriandercrank.kernel.request.CallerAnswer;
 import org.coriandercrank.kernel.table.BackendInfo;
 import org.coriandercrank.kernel.table.KeyRange;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Checks the behaviour of a gate when its backend server leaves, is detached, or is replaced by another one. */
 class ServerLifeTest {
@@ -86,16 +87,22 @@
         assertThat(next.lastGrant().ranges()).hasSize(1);
     }
 
-    /** Guards against a release that waits forever for an answer of a detached server. */
-    @Test
-    void releaseCompletesAfterDetach() {
+    /** Guards against a release that waits forever for an answer of a server whose process has ended. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void releaseCompletesAfterTheEndOfTheServer(boolean detachedBefore) {
         gate.startServing(1);
         gate.backend.answersGrants = false;
         CompletableFuture<TransferredRecords> released = gate.release(KeyRange.ALL);
+        if (detachedBefore) {
+            gate.core.detach();
+        }
         assertThat(released).isNotDone();
+        gate.core.onServerEnded();
         gate.core.detach();
         gate.timers.runQueuedTasks();
         assertThat(released).isCompleted();
+        assertThat(gate.core.mayHoldEarlierGrant(KeyRange.ALL)).isFalse();
     }
 
     /**
@@ -103,7 +110,6 @@
      * the server and before the grant.
      */
     @Test
-    @Tag("known-red")
     void releaseWaitsForTheGrantOfADetachedServerThatLives() {
         gate.startServing(1);
         gate.backend.answersGrants = false;
@@ -115,6 +121,45 @@
         assertThat(released).isCompleted();
     }
 
+    /** Guards against the seal of a member whose server still holds what the member granted. */
+    @Test
+    void revocationsAreAwaitedWhileADetachedServerMayHoldTheRange() {
+        gate.startServing(1);
+        gate.backend.answersGrants = false;
+        gate.core.detach();
+        CompletableFuture<Void> revoked = gate.core.awaitRevocations();
+        gate.timers.advanceMs(900);
+        assertThat(revoked).isNotDone();
+        assertThat(gate.core.mayHoldEarlierGrant(KeyRange.ALL)).isTrue();
+        gate.timers.advanceMs(2_000);
+        assertThat(revoked).isCompleted();
+        assertThat(gate.core.mayHoldEarlierGrant(KeyRange.ALL)).isFalse();
+    }
+
+    /** Guards against a revocation that waits for the end of a grant although the detached server has dropped it. */
+    @Test
+    void detachedServerThatAcknowledgesTheRevocationHoldsNothing() {
+        gate.startServing(1);
+        gate.core.detach();
+        gate.timers.advanceMs(50);
+        assertThat(gate.backend.lastGrant().ranges()).isEmpty();
+        assertThat(gate.core.awaitRevocations()).isCompleted();
+    }
+
+    /** Guards against taking the acknowledgement of the next server for a revocation at the detached one. */
+    @Test
+    void nextServerDoesNotAcknowledgeForADetachedServerThatLives() {
+        gate.startServing(1);
+        gate.backend.answersGrants = false;
+        gate.core.detach();
+        attachNext();
+        CompletableFuture<Void> revoked = gate.core.awaitRevocations();
+        gate.timers.advanceMs(900);
+        assertThat(revoked).isNotDone();
+        gate.timers.advanceMs(2_000);
+        assertThat(revoked).isCompleted();
+    }
+
     /** Requests of an unkeyed service have no owner that another server could replace, so they run without a lease. */
     @Test
     void unkeyedServiceNeedsNoLease() {
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/Gate.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/Gate.java
@@ -175,20 +175,33 @@
      */
     public CompletableFuture<Void> endMember() {
         CompletableFuture<Void> ended = new CompletableFuture<>();
-        enqueueMemberEnd(ended);
+        enqueue(
+                () -> {
+                    core.endMember();
+                    scheduleBusyTick();
+                    ended.complete(null);
+                },
+                ended);
         return ended;
     }
 
-    private void enqueueMemberEnd(CompletableFuture<Void> ended) {
-        boolean queued = executor.offer(() -> {
-            core.endMember();
-            scheduleBusyTick();
-            ended.complete(null);
-        });
+    /**
+     * Completes when no backend server can start a request any more under a grant of a range that was given up before
+     * this call; fails only if the gate is closed.
+     */
+    public CompletableFuture<Void> awaitRevocations() {
+        CompletableFuture<CompletableFuture<Void>> started = new CompletableFuture<>();
+        enqueue(() -> started.complete(core.awaitRevocations()), started);
+        return started.thenCompose(Function.identity());
+    }
+
+    /** Queues a task that must not be lost, also if the task queue is full; fails the result if the gate is closed. */
+    private void enqueue(Runnable task, CompletableFuture<?> result) {
+        boolean queued = executor.offer(task);
         if (!queued && closed.get()) {
-            ended.completeExceptionally(new CrankException(ResultCode.DRAINING, "the gate is closed"));
+            result.completeExceptionally(new CrankException(ResultCode.DRAINING, "the gate is closed"));
         } else if (!queued) {
-            timers.once(QUEUE_FULL_RETRY_AFTER_MS, Runnable::run, () -> enqueueMemberEnd(ended));
+            timers.once(QUEUE_FULL_RETRY_AFTER_MS, Runnable::run, () -> enqueue(task, result));
         }
     }
 
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateCore.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateCore.java
@@ -53,7 +53,11 @@
     private long loadsUpdatedAtNanos;
     private volatile GateStatus publishedStatus = new GateStatus(false, false, 0, 0, List.of());
     private volatile List<RangeLoad> publishedLoads = List.of();
+    private volatile List<KeyRange> publishedUnrevokedRanges = List.of();
+
+    /** The attached backend server, or the one that was attached last and is not known to have ended. */
     private volatile AttachedBackend publishedBackend;
+
     private volatile GateLoad publishedLoad = GateLoad.NONE;
 
     public GateCore(GateContext context) {
@@ -146,8 +150,8 @@
     }
 
     /**
-     * Removes the backend server, which cannot start a request any more because its process has ended or its grants
-     * have expired. Revokes all ranges without a grant and refuses the queued requests.
+     * Sends no more requests to the backend server, refuses the queued ones and gives up all ranges. A server whose
+     * process is not known to have ended is kept until it has released its ranges or their grants have expired.
      */
     public void detach() {
         if (backend == null) {
@@ -158,18 +162,31 @@
         requestService.refuseQueued(ResultCode.BACKEND_UNAVAILABLE, "the backend server was detached");
         replacedBackends.add(backend);
         backend = null;
-        publishedBackend = null;
-        grants.detach();
         requestService.detach();
-        rangeService.attach(null);
-        rangeService.revokeAllRanges();
+        rangeService.detach();
+        if (serverEnded) {
+            forgetServer();
+        } else {
+            rangeService.releaseAtMemberEnd(requestService.unsettledCalls());
+            grants.retire();
+        }
         runPendingWork();
     }
 
-    /** Notes that the process of the backend server has ended; called before {@link #detach()}. */
+    /** Notes that the process of the backend server has ended; called before or after {@link #detach()}. */
     public void onServerEnded() {
         serverEnded = true;
         requestService.onServerEnded();
+        if (backend == null) {
+            forgetServer();
+            runPendingWork();
+        }
+    }
+
+    private void forgetServer() {
+        publishedBackend = null;
+        grants.onServerEnded();
+        rangeService.revokeAllRanges();
     }
 
     /** Notes that the backend server will end as planned. */
@@ -208,6 +225,11 @@
         runPendingWork();
     }
 
+    /** Completes when no backend server can use a range any more that was given up before this call. */
+    public CompletableFuture<Void> awaitRevocations() {
+        return rangeService.awaitRevocations();
+    }
+
     /** Starts a permanent drain; the future completes when nothing is queued or in flight. */
     public CompletableFuture<Void> drain() {
         CompletableFuture<Void> result = drainState.requestDrain();
@@ -252,8 +274,9 @@
     }
 
     public boolean mayHoldEarlierGrant(KeyRange range) {
-        AttachedBackend current = publishedBackend;
-        return current != null && current.server().mayHoldEarlierGrant(range);
+        AttachedBackend latest = publishedBackend;
+        return publishedUnrevokedRanges.stream().anyMatch(range::overlaps)
+                || (latest != null && latest.server().mayHoldEarlierGrant(range));
     }
 
     public GateLoad load() {
@@ -294,7 +317,7 @@
     /** Closes the replaced backend servers whose calls have ended. */
     private void closeReplacedBackends() {
         replacedBackends.removeIf(old -> {
-            if (requestService.isInUse(old)) {
+            if (requestService.isInUse(old) || grants.isRevokingAt(old)) {
                 return false;
             }
             if (backend == null || !old.server().equals(backend.server())) {
@@ -324,6 +347,7 @@
 
     private void publish() {
         publishSizes();
+        publishedUnrevokedRanges = rangeService.unrevokedRanges();
         publishedStatus = new GateStatus(
                 backend != null,
                 drainState.isDraining(backend),
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GrantManager.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GrantManager.java
@@ -41,6 +41,10 @@
     private final RangeTable ranges;
     private final Runnable grantAnswerListener;
     private AttachedBackend backend;
+
+    /** Whether the backend server was detached although its process may live. */
+    private boolean retired;
+
     private SentGrant outstandingGrant;
 
     /**
@@ -73,17 +77,37 @@
         this.grantAnswerListener = grantAnswerListener;
     }
 
-    /** Uses another backend server and schedules a grant of the ranges that exist already. */
+    /**
+     * Uses another backend server and schedules a grant of the ranges that exist already. If the previous server has not
+     * ended, it may hold the ranges that are being revoked, and the next one cannot acknowledge their revocation.
+     */
     void attach(AttachedBackend newBackend) {
+        abandonOutstandingGrant();
+        if (backend != null && !backend.info().name().equals(newBackend.info().name())) {
+            boolean honoursValidity = backend.supports(Capability.VALIDITY);
+            ranges.inState(State.RELEASING).forEach(entry -> entry.onServerReplaced(honoursValidity));
+            ranges.inState(State.REVOKING).forEach(entry -> entry.onServerReplaced(honoursValidity));
+        }
         backend = newBackend;
-        outstandingGrant = null;
+        retired = false;
         grantAcknowledged = false;
         lastGrantFailed = false;
         grantOutdated = context.serviceConfig().keyed() && !ranges.entries().isEmpty();
         nextSendAtNanos = context.nowNanos();
     }
 
-    void detach() {
+    /** Sends nothing more to the backend server than what is needed to revoke its ranges. */
+    void retire() {
+        abandonOutstandingGrant();
+        retired = true;
+        grantAcknowledged = false;
+        lastGrantFailed = false;
+        grantOutdated = !ranges.inState(State.REVOKING).isEmpty();
+        nextSendAtNanos = context.nowNanos();
+    }
+
+    /** Forgets the backend server, whose process has ended. */
+    void onServerEnded() {
         backend = null;
         outstandingGrant = null;
         grantAcknowledged = false;
@@ -91,6 +115,20 @@
         grantOutdated = false;
     }
 
+    /** Whether a backend server is needed to revoke ranges. */
+    boolean isRevokingAt(AttachedBackend candidate) {
+        return candidate.equals(backend) && !ranges.inState(State.REVOKING).isEmpty();
+    }
+
+    /** Treats the outstanding grant as one that the backend server may accept at any moment. */
+    private void abandonOutstandingGrant() {
+        if (outstandingGrant != null) {
+            ranges.extendGrantExpiry(
+                    outstandingGrant.grant().ranges(), context.nowNanos() + outstandingGrant.validityNanos());
+            outstandingGrant = null;
+        }
+    }
+
     /** Schedules a grant with the current ranges; it is sent after the grant delay and when no other is outstanding. */
     void requestGrant() {
         if (!lastGrantFailed && !(grantOutdated && outstandingGrant == null)) {
@@ -123,7 +161,8 @@
                     new CrankException(ResultCode.CALL_TIMEOUT, "the backend server did not answer the grant in time"),
                     nowNanos);
         }
-        if (backend != null && outstandingGrant == null && nowNanos - nextSendAtNanos >= 0) {
+        boolean mayBeNeeded = !retired || !ranges.inState(State.REVOKING).isEmpty();
+        if (backend != null && mayBeNeeded && outstandingGrant == null && nowNanos - nextSendAtNanos >= 0) {
             sendIfDue(nowNanos);
         }
         completeRevocations();
@@ -135,10 +174,10 @@
         }
     }
 
-    /** Completes the acknowledged revocations of ranges that the backend server does not hold and can no longer take. */
+    /** Completes the revocations of ranges that the backend server does not hold and can no longer take. */
     private void completeRevocations() {
         for (RangeEntry entry : ranges.inState(State.REVOKING)) {
-            if (entry.isRevocationAcknowledged() && !mayHoldEarlierGrant(entry)) {
+            if ((entry.isRevocationAcknowledged() && !mayHoldEarlierGrant(entry)) || isCertainlyReleased(entry)) {
                 ranges.transition(entry, State.REVOKED);
             }
         }
@@ -146,21 +185,36 @@
 
     /** Whether the backend server may hold a part of a range that is not granted again, under a newer fencing token. */
     private boolean mayHoldEarlierGrant(RangeEntry entry) {
+        return backend != null && ungrantedParts(entry).stream().anyMatch(backend.server()::mayHoldEarlierGrant);
+    }
+
+    private boolean isCertainlyReleased(RangeEntry entry) {
+        List<KeyRange> parts = ungrantedParts(entry);
+        return backend != null
+                && !entry.isAtReplacedServer()
+                && !parts.isEmpty()
+                && parts.stream().allMatch(backend.server()::hasCertainlyReleased);
+    }
+
+    private List<KeyRange> ungrantedParts(RangeEntry entry) {
         List<KeyRange> granted = ranges.grantable().stream()
                 .map(RangeEntry::range)
                 .filter(entry.range()::overlaps)
                 .toList();
-        return backend != null
-                && KeyRanges.subtract(entry.range(), granted).stream().anyMatch(backend.server()::mayHoldEarlierGrant);
+        return KeyRanges.subtract(entry.range(), granted);
     }
 
     /** Whether the backend server certainly cannot use a range any more although it has not answered the revocation. */
     private boolean isExpiredWithoutAnswer(RangeEntry entry, long nowNanos) {
+        if (backend == null) {
+            return context.options().allowUnconfirmedRelease() && entry.isGrantExpired(nowNanos);
+        }
         if (outstandingGrant != null
                 && RangeTable.isGrantedBy(entry, outstandingGrant.grant().ranges())) {
             return false;
         }
-        boolean honoursValidity = backend != null && backend.supports(Capability.VALIDITY);
+        boolean honoursValidity =
+                entry.isAtReplacedServer() ? entry.isExpiringAtReplacedServer() : backend.supports(Capability.VALIDITY);
         return entry.isGrantExpired(nowNanos)
                 && (honoursValidity || context.options().allowUnconfirmedRelease());
     }
@@ -263,6 +317,9 @@
     }
 
     private void onRevocationAcknowledged(RangeEntry entry) {
+        if (entry.isAtReplacedServer()) {
+            return;
+        }
         if (!entry.isRevocationAcknowledged() && mayHoldEarlierGrant(entry)) {
             context.logDecision(
                     () -> "event=revoke-awaits-earlier-grant range=" + entry.range() + " fence=" + entry.fence());
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeEntry.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeEntry.java
@@ -43,6 +43,8 @@
     private boolean acquireFailed;
     private boolean everGranted;
     private boolean revocationAcknowledged;
+    private boolean atReplacedServer;
+    private boolean expiringAtReplacedServer;
     private long grantExpiresAtNanos;
     private OptionalLong rejectedAtNanos = OptionalLong.empty();
 
@@ -87,6 +89,8 @@
         result.replacedFences.addAll(replacedFences);
         result.everGranted = everGranted;
         result.revocationAcknowledged = revocationAcknowledged;
+        result.atReplacedServer = atReplacedServer;
+        result.expiringAtReplacedServer = expiringAtReplacedServer;
         result.grantExpiresAtNanos = grantExpiresAtNanos;
         result.rejectedAtNanos = rejectedAtNanos;
         return result;
@@ -213,6 +217,25 @@
         return revocationAcknowledged;
     }
 
+    /**
+     * Records that another backend server has taken the place of one that may still hold the range.
+     *
+     * @param honoursValidity whether the earlier server drops the range when its grant expires
+     */
+    void onServerReplaced(boolean honoursValidity) {
+        expiringAtReplacedServer = honoursValidity && (!atReplacedServer || expiringAtReplacedServer);
+        atReplacedServer = true;
+    }
+
+    /** Whether a backend server that was replaced may hold the range, so that acknowledgements by others prove nothing. */
+    boolean isAtReplacedServer() {
+        return atReplacedServer;
+    }
+
+    boolean isExpiringAtReplacedServer() {
+        return expiringAtReplacedServer;
+    }
+
     /** Records that the backend server rejected the fencing token although it had acknowledged the grant. */
     public void markRejected(long nowNanos) {
         rejectedAtNanos = OptionalLong.of(nowNanos);
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeService.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RangeService.java
@@ -10,6 +10,7 @@
 import org.coriandercrank.gate.internal.Execution.AttachedBackend;
 import org.coriandercrank.gate.internal.Execution.ReleasePolicy;
 import org.coriandercrank.gate.internal.RangeEntry.State;
+import org.coriandercrank.kernel.backend.Grant.GrantedRange;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.id.Generation;
@@ -38,6 +39,9 @@
         }
     }
 
+    /** A wait for the revocation of ranges under the fencing tokens with which they were given up. */
+    private record RevocationWait(List<GrantedRange> givenUp, CompletableFuture<Void> result) {}
+
     private final GateContext context;
     private final RangeTable ranges;
     private final RecordTable records;
@@ -45,8 +49,13 @@
     private final ReleasePolicy releasePolicy;
     private final FenceHistory fenceHistory = new FenceHistory();
     private final List<Release> releases = new ArrayList<>();
+    private final List<RevocationWait> revocationWaits = new ArrayList<>();
+
+    /** The attached backend server, or the one that was attached last. */
     private Optional<AttachedBackend> backend = Optional.empty();
 
+    private boolean attached;
+
     RangeService(GateContext context, RangeTable ranges, RecordTable records, GrantManager grants) {
         this.context = context;
         this.ranges = ranges;
@@ -58,9 +67,15 @@
                 context.options().allowUnconfirmedRelease());
     }
 
-    /** Uses another backend server; null if there is none. */
+    /** Uses another backend server. */
     void attach(AttachedBackend newBackend) {
-        backend = Optional.ofNullable(newBackend);
+        backend = Optional.of(newBackend);
+        attached = true;
+    }
+
+    /** Acquires no more ranges; the handover tokens of the backend server are still passed on. */
+    void detach() {
+        attached = false;
     }
 
     /** Starts an acquire. Repeating an acquire returns the future of the first one. */
@@ -90,7 +105,7 @@
         if (!context.serviceConfig().keyed()) {
             return new CrankException(ResultCode.BAD_REQUEST, "the service is unkeyed and has no ranges");
         }
-        if (backend.isEmpty()) {
+        if (!attached) {
             return new CrankException(ResultCode.BACKEND_UNAVAILABLE, "no backend server is attached");
         }
         if (!context.isLeaseValid()) {
@@ -200,8 +215,10 @@
      * @param candidateCalls calls of any range that run or whose answer was lost
      */
     void releaseAtMemberEnd(List<Execution> candidateCalls) {
-        for (RangeEntry entry : ranges.grantable()) {
-            release(entry.range(), candidateCalls);
+        for (RangeEntry entry : List.copyOf(ranges.entries())) {
+            if (entry.state().compareTo(State.SERVING) <= 0 || entry.isAcquireFailed()) {
+                release(entry.range(), candidateCalls);
+            }
         }
         for (RangeEntry entry : ranges.inState(State.RELEASING)) {
             ranges.transition(entry, State.REVOKING);
@@ -221,12 +238,49 @@
         }
     }
 
-    /** Revokes all entries without a grant, because the backend server does not hold any range any more. */
+    /** Returns the ranges that are given up but may still be held by a backend server. */
+    List<KeyRange> unrevokedRanges() {
+        return ranges.entries().stream()
+                .filter(RangeService::isUnrevoked)
+                .map(RangeEntry::range)
+                .toList();
+    }
+
+    /**
+     * Completes when no backend server can start a request any more under a grant of the ranges that are being given up
+     * now. Requests that have started may still run.
+     */
+    CompletableFuture<Void> awaitRevocations() {
+        RevocationWait wait = new RevocationWait(
+                ranges.entries().stream()
+                        .filter(RangeService::isUnrevoked)
+                        .map(e -> new GrantedRange(e.range(), e.fence()))
+                        .toList(),
+                new CompletableFuture<>());
+        revocationWaits.add(wait);
+        completeRevocationWaits();
+        return wait.result;
+    }
+
+    private void completeRevocationWaits() {
+        List<RevocationWait> completed = revocationWaits.stream()
+                .filter(wait -> ranges.entries().stream()
+                        .noneMatch(entry ->
+                                isUnrevoked(entry) && wait.givenUp.stream().anyMatch(entry::isGrantedBy)))
+                .toList();
+        revocationWaits.removeAll(completed);
+        completed.forEach(wait -> wait.result.complete(null));
+    }
+
+    private static boolean isUnrevoked(RangeEntry entry) {
+        return entry.state() == State.RELEASING || entry.state() == State.REVOKING;
+    }
+
+    /** Revokes all entries without an answer, because the process of the backend server has ended. */
     void revokeAllRanges() {
         for (RangeEntry entry : List.copyOf(ranges.entries())) {
             if (entry.state() == State.ACQUIRING) {
-                entry.failAcquire(
-                        new CrankException(ResultCode.BACKEND_UNAVAILABLE, "the backend server was detached"));
+                entry.failAcquire(new CrankException(ResultCode.BACKEND_UNAVAILABLE, "the backend server has ended"));
             }
             if (entry.state() != State.REVOKED) {
                 ranges.transition(entry, State.REVOKED);
@@ -282,6 +336,7 @@
                 ranges.remove(entry);
             }
         }
+        completeRevocationWaits();
     }
 
     /** Imports the outcome records of the newly served ranges and completes their acquires. */
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/BackendServer.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/BackendServer.java
@@ -57,6 +57,14 @@
         return false;
     }
 
+    /**
+     * Whether the server certainly neither holds part of a range nor can take it from a grant that was sent, without an
+     * answer to a revocation. A server of which nothing is known never has.
+     */
+    default boolean hasCertainlyReleased(KeyRange range) {
+        return false;
+    }
+
     /**
      * The number of requests per second that the server takes from all daemons together, as stated in its latest
      * response; empty if that response states no limit.
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/OwnerGate.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/OwnerGate.java
@@ -34,12 +34,13 @@
     void attach(BackendInfo info, BackendServer server);
 
     /**
-     * Removes the backend server, whose process has definitely ended or whose grants have definitely expired, gives up
-     * all ranges immediately and rejects the queued requests.
+     * Sends no more requests to the backend server, rejects the queued ones and gives up all ranges. A detach does not
+     * mean that the server has ended: unless {@link #onServerEnded} was called, it counts as the holder of its ranges
+     * until it has released them or their grants have expired.
      */
     void detach();
 
-    /** Notes that the process of the backend server has ended, which may not have been planned; precedes a detach. */
+    /** Notes that the process of the backend server, attached or detached, has ended, so that it holds nothing. */
     default void onServerEnded() {}
 
     /** Notes that the backend server announced its end, which is then planned. It still receives requests. */
@@ -70,7 +71,7 @@
 
     /**
      * Whether the backend server may still hold part of a range, or may still take it from an earlier grant, also one
-     * that an earlier process of this daemon issued.
+     * that an earlier process or member of this daemon issued, and also if the server was detached.
      */
     default boolean mayHoldEarlierGrant(KeyRange range) {
         return false;
