Seal the former members also if the next one leaves before it joins

The next member of a host whose server leaves does not join, so nobody sealed the former one, whose witnesses were gone as well. It came up because a member now waits before it seals itself, and may end meanwhile; without the wait the same happens if it ends before it begins to seal.

The sealer of former members now also runs for a member whose join was cancelled, and for the member that a platform daemon joins with when it has no server.

Ruled out: joining a member only to let it leave (two more writes).

--- a/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/MembershipTest.java
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/MembershipTest.java
@@ -82,6 +82,20 @@
         assertThat(cluster.isSealed(former)).isTrue();
     }
 
+    /** The ranges of a former member were never served again, because the next one left before it joined. */
+    @Test
+    void formerMemberIsSealedAlthoughTheNextOneLeavesBeforeItJoins() {
+        FakeCluster cluster = new FakeCluster("r/a");
+        FakeHost host = cluster.host(0);
+        MemberId former = host.control().self();
+        cluster.time().runFor(3_000);
+        host.control().abandon();
+        host.control().rejoin(new JoinParameters(new MemberId("next"), true, CompletableFuture.completedFuture(null)));
+        host.control().leave();
+        cluster.time().runFor(300);
+        assertThat(cluster.isSealed(former)).isTrue();
+    }
+
     @Test
     void singleMemberRenewsThroughTheStore() {
         FakeCluster cluster = new FakeCluster("r/a");
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
@@ -241,7 +241,7 @@
         }
         if (dissemination.isListed()) {
             takeovers.tick(nowNanos);
-            if (membership.isJoined() && membership.mayResume()) {
+            if ((membership.isJoined() || membership.isJoinCancelled()) && membership.mayResume()) {
                 predecessors.tick(membership.id(), membership.formerGrantsEnded());
             }
         }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
@@ -144,6 +144,11 @@
         return holder.flatMap(LeaseHolder::confirmed).isPresent();
     }
 
+    /** Whether this member will not join, because it left or was sealed before its record was written. */
+    public boolean isJoinCancelled() {
+        return holder.isEmpty() && (leaveFuture.isDone() || sealFuture.isDone());
+    }
+
     public Optional<VersionedMember> confirmed() {
         return holder.flatMap(LeaseHolder::confirmed);
     }
@@ -168,7 +173,7 @@
     /** Joins once the store has been listed; after that, evaluates the lease and then runs the work that is due. */
     public void tick(long nowNanos) {
         if (holder.isEmpty()) {
-            if (dissemination.isListed() && !leaveFuture.isDone() && !sealFuture.isDone()) {
+            if (dissemination.isListed() && !isJoinCancelled()) {
                 join(nowNanos);
             }
             return;
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/PredecessorSealer.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/PredecessorSealer.java
@@ -15,7 +15,8 @@
 import org.coriandercrank.kernel.table.MemberState;
 
 /**
- * Seals the member records of earlier processes with the peer address of this daemon, after this daemon has joined.
+ * Seals the member records of earlier processes with the peer address of this daemon, after this daemon has joined, or if it will
+ * not join because its server leaves.
  *
  * <p>The address is used by one process at a time, so the earlier processes have ended, and so have the grants of a
  * backend server that was replaced. A backend server that lives on may hold what an earlier process has granted until the
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedDaemon.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedDaemon.java
@@ -179,7 +179,7 @@
             } else if (action instanceof Action.JoinAlone) {
                 MemberId alone =
                         new MemberId(identity.name() + "-alone-" + Long.toString(nowNanos(), Character.MAX_RADIX));
-                enqueueStep(() -> join(alone, false));
+                enqueueStep(() -> join(alone, true));
             }
         }
     }
