Await the grants of a former member whose record names no server

A former member without a server in its record was sealed at once. Such a record is now treated like any other.

Ruled out: the same only for members of this process; the record of an earlier process may be as old. Cost: the member without a server of an earlier process, which owns no ranges, is sealed one TTL after the start instead of at once.

--- a/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/MembershipTest.java
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/MembershipTest.java
@@ -3,10 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.coriandercrank.control.ControlStatus;
 import org.coriandercrank.control.JoinParameters;
 import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.store.JsonCodec;
+import org.coriandercrank.kernel.store.ObjectNames;
+import org.coriandercrank.kernel.table.Member;
 import org.coriandercrank.kernel.table.MemberState;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -82,6 +86,38 @@
         assertThat(cluster.isSealed(former)).isTrue();
     }
 
+    /**
+     * The store may have returned from a copy that it made before a former member announced its server, so a record
+     * without a server does not prove that no server holds ranges of the member.
+     */
+    @Test
+    void formerMemberWithoutAServerInItsRecordIsSealedOnlyAfterItsGrantsHaveEnded() {
+        FakeCluster cluster = new FakeCluster("r/a");
+        FakeHost host = cluster.host(0);
+        MemberId former = host.control().self();
+        cluster.time().runFor(3_000);
+        host.control().abandon();
+        Member record = cluster.record(former).orElseThrow();
+        Member withoutServer = new Member(
+                record.id(),
+                record.peerAddress(),
+                record.callerAddress(),
+                record.adminAddress(),
+                record.region(),
+                record.failureDomain(),
+                MemberState.JOINING,
+                Optional.empty(),
+                record.witnesses());
+        cluster.store().putUnconditionally(ObjectNames.member(former), JsonCodec.encode(withoutServer));
+        CompletableFuture<Void> grantsEnded = new CompletableFuture<>();
+        host.control().rejoin(new JoinParameters(new MemberId("next"), true, grantsEnded));
+        cluster.time().runFor(1_000);
+        assertThat(cluster.isSealed(former)).isFalse();
+        grantsEnded.complete(null);
+        cluster.time().runFor(300);
+        assertThat(cluster.isSealed(former)).isTrue();
+    }
+
     /** The ranges of a former member were never served again, because the next one left before it joined. */
     @Test
     void formerMemberIsSealedAlthoughTheNextOneLeavesBeforeItJoins() {
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/PredecessorSealer.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/PredecessorSealer.java
@@ -15,8 +15,8 @@
 import org.coriandercrank.kernel.table.MemberState;
 
 /**
- * Seals the member records of earlier processes with the peer address of this daemon, after this daemon has joined, or if it will
- * not join because its server leaves.
+ * Seals the member records of earlier processes with the peer address of this daemon, after this daemon has joined, or
+ * if it will not join because its server leaves.
  *
  * <p>The address is used by one process at a time, so the earlier processes have ended, and so have the grants of a
  * backend server that was replaced. A backend server that lives on may hold what an earlier process has granted until the
@@ -70,8 +70,12 @@
 
     /** Whether no backend server can hold a range that the predecessor has granted. */
     private boolean haveGrantsEnded(Member predecessor, MemberId self, boolean formerGrantsEnded) {
-        if (predecessor.backend().isEmpty()
-                || isServerReplaced(predecessor.backend().get(), self)) {
+        // A record without a server proves nothing: the store may have returned from a copy made before the
+        // announcement.
+        if (predecessor
+                .backend()
+                .filter(earlier -> isServerReplaced(earlier, self))
+                .isPresent()) {
             return true;
         }
         boolean earlierProcessGrantsEnded = context.nowNanos() - startedAtNanos
