List a release that the replacing server acknowledges as known red

A server of another name that is attached without a detach of the first one acknowledges the release of a range that the first one may still hold. Entries in service are not marked as being at a replaced server, only those being given up.

Ruled out: the users' platform, whose daemon detaches a server before it attaches another.

--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/ServerLifeTest.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/ServerLifeTest.java
@@ -10,6 +10,7 @@
 import org.coriandercrank.kernel.request.CallerAnswer;
 import org.coriandercrank.kernel.table.BackendInfo;
 import org.coriandercrank.kernel.table.KeyRange;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -160,6 +161,23 @@
         assertThat(revoked).isCompleted();
     }
 
+    /**
+     * Guards against a release that completes because the next server acknowledges the revocation, while the one in whose
+     * place it was attached, without a detach, holds the range.
+     */
+    @Test
+    @Tag("known-red")
+    void nextServerDoesNotAcknowledgeForTheOneThatItReplaces() {
+        gate.startServing(1);
+        gate.backend.answersGrants = false;
+        attachNext();
+        CompletableFuture<TransferredRecords> released = gate.release(KeyRange.ALL);
+        gate.timers.advanceMs(900);
+        assertThat(released).isNotDone();
+        gate.timers.advanceMs(2_000);
+        assertThat(released).isCompleted();
+    }
+
     /** Requests of an unkeyed service have no owner that another server could replace, so they run without a lease. */
     @Test
     void unkeyedServiceNeedsNoLease() {
