Attribute the end of a former member to it, and report held ranges as incomplete after the end

The listener of a member's end now names the member, and a sealed range ownership never reports completely. Ruled out: marking the waiting member as leaving (one more write). No test of its own; LivingServerOfAnEndedMemberTest, MembershipTest, ServerLifeTest and LateResponse*Test pass.

--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedDaemon.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedDaemon.java
@@ -103,7 +103,7 @@
                 new MemberLifecycle(SimulationOptions.LIFECYCLE, timers.clock().nowNanos());
         control.addIncarnationListener((member, reason) -> {
             components.ifPresent(MemberComponents::seal);
-            lifecycle.offer(() -> perform(memberLifecycle.onMemberSealed(nowNanos())));
+            lifecycle.offer(() -> onMemberSealed(member));
         });
     }
 
@@ -149,6 +149,12 @@
                 .ifPresent(a -> perform(memberLifecycle.onLeavingStated(a.server(), nowNanos())));
     }
 
+    private void onMemberSealed(MemberId member) {
+        if (attached.isEmpty() || attached.get().member().equals(member)) {
+            perform(memberLifecycle.onMemberSealed(nowNanos()));
+        }
+    }
+
     private boolean isLeaving(MemberId member) {
         return control.status().memberId().equals(member) && control.status().state() == MemberState.LEAVING;
     }
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.coriandercrank.control.ControlDependencies;
 import org.coriandercrank.control.ControlPlane;
@@ -61,9 +62,9 @@
     /**
      * Creates the components without starting them.
      *
-     * @param onSealed called on the control thread after another daemon sealed the member; must not block
+     * @param onSealed called with the member on the control thread after others ended it; must not block
      */
-    public DaemonHost(HostOptions options, HostServices services, Runnable onSealed) {
+    public DaemonHost(HostOptions options, HostServices services, Consumer<MemberId> onSealed) {
         this.options = options;
         this.services = services;
         AtomicReference<ControlPlane> controlReference = new AtomicReference<>();
@@ -83,7 +84,7 @@
         control.addIncarnationListener((id, reason) -> {
             logger.atWarning().log("event=sealed member=%s reason=\"%s\"", id, reason);
             sealOwnership();
-            onSealed.run();
+            onSealed.accept(id);
         });
     }
 
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Daemon.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Daemon.java
@@ -79,7 +79,7 @@
         store = plugins.get(Kind.STORE, settings.storeAdapter()).open(settings.store(), settings.storeTimeoutMs());
         new JvmMemoryMetrics().bindTo(metrics);
         new ProcessorMetrics().bindTo(metrics);
-        host = new DaemonHost(hostOptions(settings), hostServices(), () -> lifecycle.offer(this::onSealed));
+        host = new DaemonHost(hostOptions(settings), hostServices(), member -> lifecycle.offer(this::onSealed));
         admin = HttpServer.listen(
                 group, settings.adminListen(), HttpServerOptions.DEFAULTS, new AdminEndpoint(() -> this, metrics));
         host.start(settings.callerListen());
--- a/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/RangeOwnership.java
+++ b/org.coriandercrank.placement/src/main/java/org/coriandercrank/placement/RangeOwnership.java
@@ -403,7 +403,8 @@
             ServiceName service = ownService();
             OwnershipState state = ownState(service);
             List<HeldRangesReport.Held> served = state.servedRanges();
-            boolean complete = state.isQuiescent()
+            boolean complete = !sealed
+                    && state.isQuiescent()
                     && lease.isValid(dependencies.timers().clock().nowNanos())
                     && !mayHoldOthers(served);
             return new HeldRangesReport(dependencies.self(), service, latestEra, complete, served);
