List two broken seeds of the harder faults as known red

Found in 504 runs of the three new mixes, 168 each from seed 1 on: seed 47 of HARDER_ALL_AND_LATE_MESSAGES breaks FENCE_TWICE (a write across a return of the store), seed 132 of HARDER_NO_DRILLS breaks UNSERVED. No run had two owners. Each seed was run twice with the same result, on a busy machine; the simulation runs in virtual time.

--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/OwnershipSimulationTest.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/OwnershipSimulationTest.java
@@ -72,4 +72,20 @@
         assertThat(OwnershipTrial.seedsByRule(FaultMix.ALL_AND_LATE_MESSAGES, 34, 1, 1))
                 .isEmpty();
     }
+
+    /** See KNOWN-RED.txt: as seed 34, in a mix that has harder faults, too. */
+    @Test
+    @Tag("known-red")
+    void lateWritesBesideHarderFaultsBreakNoRule() throws Exception {
+        assertThat(OwnershipTrial.seedsByRule(FaultMix.HARDER_ALL_AND_LATE_MESSAGES, 47, 1, 1))
+                .isEmpty();
+    }
+
+    /** See KNOWN-RED.txt: 22 of 64 keys have no owner 15 s after all faults have ended, although the store lost nothing. */
+    @Test
+    @Tag("known-red")
+    void keysAreServedAfterHarderFaults() throws Exception {
+        assertThat(OwnershipTrial.seedsByRule(FaultMix.HARDER_NO_DRILLS, 132, 1, 1))
+                .isEmpty();
+    }
 }
