End the record of a resumed member whose server leaves before the join

Cause: a server that stated that it leaves before its next daemon process had resumed the member prevented the join. The record of the earlier process stayed active, so the planner saw a living owner and wrote no table. If its witnesses are gone as well, nobody can seal it.

A member that may be resumed and has an unsealed record in the view now joins as leaving. A member without a record still does not join.

Ruled out: the planner.

--- a/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/MembershipTest.java
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/MembershipTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against live members that lose their leases, failed members that are not sealed, and sealed members that
@@ -96,6 +97,29 @@
         assertThat(cluster.isSealed(former)).isTrue();
     }
 
+    /**
+     * The record of an earlier process stayed active for good, and so its ranges unserved, if the server stated that it
+     * leaves before the next process had resumed the member: each took it for the task of the other to end it.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 500})
+    void memberOfAnEarlierProcessIsLeavingAlthoughItsServerLeavesBeforeItIsResumed(long listedBeforeMs) {
+        FakeCluster cluster = new FakeCluster(EIGHT_HOSTS);
+        FakeHost killed = cluster.host(0);
+        MemberId id = killed.control().self();
+        killed.kill();
+
+        FakeHost restarted = cluster.add("r/a");
+        restarted.control().sealSelf();
+        cluster.time().runFor(listedBeforeMs);
+        restarted.control().rejoin(new JoinParameters(id, true, CompletableFuture.completedFuture(null)));
+        restarted.control().backendAnnounced(FakeCluster.backend(1));
+        restarted.control().leave();
+        cluster.time().runFor(700);
+        assertThat(cluster.record(id).orElseThrow().state()).isEqualTo(MemberState.LEAVING);
+        assertThat(cluster.record(id).orElseThrow().backend()).isPresent();
+    }
+
     @Test
     void singleMemberRenewsThroughTheStore() {
         FakeCluster cluster = new FakeCluster("r/a");
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Membership.java
@@ -146,7 +146,15 @@
 
     /** Whether this member will not join, because it left or was sealed before its record was written. */
     public boolean isJoinCancelled() {
-        return holder.isEmpty() && (leaveFuture.isDone() || sealFuture.isDone());
+        return holder.isEmpty() && ((leaveFuture.isDone() && !isResumed()) || sealFuture.isDone());
+    }
+
+    /** Whether an earlier process has left a record of this member; nobody else may ever be able to end it. */
+    private boolean isResumed() {
+        return mayResume
+                && view.member(id)
+                        .filter(record -> record.member().state() != MemberState.SEALED)
+                        .isPresent();
     }
 
     public Optional<VersionedMember> confirmed() {
@@ -214,11 +222,12 @@
     }
 
     /**
-     * Sets the state to leaving; the future completes when the record has that state. Before the join, it prevents the
-     * join.
+     * Sets the state to leaving; the future completes when the record has that state, or before the join if no record of
+     * this member is known. It prevents the join, except of a member that an earlier process has left in the store: its
+     * record must state that it leaves, or its ranges would stay with it.
      */
     public CompletableFuture<Void> leave() {
-        if (holder.isEmpty()) {
+        if (holder.isEmpty() && !isResumed()) {
             leaveFuture.complete(null);
         }
         if (desired.state() == MemberState.JOINING || desired.state() == MemberState.ACTIVE) {
