Publish the era of a pushed object before the object

Cause: a listing publishes its era before its tables, a single pushed object did not. A listener that acquires ranges could see a table of an earlier era before the era that makes it void. By reading, planners push only tables whose write was confirmed in their own era, so no run has shown a range that was acquired this way.

Change: both ways of applying objects publish the era first.

Result: pushedTableOfAnEarlierEraIsPublishedWithTheEraOfItsPosition fails before the change (era 1) and passes after it; the five tests of StoreReturnViewTest pass.

--- a/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/StoreReturnViewTest.java
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/StoreReturnViewTest.java
@@ -2,15 +2,23 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import org.coriandercrank.control.ControlOptions;
 import org.coriandercrank.control.internal.Dissemination;
 import org.coriandercrank.kernel.id.Era;
+import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.id.ServiceName;
 import org.coriandercrank.kernel.message.Digest;
 import org.coriandercrank.kernel.message.FetchObject;
 import org.coriandercrank.kernel.ownership.StoreEra;
+import org.coriandercrank.kernel.store.ObjectNames;
+import org.coriandercrank.kernel.store.StoredObject;
+import org.coriandercrank.kernel.store.TableCodec;
+import org.coriandercrank.kernel.table.AssignmentTable;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -22,6 +30,7 @@
     private static final MemberId SELF = new MemberId("self");
     private static final MemberId KEPT = new MemberId("kept");
     private static final MemberId LOST = new MemberId("lost");
+    private static final ServiceName SERVICE = new ServiceName("desk");
     private static final Era FIRST = new Era(1);
     private static final Era SECOND = new Era(2);
 
@@ -81,6 +90,25 @@
         assertThat(daemon.view().storeEra().settled()).isFalse();
     }
 
+    /** A listener of the view that acquires ranges must not see the table before the era of its position. */
+    @Test
+    void pushedTableOfAnEarlierEraIsPublishedWithTheEraOfItsPosition() {
+        List<Era> publishedIn = new ArrayList<>();
+        daemon.view().subscribe(snapshot -> {
+            if (snapshot.table(SERVICE).isPresent()) {
+                publishedIn.add(daemon.view().storeEra().era());
+            }
+        });
+        AssignmentTable table = new AssignmentTable(SERVICE, Generation.NONE.next(FIRST), List.of());
+        daemon.view()
+                .applyPushed(
+                        FetchObject.Kind.ASSIGNMENTS,
+                        StoredObject.of(
+                                ObjectNames.assignments(SERVICE), Revision.of(SECOND, 9), TableCodec.encode(table)));
+
+        assertThat(publishedIn).containsExactly(SECOND);
+    }
+
     /** The daemon is not a relay, so it makes no other calls to the store meanwhile. */
     @Test
     void everyKindIsListedAgainInANewEra() {
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
@@ -222,11 +222,7 @@
 
     /** Applies changes and returns those that were newer than the known state. See {@link ObjectCache#apply}. */
     public List<StoredObject> apply(ObjectData data, UpdateSource source) {
-        context.eras().observe(data.upTo().era(), context.nowNanos());
-        if (context.eras().era().isNewerThan(storeEra.era())) {
-            // A table of an earlier era must not be published without the era of its position.
-            storeEra = new StoreEra(context.eras().era(), false);
-        }
+        observeEraOf(data.upTo());
         List<StoredObject> applied = caches.get(data.kind()).apply(data.objects(), data.upTo(), data.reset());
         applied.forEach(change -> decode(data.kind(), change, source));
         if (!applied.isEmpty()) {
@@ -235,6 +231,14 @@
         return applied;
     }
 
+    /** Publishes the era of a position. A table of an earlier era must not be published without it. */
+    private void observeEraOf(Revision position) {
+        context.eras().observe(position.era(), context.nowNanos());
+        if (context.eras().era().isNewerThan(storeEra.era())) {
+            storeEra = new StoreEra(context.eras().era(), false);
+        }
+    }
+
     /** Applies a member record that this daemon has just written or read. */
     public void applyMember(VersionedMember versionedMember) {
         Member member = versionedMember.member();
@@ -248,7 +252,7 @@
 
     /** Applies a single object that a peer pushed; does not change {@link #completeUpTo}. */
     public void applyPushed(FetchObject.Kind kind, StoredObject object) {
-        context.eras().observe(object.revision().era(), context.nowNanos());
+        observeEraOf(object.revision());
         if (object.name().startsWith(prefix(kind)) && caches.get(kind).applySingle(object)) {
             decode(kind, object, UpdateSource.PUSH);
             publish(snapshot.self());
