Size rows by what is written and keep fences below those of next owners

ServerEndpoint.ROW_LIMIT now counts encoded bytes, and GrantRowMerger takes a RowLimit in place of a number of rows. Handover tokens that do not fit are dropped. Rows that do not fit even merged and without tokens are left out with a log line, first those that the server has not had. A renewal above the limit is never sent.

Fences: above the limit, adjacent ranges were merged under the newest fence also if one of them was being moved, so that the next owner's fence was not above. A fence is now raised at most to the generation of a table that assigns the whole range to the member (AssignedRanges): a later owner gets it from a newer table. A range that overlaps an earlier row in part keeps its own fence on the other keys.

Ruled out: the oldest fence (the server refuses it), only leaving rows out (keys unserved), joining in the table (a write during which rows do not fit), see docs/design/platform.md.

Changes to tests: mergeOfManyRangesTakesOnePass expects the rows that fit and the number left out, because no more rows than the limit are returned. responseWithMaxRowsStaysBelowLimit fills the byte limit, at least 165 rows with six-digit fences as before. fenceOfKeyNeverDecreases also moves keys and checks their fences against that of the next owner.

--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HeartbeatGrants.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HeartbeatGrants.java
@@ -1,10 +1,12 @@
 package org.coriandercrank.daemon;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.coriandercrank.kernel.backend.Grant;
 import org.coriandercrank.kernel.backend.Grant.GrantedRange;
 import org.coriandercrank.kernel.code.CrankException;
@@ -36,6 +38,7 @@
      */
     public record Renewal(List<GrantedRange> ranges, long validityMs) {}
 
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int MAX_HANDOVERS = 1_024;
 
     private final MonotonicClock steadyClock;
@@ -60,12 +63,18 @@
      * @param steadyClock may stop while the host is suspended
      * @param leaseClock clock of the lease, which includes suspensions
      * @param maxHoldMs longest validity of a grant, also of one by an earlier process of the daemon
-     * @param maxRows maximum number of rows in a response
+     * @param rowLimit room for rows in a response
+     * @param assignedRanges the ranges that the latest known table assigns to the member of this daemon; must not block
      */
-    public HeartbeatGrants(MonotonicClock steadyClock, MonotonicClock leaseClock, long maxHoldMs, int maxRows) {
+    public HeartbeatGrants(
+            MonotonicClock steadyClock,
+            MonotonicClock leaseClock,
+            long maxHoldMs,
+            RowLimit rowLimit,
+            Supplier<AssignedRanges> assignedRanges) {
         this.steadyClock = steadyClock;
         this.leaseClock = leaseClock;
-        rowMerger = new GrantRowMerger(maxRows);
+        rowMerger = new GrantRowMerger(rowLimit, assignedRanges);
         this.maxHoldNanos = TimeUnit.MILLISECONDS.toNanos(maxHoldMs);
         lastReportNanos = steadyClock.nowNanos();
         sentGrants = new SentGrants(lastReportNanos, maxHoldNanos);
@@ -128,7 +137,7 @@
             if (validityMs <= 0 && !revokes) {
                 return Optional.empty();
             }
-            renewal = new Renewal(rowMerger.merge(latestGrant.ranges(), reported), Math.max(0, validityMs));
+            renewal = new Renewal(mergeRows(reported), Math.max(0, validityMs));
             sentGrants.add(renewal.ranges(), TimeUnit.MILLISECONDS.toNanos(renewal.validityMs()), lastReportNanos);
             sequence = latestGrant.sequence();
             List<KeyRange> granted =
@@ -143,6 +152,17 @@
         return Optional.of(renewal);
     }
 
+    private List<GrantedRange> mergeRows(List<GrantedRange> reported) {
+        List<GrantedRange> leftOutBefore = rowMerger.leftOutRows();
+        List<GrantedRange> rows = rowMerger.merge(latestGrant.ranges(), reported);
+        List<GrantedRange> leftOut = rowMerger.leftOutRows();
+        if (!leftOut.equals(leftOutBefore)) {
+            logger.atWarning().log(
+                    "event=rows-left-out count=%d sent=%d rows=%s", leftOut.size(), rows.size(), leftOut);
+        }
+        return rows;
+    }
+
     /**
      * Whether the server may hold part of a range, or take it from a response that is on its way: its latest heartbeat
      * reported the range and the longest validity has not passed since, or a response with the range is not settled.
