--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/GrantRowMerger.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/GrantRowMerger.java
@@ -19,14 +19,14 @@
  *
  * <p>Adjacent ranges with the same fencing token are always merged. If the rows do not fit then, adjacent ranges with
  * different fencing tokens are merged, too, and the row has the newest of their tokens; if they still do not fit, also
- * ranges with a handover token, which is dropped. Rows for which there is no room even so are left out, first those that
- * the server has not been granted before.
+ * ranges with a handover token, which is dropped. Rows for which there is no room even so are left out, first those
+ * that the server has not been granted before.
  *
  * <p>Invariants:
  *
  * <ul>
- *   <li>The fencing token of a key never decreases, because a server rejects a row if it has seen a newer token on one of
- *       its keys. A range that is no longer merged with its neighbour therefore keeps the token of the merged row.
+ *   <li>The fencing token of a key never decreases, because a server rejects a row if it has seen a newer token on one
+ *       of its keys. A range that is no longer merged with its neighbour therefore keeps the token of the merged row.
  *   <li>The fencing token of a key is below those of its later owners. Merging therefore raises the token of a range at
  *       most to the generation of a table that assigns the range to the member. A range that is being moved to another
  *       member is not merged under a newer token.
