--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/code/ResultCode.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/code/ResultCode.java
@@ -45,6 +45,7 @@
     RETRY_BUDGET_EXHAUSTED(215, 503, Outcome.NOT_RUN, "too many retries at this daemon"),
     QUARANTINED(216, 503, Outcome.NOT_RUN, "servers crashed each time they ran the request; it is not sent to more"),
     CONFIGURATION_UNCONFIRMED(217, 503, Outcome.NOT_RUN, "the daemon cannot tell whether its configuration is current"),
+    REGION_NOT_ALLOWED(218, 503, Outcome.NOT_RUN, "no server in the regions allowed for the request can take it"),
 
     OUTCOME_UNKNOWN(300, 504, Outcome.UNKNOWN, "the request was sent to a server and its answer was lost"),
     DEADLINE_EXPIRED_RUNNING(301, 504, Outcome.UNKNOWN, "the deadline passed while a server had the request"),
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/Route.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/Route.java
@@ -1,6 +1,8 @@
 package org.coriandercrank.kernel.config;
 
 import java.util.List;
+import java.util.Set;
+import org.coriandercrank.kernel.id.Region;
 import org.coriandercrank.kernel.id.ServiceName;
 
 /**
@@ -14,6 +16,8 @@
  * @param timeoutMs upper limit in milliseconds on the time until a request is answered, also if its deadline is later
  * @param latencyObjectiveMs target response time in milliseconds; a later answer is worth less
  * @param priority priority of the requests; 0 is the highest
+ * @param allowedRegions regions whose servers may execute the requests; empty, the value in a stored configuration without
+ *     this field, means all regions
  */
 public record Route(
         String name,
@@ -24,7 +28,8 @@
         int maxServers,
         long timeoutMs,
         long latencyObjectiveMs,
-        int priority) {
+        int priority,
+        Set<Region> allowedRegions) {
     /** A service and its share of the requests, relative to the sum of all weights. Immutable. */
     public record Target(ServiceName service, int weight) {
         public Target {
@@ -36,6 +41,7 @@
 
     public Route {
         targets = List.copyOf(targets);
+        allowedRegions = allowedRegions == null ? Set.of() : Set.copyOf(allowedRegions);
         if (!pathPrefix.startsWith("/") || !pathPrefix.endsWith("/")) {
             throw new IllegalArgumentException("pathPrefix must start and end with a slash: " + pathPrefix);
         }
@@ -47,8 +53,32 @@
         }
     }
 
+    /** A route whose requests may be executed in all regions. */
+    public Route(
+            String name,
+            String host,
+            String pathPrefix,
+            List<Target> targets,
+            boolean repeatable,
+            int maxServers,
+            long timeoutMs,
+            long latencyObjectiveMs,
+            int priority) {
+        this(
+                name,
+                host,
+                pathPrefix,
+                targets,
+                repeatable,
+                maxServers,
+                timeoutMs,
+                latencyObjectiveMs,
+                priority,
+                Set.of());
+    }
+
     /** The rules for requests on this route. */
     public RequestRules rules() {
-        return new RequestRules(repeatable, maxServers, priority, latencyObjectiveMs);
+        return new RequestRules(repeatable, maxServers, priority, latencyObjectiveMs, allowedRegions);
     }
 }
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/request/CallerRequest.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/request/CallerRequest.java
@@ -3,10 +3,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.coriandercrank.kernel.config.RequestRules;
 import org.coriandercrank.kernel.config.ServiceConfig;
 import org.coriandercrank.kernel.id.IdempotencyKey;
 import org.coriandercrank.kernel.id.Key;
+import org.coriandercrank.kernel.id.Region;
 import org.coriandercrank.kernel.id.RequestFingerprint;
 import org.coriandercrank.kernel.id.RequestId;
 import org.coriandercrank.kernel.id.ServiceName;
@@ -108,6 +110,23 @@
                 fingerprint);
     }
 
+    /** Returns this request with other allowed regions in its rules; a request without rules stays as it is. */
+    public CallerRequest withAllowedRegions(Set<Region> allowedRegions) {
+        return new CallerRequest(
+                id,
+                service,
+                key,
+                method,
+                path,
+                headers,
+                body,
+                remainingMs,
+                idempotencyKey,
+                idempotencyKeyAgeMs,
+                rules.map(r -> r.withAllowedRegions(allowedRegions)),
+                fingerprint);
+    }
+
     public CallerRequest withFingerprint(Optional<RequestFingerprint> newFingerprint) {
         return new CallerRequest(
                 id,
--- a/org.coriandercrank.note.test/src/test/java/org/coriandercrank/note/NoteErrorsTest.java
+++ b/org.coriandercrank.note.test/src/test/java/org/coriandercrank/note/NoteErrorsTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.coriandercrank.kernel.config.BackendRule;
+import org.coriandercrank.kernel.config.CapacityControl;
 import org.coriandercrank.kernel.config.Configuration;
 import org.coriandercrank.kernel.config.Locality;
 import org.coriandercrank.kernel.config.ServiceConfig;
@@ -126,11 +127,31 @@
                 .hasValueSatisfying(service -> assertThat(service.locality()).isEqualTo(expected));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "'\"capacityControl\":\"measured\",\"coldRequestsPerSecond\":8.4', MEASURED, 8.4",
+        "'\"coldRequestsPerSecond\":8', REFUSALS, 8",
+        "'\"maxBodyBytes\":1', REFUSALS, 0"
+    })
+    void capacityFieldsOfNoteAreStored(String fields, CapacityControl control, double coldRequestsPerSecond) {
+        Configuration result = apply("{\"id\":\"n\",\"basedOn\":1,\"add\":{\"services\":[{\"name\":\"cashbook\","
+                        + "\"keyed\":false," + fields + "}]}}")
+                .orElseThrow();
+        Configuration stored = JsonCodec.decode(JsonCodec.encode(result), Configuration.class);
+
+        assertThat(stored).isEqualTo(result);
+        assertThat(stored.service(new ServiceName("cashbook"))).hasValueSatisfying(service -> {
+            assertThat(service.capacityControl()).isEqualTo(control);
+            assertThat(service.coldRequestsPerSecond()).isEqualTo(coldRequestsPerSecond);
+        });
+    }
+
     /** Guards against daemons that cannot read a configuration that was written before the field existed. */
     @Test
     void configurationWithoutLocalityIsRead() {
         String current = new String(JsonCodec.encode(BASE), StandardCharsets.UTF_8);
-        String withoutLocality = current.replace(",\"locality\":\"domain-first\"", "");
+        String withoutLocality = current.replace(",\"locality\":\"domain-first\"", "")
+                .replace(",\"capacityControl\":\"refusals\",\"coldRequestsPerSecond\":0.0", "");
 
         assertThat(withoutLocality).isNotEqualTo(current);
         assertThat(JsonCodec.decode(withoutLocality.getBytes(StandardCharsets.UTF_8), Configuration.class))
--- a/org.coriandercrank.note/src/main/java/org/coriandercrank/note/internal/FieldSpec.java
+++ b/org.coriandercrank.note/src/main/java/org/coriandercrank/note/internal/FieldSpec.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import org.coriandercrank.kernel.config.CapacityControl;
 import org.coriandercrank.kernel.config.Locality;
 import org.coriandercrank.note.NoteError;
 import org.coriandercrank.note.NoteError.Kind;
@@ -36,7 +37,15 @@
             integerField("maxKeySharePercent", 1, 100),
             nameField("placementPolicy"),
             nameField("balancingPolicy"),
-            localityField("locality"));
+            choiceField(
+                    "locality",
+                    Arrays.stream(Locality.values()).map(Locality::text).toList()),
+            choiceField(
+                    "capacityControl",
+                    Arrays.stream(CapacityControl.values())
+                            .map(CapacityControl::text)
+                            .toList()),
+            decimalField("coldRequestsPerSecond", 0, 1_000_000));
 
     private static final List<FieldSpec> BACKEND_FIELDS =
             List.of(nameField("backendName"), integerField("weightPercent", 0, 1_000), booleanField("drain"));
@@ -73,16 +82,24 @@
         });
     }
 
-    private static FieldSpec localityField(String field) {
-        List<String> localityNames =
-                Arrays.stream(Locality.values()).map(Locality::text).toList();
+    private static FieldSpec decimalField(String field, double min, double max) {
+        return new FieldSpec(field, value -> {
+            if (!value.isNumber()) {
+                return violation(Kind.WRONG_TYPE, "must be a number");
+            }
+            boolean inRange = value.doubleValue() >= min && value.doubleValue() <= max;
+            return inRange ? Optional.empty() : violation(Kind.OUT_OF_RANGE, "must be between " + min + " and " + max);
+        });
+    }
+
+    private static FieldSpec choiceField(String field, List<String> choices) {
         return new FieldSpec(field, value -> {
             if (!value.isTextual()) {
                 return violation(Kind.WRONG_TYPE, "must be a string");
             }
-            return localityNames.contains(value.asText())
+            return choices.contains(value.asText())
                     ? Optional.empty()
-                    : violation(Kind.OUT_OF_RANGE, "must be one of " + localityNames);
+                    : violation(Kind.OUT_OF_RANGE, "must be one of " + choices);
         });
     }
 
--- a/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/internal/MessageCodecTest.java
+++ b/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/internal/MessageCodecTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.stream.Stream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -19,6 +20,7 @@
 import org.coriandercrank.kernel.id.Key;
 import org.coriandercrank.kernel.id.KeyHash;
 import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.Region;
 import org.coriandercrank.kernel.id.RequestFingerprint;
 import org.coriandercrank.kernel.id.RequestId;
 import org.coriandercrank.kernel.id.Revision;
@@ -107,6 +109,12 @@
                 new ForwardRequest(
                         REQUEST.withFingerprint(Optional.of(new RequestFingerprint(0x9e3779b97f4a7c15L))),
                         new Generation(5)),
+                new ForwardRequest(
+                        REQUEST.withAllowedRegions(Set.of(new Region("east"), new Region("west"))), new Generation(5)),
+                new ForwardRequest(
+                        REQUEST.withAllowedRegions(Set.of(new Region("east")))
+                                .withFingerprint(Optional.of(new RequestFingerprint(7))),
+                        new Generation(5)),
                 new ForwardAnswer(ANSWER, new Generation(6), new GateLoad(5, 18, 210.5)),
                 new CancelRequest(new RequestId("r-1")),
                 new OutcomeQuery(new RequestId("r-1"), SERVICE, Optional.of(KeyHash.MAX), OptionalLong.of(1_000_000)),
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/MessageCodec.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/MessageCodec.java
@@ -2,14 +2,17 @@
 
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.id.BootId;
 import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.Region;
 import org.coriandercrank.kernel.id.RequestFingerprint;
 import org.coriandercrank.kernel.message.CallFailure;
 import org.coriandercrank.kernel.message.CancelRequest;
@@ -181,9 +184,7 @@
                 (out, m) -> {
                     ValueFields.writeRequest(out, m.request());
                     out.int64(m.tableGeneration().value());
-                    if (m.request().fingerprint().isPresent()) {
-                        out.int64(m.request().fingerprint().get().value());
-                    }
+                    writeLaterRequestFields(out, m.request());
                 },
                 MessageCodec::forwardRequest);
         register(
@@ -223,13 +224,29 @@
                 in -> new OutcomeAnswer(OutcomeAnswer.State.valueOf(in.string()), in.optional(ValueFields::answer)));
     }
 
-    /** Reads a forwarded request. The fingerprint comes last, because daemons of an earlier version do not know it. */
+    /**
+     * Writes the fields of a request that daemons of earlier versions do not know: the fingerprint, then the allowed
+     * regions. Both come after all other fields and are left out if the request has none.
+     */
+    private static void writeLaterRequestFields(FieldWriter out, CallerRequest request) throws IOException {
+        List<Region> allowedRegions = request.rules()
+                .map(rules -> rules.allowedRegions().stream().sorted().toList())
+                .orElse(List.of());
+        if (request.fingerprint().isPresent() || !allowedRegions.isEmpty()) {
+            out.optional(request.fingerprint(), (o, fingerprint) -> o.int64(fingerprint.value()));
+        }
+        if (!allowedRegions.isEmpty()) {
+            out.list(allowedRegions, FieldWriter::string);
+        }
+    }
+
     private static ForwardRequest forwardRequest(FieldReader in) throws IOException {
         CallerRequest request = ValueFields.request(in);
         Generation generation = ValueFields.generation(in);
         Optional<RequestFingerprint> fingerprint =
-                in.hasMore() ? Optional.of(new RequestFingerprint(in.int64())) : Optional.empty();
-        return new ForwardRequest(request.withFingerprint(fingerprint), generation);
+                in.hasMore() ? in.optional(f -> new RequestFingerprint(f.int64())) : Optional.empty();
+        Set<Region> allowedRegions = in.hasMore() ? Set.copyOf(in.list(f -> new Region(f.string()))) : Set.of();
+        return new ForwardRequest(request.withFingerprint(fingerprint).withAllowedRegions(allowedRegions), generation);
     }
 
     private static void registerRecoveryMessages() {
