Tell refusals caused by load from those of servers with room

Cause: each refusal of a backend server halved the number of concurrent calls. A server that refused half of its requests although it had room kept one call for as long as it did so. Nothing read the load that a server states, nor that it is cold.

Change: with the capacity control "measured", a refusal counts as overload only if the server stated a queue, or if requests at lower concurrency are refused clearly less often (RefusalClassifier). The stated load leaves slots to calls that the daemon does not know of, and the stated speed of the host scales the expected service time (StatedLoadTracker). A cold server gets the rate that its service states, times the allowed overage.

Ruled out: no reaction to refusals at all; a server that is full would be overrun (fullServerGetsAsManyCallsAsItTakes). A comparison of the shares alone took the first refusals of a full server for unrelated to load.

--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/FakeBackend.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/FakeBackend.java
@@ -14,6 +14,7 @@
 import org.coriandercrank.kernel.backend.BackendServer;
 import org.coriandercrank.kernel.backend.Grant;
 import org.coriandercrank.kernel.backend.ProbeResult;
+import org.coriandercrank.kernel.backend.ServerReport;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.Outcome;
 import org.coriandercrank.kernel.code.ResultCode;
@@ -63,6 +64,7 @@
     long lastGrantAtNanos;
     Stopwatch sinceValidity;
     boolean drained;
+    ServerReport report = ServerReport.NONE;
     OptionalDouble maxRequestsPerSecond = OptionalDouble.empty();
     ProbeResult probeResult = ProbeResult.ANSWERED;
     int probes;
@@ -84,6 +86,11 @@
         return maxRequestsPerSecond;
     }
 
+    @Override
+    public ServerReport report() {
+        return report;
+    }
+
     @Override
     public void cancel(RequestId requestId) {
         cancelledIds.add(requestId);
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateOptions.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateOptions.java
@@ -34,6 +34,7 @@
  * @param maxParkedRequests maximum number of requests that wait for a range that is assigned to this gate but not yet
  *     served; with 0 such requests are refused
  * @param parkTimeoutMs maximum time that such a request waits
+ * @param coldOverage factor by which the requests to a cold server may exceed the rate that its service states
  * @param allowUnconfirmedRelease whether a release may complete although the backend server neither acknowledged the
  *     revocation nor honours the validity of grants
  */
@@ -58,6 +59,7 @@
         int lostCallLifetimeMs,
         int maxParkedRequests,
         int parkTimeoutMs,
+        double coldOverage,
         boolean allowUnconfirmedRelease) {
     private static final int DEFAULT_TASK_QUEUE_CAPACITY = 8_192;
     private static final int DEFAULT_BUSY_TICK_MS = 5;
@@ -79,6 +81,7 @@
     private static final int DEFAULT_LOST_CALL_LIFETIME_MS = 60_000;
     private static final int DEFAULT_MAX_PARKED_REQUESTS = 0;
     private static final int DEFAULT_PARK_TIMEOUT_MS = 0;
+    private static final double DEFAULT_COLD_OVERAGE = 1;
     private static final boolean DEFAULT_ALLOW_UNCONFIRMED_RELEASE = false;
 
     /** Default options, with parking of requests disabled. */
@@ -103,6 +106,7 @@
             DEFAULT_LOST_CALL_LIFETIME_MS,
             DEFAULT_MAX_PARKED_REQUESTS,
             DEFAULT_PARK_TIMEOUT_MS,
+            DEFAULT_COLD_OVERAGE,
             DEFAULT_ALLOW_UNCONFIRMED_RELEASE);
 
     public GateOptions {
@@ -126,6 +130,9 @@
         checkNotNegative("lostCallLifetimeMs", lostCallLifetimeMs);
         checkNotNegative("maxParkedRequests", maxParkedRequests);
         checkNotNegative("parkTimeoutMs", parkTimeoutMs);
+        if (!(coldOverage > 0 && coldOverage < Double.POSITIVE_INFINITY)) {
+            throw new IllegalArgumentException("coldOverage must be positive and finite, got " + coldOverage);
+        }
     }
 
     /** Returns these options with other intervals between the periodic checks. */
@@ -168,6 +175,11 @@
         });
     }
 
+    /** Returns these options with another factor for cold servers. */
+    public GateOptions withColdOverage(double newColdOverage) {
+        return with(builder -> builder.coldOverage = newColdOverage);
+    }
+
     /** Returns these options with another value of {@code allowUnconfirmedRelease}. */
     public GateOptions withUnconfirmedRelease(boolean newAllowUnconfirmedRelease) {
         return with(builder -> builder.allowUnconfirmedRelease = newAllowUnconfirmedRelease);
@@ -195,6 +207,7 @@
         private int lostCallLifetimeMs;
         private int maxParkedRequests;
         private int parkTimeoutMs;
+        private double coldOverage;
         private boolean allowUnconfirmedRelease;
 
         Builder(GateOptions from) {
@@ -218,6 +231,7 @@
             lostCallLifetimeMs = from.lostCallLifetimeMs;
             maxParkedRequests = from.maxParkedRequests;
             parkTimeoutMs = from.parkTimeoutMs;
+            coldOverage = from.coldOverage;
             allowUnconfirmedRelease = from.allowUnconfirmedRelease;
         }
 
@@ -243,6 +257,7 @@
                     lostCallLifetimeMs,
                     maxParkedRequests,
                     parkTimeoutMs,
+                    coldOverage,
                     allowUnconfirmedRelease);
         }
     }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/ConcurrencyLimit.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/ConcurrencyLimit.java
@@ -35,6 +35,11 @@
         return Math.max(1, Math.min(slots, (int) Math.floor(slots * share)));
     }
 
+    /** Returns the number of calls that the slow start allows at a time, whatever the server refused. */
+    int slowStartLimit(long nowNanos) {
+        return Math.max(1, Math.min(slots, (int) Math.floor(slots * slowStartShare(nowNanos))));
+    }
+
     /** Reduces the limit after the backend server reported overload. */
     public void onOverload(long nowNanos) {
         if (reducedShare < 1 && nowNanos - reducedAtNanos < TimeUnit.MILLISECONDS.toNanos(MIN_REDUCTION_INTERVAL_MS)) {
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/Execution.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/Execution.java
@@ -57,6 +57,7 @@
     private State state = State.QUEUED;
     private AttachedBackend backend;
     private long startedAtNanos;
+    private int callsAtStart;
     private boolean cancelRequested;
     private boolean cancelSent;
 
@@ -119,6 +120,15 @@
         return backend;
     }
 
+    /** Notes the number of calls that run at the server when this one is sent, including it. */
+    void setCallsAtStart(int newCallsAtStart) {
+        callsAtStart = newCallsAtStart;
+    }
+
+    int callsAtStart() {
+        return callsAtStart;
+    }
+
     public long startedAtNanos() {
         return startedAtNanos;
     }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateMetrics.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateMetrics.java
@@ -47,6 +47,12 @@
         serverCrashes.increment();
     }
 
+    /** Counts a request that the backend server refused because of its load or in spite of it. */
+    void onServerRefusal(ServerCapacity.Reaction reaction) {
+        meters.counter("crank.gate.server.refusals", "reaction", reaction.name())
+                .increment();
+    }
+
     public void onGrantFailure() {
         grantFailures.increment();
     }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/LoadForecast.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/LoadForecast.java
@@ -44,16 +44,17 @@
         estimator.onArrival(rules, nowNanos);
     }
 
-    void onExecuted(Optional<RequestRules> rules, long durationNanos) {
-        estimator.onExecuted(rules, durationNanos);
+    /** Records an execution; its duration counts as it would be at the usual speed of the host. */
+    void onExecuted(Optional<RequestRules> rules, long durationNanos, long nowNanos) {
+        estimator.onExecuted(rules, (long) (durationNanos / workFactor(nowNanos)));
     }
 
-    /** Mean execution time in milliseconds. */
-    double meanServiceMs() {
-        return estimator.meanMs();
+    /** Mean execution time in milliseconds at the present speed of the host. */
+    double meanServiceMs(long nowNanos) {
+        return estimator.meanMs() * workFactor(nowNanos);
     }
 
-    /** Expected execution time in milliseconds. */
+    /** Expected execution time in milliseconds at the usual speed of the host. */
     double serviceMs(Optional<RequestRules> rules) {
         return estimator.serviceMs(rules);
     }
@@ -62,13 +63,26 @@
         return estimator.serviceMs(execution.request().rules());
     }
 
+    /** Expected execution time in milliseconds at the present speed of the host. */
+    double presentServiceMs(Optional<RequestRules> rules, long nowNanos) {
+        return estimator.serviceMs(rules) * workFactor(nowNanos);
+    }
+
+    private double workFactor(long nowNanos) {
+        return capacity.workFactor(context.serviceConfig(), nowNanos);
+    }
+
+    int concurrencyLimit(long nowNanos) {
+        return capacity.concurrencyLimit(context.serviceConfig(), nowNanos);
+    }
+
     /** Number of running calls at the address of the attached backend server. */
     int occupiedSlots() {
         return backend == null ? 0 : calls.runningAtAddressOf(backend);
     }
 
     double usableSlots(long nowNanos) {
-        return capacity.usableSlots(estimator.meanMs(), nowNanos);
+        return capacity.usableSlots(context.serviceConfig(), meanServiceMs(nowNanos), nowNanos);
     }
 
     boolean isOverloaded(Optional<RequestRules> rules, long nowNanos) {
@@ -81,17 +95,18 @@
         long expectedWaitMs = estimator.expectedWaitMs(
                 queue.workAheadMs(sortKey, this::serviceMs, nowNanos),
                 occupiedSlots(),
-                capacity.concurrencyLimit(nowNanos),
+                concurrencyLimit(nowNanos),
                 rules);
-        long rateDelayMs = capacity.rateDelayMs(queue.requestsAhead(sortKey, this::serviceMs, nowNanos), nowNanos);
+        long rateDelayMs = capacity.rateDelayMs(
+                context.serviceConfig(), queue.requestsAhead(sortKey, this::serviceMs, nowNanos), nowNanos);
         return Math.max(expectedWaitMs, rateDelayMs);
     }
 
     /** Retry-after time in milliseconds for a refused caller, derived from the queued work. */
     long retryAfterMs(long nowNanos) {
-        int limit = capacity.concurrencyLimit(nowNanos);
+        int limit = concurrencyLimit(nowNanos);
         double queuedWorkMs = queue.workAheadMs(SortKey.LAST, this::serviceMs, nowNanos);
-        long rateDelayMs = capacity.rateDelayMs(queue.size(), nowNanos);
+        long rateDelayMs = capacity.rateDelayMs(context.serviceConfig(), queue.size(), nowNanos);
         long drainMs = estimator.expectedWaitMs(queuedWorkMs, occupiedSlots(), limit, Optional.empty());
         return estimator.retryAfterMs(Math.max(drainMs, rateDelayMs), usableSlots(nowNanos), nowNanos);
     }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
@@ -116,7 +116,7 @@
                 : new GateLoad(
                         queue.size() + calls.running(),
                         (int) Math.max(1, Math.round(forecast.usableSlots(context.nowNanos()))),
-                        forecast.meanServiceMs());
+                        forecast.meanServiceMs(context.nowNanos()));
     }
 
     int inFlight() {
@@ -232,9 +232,9 @@
                 queue.size(),
                 config.maxQueueLength(),
                 forecast.occupiedSlots(),
-                forecast.capacity().concurrencyLimit(nowNanos),
+                forecast.concurrencyLimit(nowNanos),
                 forecast.expectedWaitMs(request.rules(), nowNanos),
-                (long) forecast.serviceMs(request.rules()),
+                (long) forecast.presentServiceMs(request.rules(), nowNanos),
                 request.rules().map(RequestRules::latencyObjectiveMs).orElse(Long.MAX_VALUE),
                 forecast.isOverloaded(request.rules(), nowNanos));
     }
@@ -248,9 +248,9 @@
                 return;
             }
             long nowNanos = context.nowNanos();
-            int limit = forecast.capacity().concurrencyLimit(nowNanos);
+            int limit = forecast.concurrencyLimit(nowNanos);
             if (forecast.occupiedSlots() >= limit
-                    || !forecast.capacity().maySend(nowNanos)
+                    || !forecast.capacity().maySend(config, nowNanos)
                     || (config.keyed() && !grants.hasValidGrant(nowNanos))) {
                 return;
             }
@@ -293,6 +293,7 @@
         queue.onStart(execution);
         execution.start(target, nowNanos);
         calls.onStart(execution);
+        execution.setCallsAtStart(forecast.occupiedSlots());
         forecast.capacity().onSend();
         context.metrics().onExecution();
         context.call(() -> target.server().execute(call), (answer, failure) -> onCallEnd(execution, answer, failure));
@@ -305,8 +306,11 @@
                 ? answer
                 : failureAnswer(execution, CrankException.of(failure), nowNanos);
         calls.onEnd(execution, finalAnswer.outcome() == Outcome.UNKNOWN);
+        if (execution.backend().equals(backend)) {
+            updateCapacity(execution, finalAnswer, nowNanos);
+        }
         if (finalAnswer.outcome() == Outcome.RUN) {
-            forecast.onExecuted(execution.request().rules(), nowNanos - execution.startedAtNanos());
+            forecast.onExecuted(execution.request().rules(), nowNanos - execution.startedAtNanos(), nowNanos);
         }
         crashDetector.onCallEnd(execution, finalAnswer, nowNanos);
         requestTable.finish(execution, finalAnswer, nowNanos);
@@ -314,10 +318,24 @@
         callEndListener.run();
     }
 
+    private void updateCapacity(Execution execution, CallerAnswer answer, long nowNanos) {
+        boolean refused = answer.code() == ResultCode.OVERLOADED;
+        if (!refused && answer.outcome() != Outcome.RUN) {
+            return;
+        }
+        ServerCapacity.Reaction reaction = forecast.capacity()
+                .onCallEnd(
+                        context.serviceConfig(), execution.callsAtStart(), forecast.occupiedSlots(), refused, nowNanos);
+        if (reaction != ServerCapacity.Reaction.NONE) {
+            context.metrics().onServerRefusal(reaction);
+            context.logDecision(() -> "event=server-refusal request="
+                    + execution.request().id() + " callsAtStart=" + execution.callsAtStart() + " limit="
+                    + forecast.concurrencyLimit(nowNanos) + " reaction=" + reaction);
+        }
+    }
+
     private CallerAnswer failureAnswer(Execution execution, CrankException failure, long nowNanos) {
-        if (failure.code() == ResultCode.OVERLOADED && execution.backend().equals(backend)) {
-            forecast.capacity().onOverload(nowNanos);
-        } else if (failure.code() == ResultCode.FENCE_REJECTED) {
+        if (failure.code() == ResultCode.FENCE_REJECTED) {
             ranges.serving(execution.hash()).ifPresent(entry -> entry.markRejected(nowNanos));
             grants.requestGrant();
         }
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/BackendServer.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/BackendServer.java
@@ -73,6 +73,11 @@
         return OptionalDouble.empty();
     }
 
+    /** Returns the latest that the server stated about itself; {@link ServerReport#NONE} if it stated nothing. */
+    default ServerReport report() {
+        return ServerReport.NONE;
+    }
+
     /** Notifies the server that it will receive no new requests. */
     CompletableFuture<Void> drain();
 
