Keep requests in the regions that their route allows

A daemon that receives a forwarded request checks its own region before its gate sees the request. Candidates of a balancing policy have a penalty, by which capacity can be kept for other requests.

Ruled out: a check in the gate itself, which does not know its region; all paths to a gate pass ingress or the handler of forwarded requests.

--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/IngressFixture.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/IngressFixture.java
@@ -68,6 +68,18 @@
     }
 
     IngressFixture(RoutingSnapshot snapshot, IngressOptions options, long logLinesPerSecond) {
+        this(snapshot, options, logLinesPerSecond, Optional.empty());
+    }
+
+    IngressFixture(RoutingSnapshot snapshot, IngressOptions options, CallerProtocol protocol) {
+        this(snapshot, options, 0, Optional.of(protocol));
+    }
+
+    private IngressFixture(
+            RoutingSnapshot snapshot,
+            IngressOptions options,
+            long logLinesPerSecond,
+            Optional<CallerProtocol> protocol) {
         view = new FakeView(snapshot);
         ingress = new Ingress(
                 new IngressDependencies(
@@ -82,7 +94,7 @@
                         meters,
                         new Region("east"),
                         new FailureDomain("east-a"),
-                        Optional.empty(),
+                        protocol,
                         SingleThreadExecutor::new,
                         quarantine,
                         configurationProof,
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
@@ -110,7 +110,11 @@
                 metrics);
         metrics.registerGauges(
                 inFlight::get, () -> excludedServers, counted -> server == null ? 0 : server.abandonedRequests());
-        PeerMessageHandlers.register(dependencies.peerHandlers(), dependencies.ownerGate(), dependencies.routingView());
+        PeerMessageHandlers.register(
+                dependencies.peerHandlers(),
+                dependencies.ownerGate(),
+                dependencies.routingView(),
+                dependencies.region());
     }
 
     /**
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
@@ -10,6 +10,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.coriandercrank.ingress.OutlierDetectionOptions;
+import org.coriandercrank.kernel.config.RequestRules;
 import org.coriandercrank.kernel.config.ServiceConfig;
 import org.coriandercrank.kernel.id.FailureDomain;
 import org.coriandercrank.kernel.id.MemberId;
@@ -72,6 +73,7 @@
      * Chooses the member to which a request is sent; empty if none is eligible except those tried before.
      *
      * @param tried members to which the request was sent before
+     * @param rules rules of the request, which may allow only servers of some regions
      * @param repeatable whether the request can be used as a probe
      */
     public Optional<Member> choose(
@@ -79,6 +81,7 @@
             ServiceConfig service,
             BalancingPolicy policy,
             Set<MemberId> tried,
+            Optional<RequestRules> rules,
             boolean repeatable,
             long nowNanos) {
         ServiceState state = serviceState(snapshot, service.name());
@@ -86,7 +89,9 @@
         List<BalancingCandidate> excluded = new ArrayList<>();
         for (EligibleServer eligible : state.eligible) {
             MemberId id = eligible.member().id();
-            if (tried.contains(id)) {
+            boolean allowed =
+                    rules.map(r -> r.allows(eligible.member().region())).orElse(true);
+            if (!allowed || tried.contains(id)) {
                 continue;
             }
             if (!state.outlierDetector.isExcluded(id)) {
@@ -157,7 +162,8 @@
                 member.failureDomain().equals(failureDomain),
                 member.region().equals(region),
                 eligible.weightPercent(),
-                loadEstimator.expectedMs(member.id(), ownInFlight, nowNanos));
+                loadEstimator.expectedMs(member.id(), ownInFlight, nowNanos),
+                0);
     }
 
     /**
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/ExpectedTimePolicy.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/ExpectedTimePolicy.java
@@ -46,6 +46,6 @@
         double distancePenaltyMs = candidate.sameFailureDomain()
                 ? 0
                 : candidate.sameRegion() ? OTHER_DOMAIN_PENALTY_MS : OTHER_REGION_PENALTY_MS;
-        return expectedMs + distancePenaltyMs + IN_FLIGHT_PENALTY_MS * candidate.inFlight();
+        return expectedMs + distancePenaltyMs + candidate.penaltyMs() + IN_FLIGHT_PENALTY_MS * candidate.inFlight();
     }
 }
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/placement/BalancingCandidate.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/placement/BalancingCandidate.java
@@ -11,6 +11,8 @@
  * @param weightPercent relative capacity in percent
  * @param expectedMs expected response time in milliseconds without network latency, from the latest load that the
  *     server reported; 0 if unknown
+ * @param penaltyMs time in milliseconds by which the server is less preferred than its load says, because its capacity is
+ *     kept for other requests
  */
 public record BalancingCandidate(
         Member member,
@@ -18,4 +20,16 @@
         boolean sameFailureDomain,
         boolean sameRegion,
         int weightPercent,
-        double expectedMs) {}
+        double expectedMs,
+        double penaltyMs) {
+    /** A candidate without a penalty. */
+    public BalancingCandidate(
+            Member member,
+            int inFlight,
+            boolean sameFailureDomain,
+            boolean sameRegion,
+            int weightPercent,
+            double expectedMs) {
+        this(member, inFlight, sameFailureDomain, sameRegion, weightPercent, expectedMs, 0);
+    }
+}
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/request/CallerRequest.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/request/CallerRequest.java
@@ -78,6 +78,11 @@
         return rules.map(RequestRules::repeatable).orElseGet(() -> config.isRepeatable(method));
     }
 
+    /** Whether a server of a region may execute the request. */
+    public boolean isAllowedIn(Region region) {
+        return rules.map(r -> r.allows(region)).orElse(true);
+    }
+
     public CallerRequest withId(RequestId newId) {
         return new CallerRequest(
                 newId,
