Reduce the limit after a refusal before the retry-after time is derived

Cause: the reaction to a refused call moved behind the creation of its answer, so the retry-after time of the refused caller was derived from the limit before the refusal. An answer that carries the code OVERLOADED without a failure reduced the limit, too. Both concern deployments with CapacityControl.REFUSALS, which are to be served as before.

The call that ends is no longer in the number of calls that is passed on.

Ruled out: updating after the call has left the set of running calls and deriving the time later, because the retry-after time has counted the refused call among the running ones so far.

--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
@@ -302,13 +302,11 @@
     private void onCallEnd(Execution execution, CallerAnswer answer, Throwable failure) {
         long nowNanos = context.nowNanos();
         queue.onEnd(execution);
+        updateCapacity(execution, answer, failure, nowNanos);
         CallerAnswer finalAnswer = failure == null && answer != null
                 ? answer
                 : failureAnswer(execution, CrankException.of(failure), nowNanos);
         calls.onEnd(execution, finalAnswer.outcome() == Outcome.UNKNOWN);
-        if (execution.backend().equals(backend)) {
-            updateCapacity(execution, finalAnswer, nowNanos);
-        }
         if (finalAnswer.outcome() == Outcome.RUN) {
             forecast.onExecuted(execution.request().rules(), nowNanos - execution.startedAtNanos(), nowNanos);
         }
@@ -318,14 +316,23 @@
         callEndListener.run();
     }
 
-    private void updateCapacity(Execution execution, CallerAnswer answer, long nowNanos) {
-        boolean refused = answer.code() == ResultCode.OVERLOADED;
-        if (!refused && answer.outcome() != Outcome.RUN) {
+    /**
+     * Adapts the concurrency limit to the result of a call that still counts as running. The retry-after time of a
+     * refusal is derived from the adapted limit.
+     */
+    private void updateCapacity(Execution execution, CallerAnswer answer, Throwable failure, long nowNanos) {
+        boolean refused = failure != null && CrankException.of(failure).code() == ResultCode.OVERLOADED;
+        boolean ran = failure == null && answer != null && answer.outcome() == Outcome.RUN;
+        if (!execution.backend().equals(backend) || !(refused || ran)) {
             return;
         }
         ServerCapacity.Reaction reaction = forecast.capacity()
                 .onCallEnd(
-                        context.serviceConfig(), execution.callsAtStart(), forecast.occupiedSlots(), refused, nowNanos);
+                        context.serviceConfig(),
+                        execution.callsAtStart(),
+                        forecast.occupiedSlots() - 1,
+                        refused,
+                        nowNanos);
         if (reaction != ServerCapacity.Reaction.NONE) {
             context.metrics().onServerRefusal(reaction);
             context.logDecision(() -> "event=server-refusal request="
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/ServerCapacity.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/ServerCapacity.java
@@ -88,7 +88,7 @@
      * Records the result of a call.
      *
      * @param callsAtStart number of calls that ran when the call was sent, including it
-     * @param callsAtEnd number of calls that run now
+     * @param callsAtEnd number of calls that run now, without it
      */
     Reaction onCallEnd(ServiceConfig config, int callsAtStart, int callsAtEnd, boolean refused, long nowNanos) {
         boolean overload = server != null
