Let old and impossible load statements explain no refusal

Cause: whether a server had room or a queue was taken from its latest statement at any age. A server that stated room once and none later got all its slots while it took 5 calls; one that stated a queue once was limited by false refusals. A stated work percentage without bounds stopped all requests or attracted them, and the sum of two large figures overflowed.

Ruled out: rejecting such statements as a whole, because their other figures may be right.

--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/StatedLoad.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/backend/StatedLoad.java
@@ -19,8 +19,8 @@
         }
     }
 
-    /** Number of requests that the server executes or that wait there. */
+    /** Number of requests that the server executes or that wait there; the largest integer if it is larger. */
     public int pending() {
-        return running + waiting;
+        return (int) Math.min(Integer.MAX_VALUE, (long) running + waiting);
     }
 }
--- a/org.coriandercrank.scheduling/src/main/java/org/coriandercrank/scheduling/capacity/MeasuredConcurrency.java
+++ b/org.coriandercrank.scheduling/src/main/java/org/coriandercrank/scheduling/capacity/MeasuredConcurrency.java
@@ -49,10 +49,11 @@
         if (!refused) {
             return false;
         }
-        boolean overload = stated.hadQueue() || (!stated.hadRoom() && refusals.isOverload(callsAtStart, nowNanos));
+        boolean overload =
+                stated.hadQueue(nowNanos) || (!stated.hadRoom(nowNanos) && refusals.isOverload(callsAtStart, nowNanos));
         if (overload) {
             reduce(nowNanos);
-        } else if (stated.hadRoom() || refusals.isUnrelatedToLoad(nowNanos)) {
+        } else if (stated.hadRoom(nowNanos) || refusals.isUnrelatedToLoad(nowNanos)) {
             reducedShare = 1;
         }
         return overload;
--- a/org.coriandercrank.scheduling/src/main/java/org/coriandercrank/scheduling/capacity/StatedLoadTracker.java
+++ b/org.coriandercrank.scheduling/src/main/java/org/coriandercrank/scheduling/capacity/StatedLoadTracker.java
@@ -21,6 +21,11 @@
 
     private static final double WORK_NO_WEIGHT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    /** Bounds of the work factor; a statement beyond them is false, and would stop all requests or attract them. */
+    private static final double MIN_WORK_FACTOR = 0.25;
+
+    private static final double MAX_WORK_FACTOR = 10;
+
     private Optional<StatedLoad> latest = Optional.empty();
     private int othersCalls;
 
@@ -49,16 +54,16 @@
                 slots - (int) Math.round(weight(nowNanos, LOAD_FULL_WEIGHT_NANOS, LOAD_NO_WEIGHT_NANOS) * othersCalls));
     }
 
-    /** Whether the server stated that it had a free slot and an empty queue. */
-    public boolean hadRoom() {
-        return latest.isPresent()
+    /** Whether the server stated not long ago that it had a free slot and an empty queue. */
+    public boolean hadRoom(long nowNanos) {
+        return isCurrent(nowNanos)
                 && latest.get().waiting() == 0
                 && latest.get().running() < latest.get().slots();
     }
 
-    /** Whether the server stated that requests waited there. */
-    public boolean hadQueue() {
-        return latest.isPresent() && latest.get().waiting() > 0;
+    /** Whether the server stated not long ago that requests waited there. */
+    public boolean hadQueue(long nowNanos) {
+        return isCurrent(nowNanos) && latest.get().waiting() > 0;
     }
 
     /** Factor by which work on the host of the server takes longer than usual at a time. */
@@ -66,10 +71,17 @@
         if (latest.isEmpty()) {
             return 1;
         }
-        double statedFactor = (double) latest.get().workPercent() / StatedLoad.USUAL_WORK_PERCENT;
+        double statedFactor = Math.max(
+                MIN_WORK_FACTOR,
+                Math.min(MAX_WORK_FACTOR, (double) latest.get().workPercent() / StatedLoad.USUAL_WORK_PERCENT));
         return 1 + weight(nowNanos, WORK_FULL_WEIGHT_NANOS, WORK_NO_WEIGHT_NANOS) * (statedFactor - 1);
     }
 
+    /** Whether the latest statement counts in full; an older one does not explain a refusal. */
+    private boolean isCurrent(long nowNanos) {
+        return weight(nowNanos, LOAD_FULL_WEIGHT_NANOS, LOAD_NO_WEIGHT_NANOS) == 1;
+    }
+
     /** Weight of the latest statement: 1 up to an age, 0 from a larger age on, and linear in between. */
     private double weight(long nowNanos, double fullWeightNanos, double noWeightNanos) {
         if (latest.isEmpty()) {
