Bound the calls that a paused cold server reads at once

Cause: the rate of a cold server leaves a margin of 8 requests, but 13 slots allowed 13 calls that a paused server reads at once when it goes on. Together with the rate of the second after it the server got 22 requests where 20.6 are allowed.

Change: while a server is cold, at most three quarters of the slack (6 calls) run at a time, less those that were given up since its last answer, and at least one.

Ruled out: a smaller rate, which would cost throughput in each second instead of concurrency that a cold server does not need (10 requests per second of 320 ms keep 3.2 slots busy).

--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateOptions.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateOptions.java
@@ -35,6 +35,7 @@
  *     served; with 0 such requests are refused
  * @param parkTimeoutMs maximum time that such a request waits
  * @param coldOverage factor by which the requests to a cold server may exceed the rate that its service states
+ * @param coldSlack requests in a second that a cold server tolerates in addition to those of its rate
  * @param allowUnconfirmedRelease whether a release may complete although the backend server neither acknowledged the
  *     revocation nor honours the validity of grants
  */
@@ -60,6 +61,7 @@
         int maxParkedRequests,
         int parkTimeoutMs,
         double coldOverage,
+        double coldSlack,
         boolean allowUnconfirmedRelease) {
     private static final int DEFAULT_TASK_QUEUE_CAPACITY = 8_192;
     private static final int DEFAULT_BUSY_TICK_MS = 5;
@@ -82,6 +84,7 @@
     private static final int DEFAULT_MAX_PARKED_REQUESTS = 0;
     private static final int DEFAULT_PARK_TIMEOUT_MS = 0;
     private static final double DEFAULT_COLD_OVERAGE = 1;
+    private static final double DEFAULT_COLD_SLACK = 8;
     private static final boolean DEFAULT_ALLOW_UNCONFIRMED_RELEASE = false;
 
     /** Default options, with parking of requests disabled. */
@@ -107,6 +110,7 @@
             DEFAULT_MAX_PARKED_REQUESTS,
             DEFAULT_PARK_TIMEOUT_MS,
             DEFAULT_COLD_OVERAGE,
+            DEFAULT_COLD_SLACK,
             DEFAULT_ALLOW_UNCONFIRMED_RELEASE);
 
     public GateOptions {
@@ -133,6 +137,9 @@
         if (!(coldOverage > 0 && coldOverage < Double.POSITIVE_INFINITY)) {
             throw new IllegalArgumentException("coldOverage must be positive and finite, got " + coldOverage);
         }
+        if (!(coldSlack >= 0 && coldSlack < Double.POSITIVE_INFINITY)) {
+            throw new IllegalArgumentException("coldSlack must not be negative and must be finite, got " + coldSlack);
+        }
     }
 
     /** Returns these options with other intervals between the periodic checks. */
@@ -180,6 +187,11 @@
         return with(builder -> builder.coldOverage = newColdOverage);
     }
 
+    /** Returns these options with another slack for cold servers. */
+    public GateOptions withColdSlack(double newColdSlack) {
+        return with(builder -> builder.coldSlack = newColdSlack);
+    }
+
     /** Returns these options with another value of {@code allowUnconfirmedRelease}. */
     public GateOptions withUnconfirmedRelease(boolean newAllowUnconfirmedRelease) {
         return with(builder -> builder.allowUnconfirmedRelease = newAllowUnconfirmedRelease);
@@ -208,6 +220,7 @@
         private int maxParkedRequests;
         private int parkTimeoutMs;
         private double coldOverage;
+        private double coldSlack;
         private boolean allowUnconfirmedRelease;
 
         Builder(GateOptions from) {
@@ -232,6 +245,7 @@
             maxParkedRequests = from.maxParkedRequests;
             parkTimeoutMs = from.parkTimeoutMs;
             coldOverage = from.coldOverage;
+            coldSlack = from.coldSlack;
             allowUnconfirmedRelease = from.allowUnconfirmedRelease;
         }
 
@@ -258,6 +272,7 @@
                     maxParkedRequests,
                     parkTimeoutMs,
                     coldOverage,
+                    coldSlack,
                     allowUnconfirmedRelease);
         }
     }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
@@ -307,6 +307,9 @@
                 ? answer
                 : failureAnswer(execution, CrankException.of(failure), nowNanos);
         calls.onEnd(execution, finalAnswer.outcome() == Outcome.UNKNOWN);
+        if (finalAnswer.outcome() == Outcome.UNKNOWN && execution.backend().equals(backend)) {
+            forecast.capacity().onCallLost();
+        }
         if (finalAnswer.outcome() == Outcome.RUN) {
             forecast.onExecuted(execution.request().rules(), nowNanos - execution.startedAtNanos(), nowNanos);
         }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/ServerCapacity.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/ServerCapacity.java
@@ -6,6 +6,7 @@
 import org.coriandercrank.kernel.backend.BackendServer;
 import org.coriandercrank.kernel.config.CapacityControl;
 import org.coriandercrank.kernel.config.ServiceConfig;
+import org.coriandercrank.scheduling.capacity.ColdCallLimit;
 import org.coriandercrank.scheduling.capacity.MeasuredConcurrency;
 
 /**
@@ -20,6 +21,7 @@
     private final MeasuredConcurrency measured;
     private final BackendServer server;
     private final double coldOverage;
+    private final ColdCallLimit coldCalls;
     private final RequestRateLimiter rate = new RequestRateLimiter();
 
     /** Changes to the concurrency limit by a refusal. */
@@ -31,11 +33,16 @@
     }
 
     private ServerCapacity(
-            ConcurrencyLimit concurrency, MeasuredConcurrency measured, BackendServer server, double coldOverage) {
+            ConcurrencyLimit concurrency,
+            MeasuredConcurrency measured,
+            BackendServer server,
+            double coldOverage,
+            double coldSlack) {
         this.concurrency = concurrency;
         this.measured = measured;
         this.server = server;
         this.coldOverage = coldOverage;
+        coldCalls = new ColdCallLimit(coldSlack);
     }
 
     static ServerCapacity of(AttachedBackend backend, GateOptions options, long nowNanos) {
@@ -44,20 +51,22 @@
                 new ConcurrencyLimit(slots, options.slowStartMs(), options.overloadRecoveryMs(), nowNanos),
                 new MeasuredConcurrency(slots, options.overloadRecoveryMs(), nowNanos),
                 backend.server(),
-                options.coldOverage());
+                options.coldOverage(),
+                options.coldSlack());
     }
 
     /** The capacity while no server is attached: one slot, so that quotients of it stay finite. */
     static ServerCapacity withoutServer(long nowNanos) {
         return new ServerCapacity(
-                new ConcurrencyLimit(1, 0, 1, nowNanos), new MeasuredConcurrency(1, 1, nowNanos), null, 1);
+                new ConcurrencyLimit(1, 0, 1, nowNanos), new MeasuredConcurrency(1, 1, nowNanos), null, 1, 1);
     }
 
     /** Number of calls that may run at a time. */
     int concurrencyLimit(ServiceConfig config, long nowNanos) {
-        return isMeasured(config)
+        int limit = isMeasured(config)
                 ? Math.min(concurrency.slowStartLimit(nowNanos), measured.limit(nowNanos))
                 : concurrency.limit(nowNanos);
+        return isColdLimited(config, nowNanos) ? Math.min(limit, coldCalls.limit()) : limit;
     }
 
     /**
@@ -91,6 +100,7 @@
      * @param callsAtEnd number of calls that run now, without it
      */
     Reaction onCallEnd(ServiceConfig config, int callsAtStart, int callsAtEnd, boolean refused, long nowNanos) {
+        coldCalls.onAnswered();
         boolean overload = server != null
                 && measured.onCallEnd(
                         callsAtStart, callsAtEnd, refused, server.report().load(), nowNanos);
@@ -104,6 +114,11 @@
         return Reaction.REDUCED;
     }
 
+    /** Records a call that ended without an answer. */
+    void onCallLost() {
+        coldCalls.onLost();
+    }
+
     /** Factor by which calls take longer than usual at present, as the server states. */
     double workFactor(ServiceConfig config, long nowNanos) {
         return isMeasured(config) ? measured.workFactor(nowNanos) : 1;
