Start the budget for a cold server empty

Cause: the token bucket of a new process had one request, so a daemon that restarts again and again sent one each time to a server that is still cold, in addition to what the earlier process had sent.

Change: a bucket that was not used before is emptied when its server is cold.

Ruled out: an empty bucket in all cases, because it would delay the first request to servers that state a rate.

Measured: ColdServerPropertiesTest#newProcessStartsWithoutBudget, first request after more than 90 ms; the other properties and StatedLimitTest pass.

--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/ColdServerPropertiesTest.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/ColdServerPropertiesTest.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -143,6 +144,18 @@
         checkBound();
     }
 
+    /** A daemon that restarts again and again must not get a request each time. */
+    @Example
+    void newProcessStartsWithoutBudget() {
+        coldUntilMs = 10_000;
+        GateFixture gate = newGate("m1");
+        gate.submit(gate.newPost("first"));
+        timers.advanceMs(90);
+        assertThat(receivedWhileColdMs).isEmpty();
+        timers.advanceMs(20);
+        assertThat(receivedWhileColdMs).hasSize(1);
+    }
+
     /** A frozen server reads the requests that were sent meanwhile at once when it goes on. */
     @Property(tries = 60)
     void pausesOfAColdServerKeepTheBound(
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestRateLimiter.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestRateLimiter.java
@@ -33,6 +33,11 @@
         updatedAtNanos = nowNanos;
     }
 
+    /** Removes all tokens, which another sender may have spent. */
+    void clear() {
+        tokens = 0;
+    }
+
     /** The rate in effect; empty if the server states none. */
     OptionalDouble requestsPerSecond() {
         return requestsPerSecond;
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/ServerCapacity.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/ServerCapacity.java
@@ -24,6 +24,9 @@
     private final ColdCallLimit coldCalls;
     private final RequestRateLimiter rate = new RequestRateLimiter();
 
+    /** Whether the rate was not asked for yet. An earlier process may have spent the budget of a cold server. */
+    private boolean rateUnused = true;
+
     /** Changes to the concurrency limit by a refusal. */
     enum Reaction {
         NONE,
@@ -144,10 +147,14 @@
     private void update(ServiceConfig config, long nowNanos) {
         OptionalDouble stated = server == null ? OptionalDouble.empty() : server.maxRequestsPerSecond();
         if (isColdLimited(config, nowNanos)) {
+            if (rateUnused) {
+                rate.clear();
+            }
             double coldRate = coldOverage * config.coldRequestsPerSecond();
             rate.update(OptionalDouble.of(Math.min(coldRate, stated.orElse(coldRate))), nowNanos);
         } else {
             rate.update(stated, nowNanos);
         }
+        rateUnused = false;
     }
 }
