Move the evaluation of call results to the load forecast

Change: LoadForecast records the end of a call and its final answer, with the capacity and the estimator that it holds already. No change of behaviour.

Ruled out: a class of its own, which would need the same fields.

--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/LoadForecast.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/LoadForecast.java
@@ -4,7 +4,11 @@
 import java.util.concurrent.TimeUnit;
 import org.coriandercrank.gate.internal.Execution.AttachedBackend;
 import org.coriandercrank.gate.internal.QueueOrder.SortKey;
+import org.coriandercrank.kernel.code.CrankException;
+import org.coriandercrank.kernel.code.Outcome;
+import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.config.RequestRules;
+import org.coriandercrank.kernel.request.CallerAnswer;
 
 /**
  * Expected execution and waiting times at the attached backend server, from its capacity, its running calls and the
@@ -44,9 +48,34 @@
         estimator.onArrival(rules, nowNanos);
     }
 
-    /** Records an execution; its duration counts as it would be at the usual speed of the host. */
-    void onExecuted(Optional<RequestRules> rules, long durationNanos, long nowNanos) {
-        estimator.onExecuted(rules, (long) (durationNanos / workFactor(nowNanos)));
+    /**
+     * Adapts the concurrency limit to the result of a call that still counts as running. The retry-after time of a
+     * refusal is derived from the adapted limit.
+     */
+    void onCallEnd(Execution execution, CallerAnswer answer, Throwable failure, long nowNanos) {
+        boolean refused = failure != null && CrankException.of(failure).code() == ResultCode.OVERLOADED;
+        boolean ran = failure == null && answer != null && answer.outcome() == Outcome.RUN;
+        if (!execution.backend().equals(backend) || !(refused || ran)) {
+            return;
+        }
+        ServerCapacity.Reaction reaction = capacity.onCallEnd(
+                context.serviceConfig(), execution.callsAtStart(), occupiedSlots() - 1, refused, nowNanos);
+        if (reaction != ServerCapacity.Reaction.NONE) {
+            context.metrics().onServerRefusal(reaction);
+            context.logDecision(() -> "event=server-refusal request="
+                    + execution.request().id() + " callsAtStart=" + execution.callsAtStart() + " limit="
+                    + concurrencyLimit(nowNanos) + " reaction=" + reaction);
+        }
+    }
+
+    /** Records the final answer to a call; its duration counts as it would be at the usual speed of the host. */
+    void onAnswer(Execution execution, CallerAnswer answer, long nowNanos) {
+        if (answer.outcome() == Outcome.UNKNOWN && execution.backend().equals(backend)) {
+            capacity.onCallLost();
+        } else if (answer.outcome() == Outcome.RUN) {
+            long durationNanos = nowNanos - execution.startedAtNanos();
+            estimator.onExecuted(execution.request().rules(), (long) (durationNanos / workFactor(nowNanos)));
+        }
     }
 
     /** Mean execution time in milliseconds at the present speed of the host. */
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
@@ -302,48 +302,18 @@
     private void onCallEnd(Execution execution, CallerAnswer answer, Throwable failure) {
         long nowNanos = context.nowNanos();
         queue.onEnd(execution);
-        updateCapacity(execution, answer, failure, nowNanos);
+        forecast.onCallEnd(execution, answer, failure, nowNanos);
         CallerAnswer finalAnswer = failure == null && answer != null
                 ? answer
                 : failureAnswer(execution, CrankException.of(failure), nowNanos);
         calls.onEnd(execution, finalAnswer.outcome() == Outcome.UNKNOWN);
-        if (finalAnswer.outcome() == Outcome.UNKNOWN && execution.backend().equals(backend)) {
-            forecast.capacity().onCallLost();
-        }
-        if (finalAnswer.outcome() == Outcome.RUN) {
-            forecast.onExecuted(execution.request().rules(), nowNanos - execution.startedAtNanos(), nowNanos);
-        }
+        forecast.onAnswer(execution, finalAnswer, nowNanos);
         crashDetector.onCallEnd(execution, finalAnswer, nowNanos);
         requestTable.finish(execution, finalAnswer, nowNanos);
         answerAll(execution, finalAnswer);
         callEndListener.run();
     }
 
-    /**
-     * Adapts the concurrency limit to the result of a call that still counts as running. The retry-after time of a
-     * refusal is derived from the adapted limit.
-     */
-    private void updateCapacity(Execution execution, CallerAnswer answer, Throwable failure, long nowNanos) {
-        boolean refused = failure != null && CrankException.of(failure).code() == ResultCode.OVERLOADED;
-        boolean ran = failure == null && answer != null && answer.outcome() == Outcome.RUN;
-        if (!execution.backend().equals(backend) || !(refused || ran)) {
-            return;
-        }
-        ServerCapacity.Reaction reaction = forecast.capacity()
-                .onCallEnd(
-                        context.serviceConfig(),
-                        execution.callsAtStart(),
-                        forecast.occupiedSlots() - 1,
-                        refused,
-                        nowNanos);
-        if (reaction != ServerCapacity.Reaction.NONE) {
-            context.metrics().onServerRefusal(reaction);
-            context.logDecision(() -> "event=server-refusal request="
-                    + execution.request().id() + " callsAtStart=" + execution.callsAtStart() + " limit="
-                    + forecast.concurrencyLimit(nowNanos) + " reaction=" + reaction);
-        }
-    }
-
     private CallerAnswer failureAnswer(Execution execution, CrankException failure, long nowNanos) {
         if (failure.code() == ResultCode.FENCE_REJECTED) {
             ranges.serving(execution.hash()).ifPresent(entry -> entry.markRejected(nowNanos));
