--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
@@ -302,38 +302,18 @@
     private void onCallEnd(Execution execution, CallerAnswer answer, Throwable failure) {
         long nowNanos = context.nowNanos();
         queue.onEnd(execution);
+        forecast.onCallEnd(execution, answer, failure, nowNanos);
         CallerAnswer finalAnswer = failure == null && answer != null
                 ? answer
                 : failureAnswer(execution, CrankException.of(failure), nowNanos);
         calls.onEnd(execution, finalAnswer.outcome() == Outcome.UNKNOWN);
-        if (execution.backend().equals(backend)) {
-            updateCapacity(execution, finalAnswer, nowNanos);
-        }
-        if (finalAnswer.outcome() == Outcome.RUN) {
-            forecast.onExecuted(execution.request().rules(), nowNanos - execution.startedAtNanos(), nowNanos);
-        }
+        forecast.onAnswer(execution, finalAnswer, nowNanos);
         crashDetector.onCallEnd(execution, finalAnswer, nowNanos);
         requestTable.finish(execution, finalAnswer, nowNanos);
         answerAll(execution, finalAnswer);
         callEndListener.run();
     }
 
-    private void updateCapacity(Execution execution, CallerAnswer answer, long nowNanos) {
-        boolean refused = answer.code() == ResultCode.OVERLOADED;
-        if (!refused && answer.outcome() != Outcome.RUN) {
-            return;
-        }
-        ServerCapacity.Reaction reaction = forecast.capacity()
-                .onCallEnd(
-                        context.serviceConfig(), execution.callsAtStart(), forecast.occupiedSlots(), refused, nowNanos);
-        if (reaction != ServerCapacity.Reaction.NONE) {
-            context.metrics().onServerRefusal(reaction);
-            context.logDecision(() -> "event=server-refusal request="
-                    + execution.request().id() + " callsAtStart=" + execution.callsAtStart() + " limit="
-                    + forecast.concurrencyLimit(nowNanos) + " reaction=" + reaction);
-        }
-    }
-
     private CallerAnswer failureAnswer(Execution execution, CrankException failure, long nowNanos) {
         if (failure.code() == ResultCode.FENCE_REJECTED) {
             ranges.serving(execution.hash()).ifPresent(entry -> entry.markRejected(nowNanos));
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/ServerCapacity.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/ServerCapacity.java
@@ -6,6 +6,7 @@
 import org.coriandercrank.kernel.backend.BackendServer;
 import org.coriandercrank.kernel.config.CapacityControl;
 import org.coriandercrank.kernel.config.ServiceConfig;
+import org.coriandercrank.scheduling.capacity.ColdCallLimit;
 import org.coriandercrank.scheduling.capacity.MeasuredConcurrency;
 
 /**
@@ -20,8 +21,12 @@
     private final MeasuredConcurrency measured;
     private final BackendServer server;
     private final double coldOverage;
+    private final ColdCallLimit coldCalls;
     private final RequestRateLimiter rate = new RequestRateLimiter();
 
+    /** Whether the rate was not asked for yet. An earlier process may have spent the budget of a cold server. */
+    private boolean rateUnused = true;
+
     /** Changes to the concurrency limit by a refusal. */
     enum Reaction {
         NONE,
@@ -31,11 +36,16 @@
     }
 
     private ServerCapacity(
-            ConcurrencyLimit concurrency, MeasuredConcurrency measured, BackendServer server, double coldOverage) {
+            ConcurrencyLimit concurrency,
+            MeasuredConcurrency measured,
+            BackendServer server,
+            double coldOverage,
+            double coldSlack) {
         this.concurrency = concurrency;
         this.measured = measured;
         this.server = server;
         this.coldOverage = coldOverage;
+        coldCalls = new ColdCallLimit(coldSlack);
     }
 
     static ServerCapacity of(AttachedBackend backend, GateOptions options, long nowNanos) {
@@ -44,20 +54,22 @@
                 new ConcurrencyLimit(slots, options.slowStartMs(), options.overloadRecoveryMs(), nowNanos),
                 new MeasuredConcurrency(slots, options.overloadRecoveryMs(), nowNanos),
                 backend.server(),
-                options.coldOverage());
+                options.coldOverage(),
+                options.coldSlack());
     }
 
     /** The capacity while no server is attached: one slot, so that quotients of it stay finite. */
     static ServerCapacity withoutServer(long nowNanos) {
         return new ServerCapacity(
-                new ConcurrencyLimit(1, 0, 1, nowNanos), new MeasuredConcurrency(1, 1, nowNanos), null, 1);
+                new ConcurrencyLimit(1, 0, 1, nowNanos), new MeasuredConcurrency(1, 1, nowNanos), null, 1, 1);
     }
 
     /** Number of calls that may run at a time. */
     int concurrencyLimit(ServiceConfig config, long nowNanos) {
-        return isMeasured(config)
+        int limit = isMeasured(config)
                 ? Math.min(concurrency.slowStartLimit(nowNanos), measured.limit(nowNanos))
                 : concurrency.limit(nowNanos);
+        return isColdLimited(config, nowNanos) ? Math.min(limit, coldCalls.limit()) : limit;
     }
 
     /**
@@ -88,9 +100,10 @@
      * Records the result of a call.
      *
      * @param callsAtStart number of calls that ran when the call was sent, including it
-     * @param callsAtEnd number of calls that run now
+     * @param callsAtEnd number of calls that run now, without it
      */
     Reaction onCallEnd(ServiceConfig config, int callsAtStart, int callsAtEnd, boolean refused, long nowNanos) {
+        coldCalls.onAnswered();
         boolean overload = server != null
                 && measured.onCallEnd(
                         callsAtStart, callsAtEnd, refused, server.report().load(), nowNanos);
@@ -104,6 +117,11 @@
         return Reaction.REDUCED;
     }
 
+    /** Records a call that ended without an answer. */
+    void onCallLost() {
+        coldCalls.onLost();
+    }
+
     /** Factor by which calls take longer than usual at present, as the server states. */
     double workFactor(ServiceConfig config, long nowNanos) {
         return isMeasured(config) ? measured.workFactor(nowNanos) : 1;
@@ -129,10 +147,14 @@
     private void update(ServiceConfig config, long nowNanos) {
         OptionalDouble stated = server == null ? OptionalDouble.empty() : server.maxRequestsPerSecond();
         if (isColdLimited(config, nowNanos)) {
+            if (rateUnused) {
+                rate.clear();
+            }
             double coldRate = coldOverage * config.coldRequestsPerSecond();
             rate.update(OptionalDouble.of(Math.min(coldRate, stated.orElse(coldRate))), nowNanos);
         } else {
             rate.update(stated, nowNanos);
         }
+        rateUnused = false;
     }
 }
