Place unbound requests outside regions that bound requests need

Cause: requests that may go anywhere occupied servers of the only region in which bound requests may be executed. Once they had left it they stayed away, because gates report one service time for all requests and bound requests take longer.

Change: ReservedCapacity gives a share of the unbound requests a penalty for the servers of a bound region. The share rises from 0 to 1 between 90 and 100 % of smoothed utilization and is limited by the difference to the least utilized other region. The other requests of that region have a penalty for other regions that offsets the longer service time. Services without bound routes are served as before.

Ruled out: a penalty that rises for all requests, which moves them all at once; utilization over reports weighted by freshness, which read 2.5 at a true 0.6, because reports of the busiest servers are the freshest; smoothing over 0.4 s, which kept the share between 0.1 and 0.3 after the burst.

The same commit mends two findings of the review of the restriction, each with a test: the own server was judged by the region of its record, and a refusal by the region of another server ended a request.

--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/AllowedRegionsTest.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/AllowedRegionsTest.java
@@ -131,6 +131,65 @@
         }
     }
 
+    /** Guards against a record of this daemon that names another region than its settings. */
+    @Test
+    void ownServerIsJudgedByTheRegionOfTheSettings() {
+        ServiceName service = IngressFixture.UNKEYED_SERVICE;
+        try (IngressFixture fixture = fixture("", member("self", "west", service))) {
+            assertRefused(fixture, fixture.send("GET", "/v1/" + service + "/shade"));
+        }
+    }
+
+    /** The one server of a confined request may be outside; no other one replaces it. */
+    @ParameterizedTest
+    @CsvSource({"self,west", "e1,east"})
+    void confinedRequestStaysInItsRegion(String server, String recordedRegion) {
+        ServiceName service = IngressFixture.UNKEYED_SERVICE;
+        String target = "/v1/" + service + "/shade";
+        try (IngressFixture fixture = fixture("", member("w1", "west", service))) {
+            fixture.send("GET", target);
+            fixture.quarantine.confined.add(
+                    fixture.peers.forwards.get(0).request().fingerprint().orElseThrow());
+            fixture.peers.targets.clear();
+            fixture.view.set(IngressFixture.snapshotOwnedBy("", 2, member(server, recordedRegion, service)));
+            assertRefused(fixture, fixture.send("GET", target));
+        }
+    }
+
+    /** Guards against a check that is made only once, before a request waits for another owner. */
+    @Test
+    void keyedRequestIsCheckedAgainAfterItsOwnerChanged() {
+        ServiceName service = IngressFixture.KEYED_SERVICE;
+        Member west = member("w1", "west", service);
+        Member east = member("e1", "east", service);
+        try (IngressFixture fixture = fixture("w1", west, east)) {
+            fixture.peers.onForward = (request, number) -> {
+                fixture.view.set(IngressFixture.snapshotOwnedBy("e1", 2, west, east));
+                return FakePeers.answer(CallerAnswer.of(ResultCode.NOT_OWNER, "moved"), 2);
+            };
+            HttpResponse response = fixture.send("GET", "/v1/" + service + "/k");
+            assertThat(response.header("crank-result"))
+                    .contains(Integer.toString(ResultCode.REGION_NOT_ALLOWED.number()));
+            assertThat(fixture.peers.targets)
+                    .extracting(target -> target.member().value())
+                    .containsExactly("w1");
+        }
+    }
+
+    /** Another daemon refuses if its region is not the one of its record; a further server of the region may take it. */
+    @Test
+    void refusalByTheRegionOfOneServerLeadsToTheNext() {
+        ServiceName service = IngressFixture.UNKEYED_SERVICE;
+        try (IngressFixture fixture = fixture("", member("w1", "west", service), member("w2", "west", service))) {
+            fixture.peers.onForward = (request, number) -> number == 1
+                    ? FakePeers.answer(CallerAnswer.of(ResultCode.REGION_NOT_ALLOWED, "refused"), 1)
+                    : FakePeers.executed();
+            assertThat(fixture.send("GET", "/v1/" + service + "/shade").status())
+                    .isEqualTo(200);
+            assertThat(Set.copyOf(fixture.peers.targets)).hasSize(2);
+        }
+    }
+
     private static void assertRefused(IngressFixture fixture, HttpResponse response) {
         assertThat(response.header("crank-result")).contains(Integer.toString(ResultCode.REGION_NOT_ALLOWED.number()));
         assertThat(response.header("crank-outcome")).contains("not-run");
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.ingress.internal.balancing;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -7,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.coriandercrank.ingress.OutlierDetectionOptions;
@@ -26,6 +28,8 @@
 import org.coriandercrank.kernel.table.BackendInfo;
 import org.coriandercrank.kernel.table.Member;
 import org.coriandercrank.kernel.table.MemberState;
+import org.coriandercrank.scheduling.region.ReservedCapacity;
+import org.coriandercrank.scheduling.region.ReservedCapacity.Penalties;
 
 /**
  * Chooses a member for each request to an unkeyed service. Not thread safe; confined to the ingress executor.
@@ -35,6 +39,8 @@
  * Only repeatable requests are used as probes, because a probe is likely to fail.
  */
 public final class Balancer {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     private final Region region;
     private final FailureDomain failureDomain;
     private final OutlierDetectionOptions outlierOptions;
@@ -43,17 +49,21 @@
     private final LoadEstimator loadEstimator = new LoadEstimator();
     private final Map<ServiceName, ServiceState> services = new HashMap<>();
     private int daemonsInRegion;
+    private long reservedPlacements;
 
     /** A member that can receive requests, with the weight of its backend server. */
     private record EligibleServer(Member member, int weightPercent) {}
 
     /** Eligible members of a service in one snapshot, and the outlier detection of its servers. */
     private static final class ServiceState {
+        private final ServiceName service;
         private final OutlierDetector outlierDetector;
         private RoutingSnapshot snapshot;
         private List<EligibleServer> eligible = List.of();
+        private ReservedCapacity reservedCapacity = new ReservedCapacity(Set.of());
 
-        private ServiceState(OutlierDetector outlierDetector) {
+        private ServiceState(ServiceName service, OutlierDetector outlierDetector) {
+            this.service = service;
             this.outlierDetector = outlierDetector;
         }
     }
@@ -85,21 +95,23 @@
             boolean repeatable,
             long nowNanos) {
         ServiceState state = serviceState(snapshot, service.name());
+        Penalties penalties = penalties(state, rules, nowNanos);
         List<BalancingCandidate> healthy = new ArrayList<>();
         List<BalancingCandidate> excluded = new ArrayList<>();
         for (EligibleServer eligible : state.eligible) {
             MemberId id = eligible.member().id();
-            boolean allowed =
-                    rules.map(r -> r.allows(eligible.member().region())).orElse(true);
+            Region serverRegion =
+                    id.equals(snapshot.self()) ? region : eligible.member().region();
+            boolean allowed = rules.map(r -> r.allows(serverRegion)).orElse(true);
             if (!allowed || tried.contains(id)) {
                 continue;
             }
             if (!state.outlierDetector.isExcluded(id)) {
-                healthy.add(candidate(eligible, nowNanos));
+                healthy.add(candidate(eligible, penalties, nowNanos));
             } else if (repeatable && state.outlierDetector.tryProbe(id, nowNanos)) {
                 return Optional.of(eligible.member());
             } else {
-                excluded.add(candidate(eligible, nowNanos));
+                excluded.add(candidate(eligible, penalties, nowNanos));
             }
         }
         List<BalancingCandidate> candidates =
@@ -107,7 +119,47 @@
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
-        return Optional.of(candidates.get(policy.choose(candidates, random)).member());
+        BalancingCandidate chosen = candidates.get(policy.choose(candidates, random));
+        if (penalties.placedOutside() && chosen.penaltyMs() == 0) {
+            reservedPlacements++;
+        }
+        return Optional.of(chosen.member());
+    }
+
+    /** Penalties by region for the next request, if it is not bound to regions itself. */
+    private Penalties penalties(ServiceState state, Optional<RequestRules> rules, long nowNanos) {
+        ReservedCapacity reserved = state.reservedCapacity;
+        boolean bound = rules.map(r -> !r.allowedRegions().isEmpty()).orElse(false);
+        if (bound || reserved.boundRegions().isEmpty()) {
+            return Penalties.NONE;
+        }
+        if (reserved.isUpdateDue(nowNanos)) {
+            boolean wasActive = reserved.largestShare() > 0;
+            reserved.update(serverLoads(state, nowNanos), nowNanos);
+            boolean active = reserved.largestShare() > 0;
+            if (active != wasActive) {
+                logReservation(state, active);
+            }
+        }
+        return reserved.takePenalties(region);
+    }
+
+    private List<ReservedCapacity.ServerLoad> serverLoads(ServiceState state, long nowNanos) {
+        List<ReservedCapacity.ServerLoad> loads = new ArrayList<>();
+        for (EligibleServer eligible : state.eligible) {
+            MemberId id = eligible.member().id();
+            loads.add(new ReservedCapacity.ServerLoad(
+                    eligible.member().region(),
+                    loadEstimator.latestLoad(id).orElse(GateLoad.NONE),
+                    loadEstimator.ageNanos(id, nowNanos)));
+        }
+        return loads;
+    }
+
+    private static void logReservation(ServiceState state, boolean active) {
+        logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+                "event=reserved-capacity service=%s active=%s utilization=%s",
+                state.service, active, state.reservedCapacity.utilization());
     }
 
     /**
@@ -153,7 +205,12 @@
                 .sum();
     }
 
-    private BalancingCandidate candidate(EligibleServer eligible, long nowNanos) {
+    /** Number of requests that were placed outside a region because its capacity is kept for requests bound to it. */
+    public long reservedPlacements() {
+        return reservedPlacements;
+    }
+
+    private BalancingCandidate candidate(EligibleServer eligible, Penalties penalties, long nowNanos) {
         Member member = eligible.member();
         int ownInFlight = inFlight.getOrDefault(member.id(), 0);
         return new BalancingCandidate(
@@ -163,7 +220,7 @@
                 member.region().equals(region),
                 eligible.weightPercent(),
                 loadEstimator.expectedMs(member.id(), ownInFlight, nowNanos),
-                0);
+                penalties.byRegionMs().getOrDefault(member.region(), 0.0));
     }
 
     /**
@@ -173,12 +230,16 @@
     @SuppressWarnings("ReferenceEquality")
     private ServiceState serviceState(RoutingSnapshot snapshot, ServiceName service) {
         ServiceState state =
-                services.computeIfAbsent(service, name -> new ServiceState(new OutlierDetector(outlierOptions)));
+                services.computeIfAbsent(service, name -> new ServiceState(name, new OutlierDetector(outlierOptions)));
         if (state.snapshot != snapshot) {
             state.snapshot = snapshot;
             loadEstimator.retainMembers(snapshot.members().keySet());
             daemonsInRegion = countDaemonsInRegion(snapshot);
             state.eligible = findEligible(snapshot, service);
+            Set<Region> boundRegions = ReservedCapacity.boundRegions(snapshot.configuration(), service);
+            if (!boundRegions.equals(state.reservedCapacity.boundRegions())) {
+                state.reservedCapacity = new ReservedCapacity(boundRegions);
+            }
             state.outlierDetector.setServers(
                     state.eligible.stream().map(e -> e.member().id()).collect(Collectors.toSet()));
         }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/LoadEstimator.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/LoadEstimator.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.coriandercrank.kernel.id.MemberId;
@@ -80,6 +81,17 @@
         return backlog == null ? 0 : backlog.remainingMs(nowNanos);
     }
 
+    /** The latest report of a server; empty if there is none. */
+    Optional<GateLoad> latestLoad(MemberId member) {
+        return Optional.ofNullable(reports.get(member)).map(Report::load);
+    }
+
+    /** Age of the latest report of a server in nanoseconds; 0 without a report. */
+    long ageNanos(MemberId member, long nowNanos) {
+        Report report = reports.get(member);
+        return report == null ? 0 : nowNanos - report.atNanos();
+    }
+
     /** Expected time from the arrival of a request at a server to the answer, in milliseconds; 0 without a report. */
     double expectedMs(MemberId member, int ownInFlight, long nowNanos) {
         Report report = reports.get(member);
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
@@ -162,8 +162,14 @@
 
     private void onLoadBalancedRefusal(CallerAnswer answer) {
         switch (answer.code()) {
-            case OVERLOADED, BACKEND_UNAVAILABLE, DRAINING, LEASE_LAPSED, STARTING, NOT_OWNER, NO_OWNER ->
-                dispatch.retry(false, "refused", answer);
+            case OVERLOADED,
+                    BACKEND_UNAVAILABLE,
+                    DRAINING,
+                    LEASE_LAPSED,
+                    STARTING,
+                    NOT_OWNER,
+                    NO_OWNER,
+                    REGION_NOT_ALLOWED -> dispatch.retry(false, "refused", answer);
             default -> dispatch.finish(answer);
         }
     }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
@@ -236,7 +236,10 @@
             return request.fingerprint()
                     .flatMap(fingerprint ->
                             context.balancer().chooseConfined(snapshot, service, fingerprint, triedMembers))
-                    .filter(member -> request.isAllowedIn(member.region()));
+                    .filter(member -> request.isAllowedIn(
+                            member.id().equals(snapshot.self())
+                                    ? context.dependencies().region()
+                                    : member.region()));
         }
         BalancingPolicy policy = context.dependencies().pluginRegistry().get(Kind.BALANCING, service.balancingPolicy());
         return context.balancer()
