Count requests placed outside a region to keep its capacity

Cause: the placement was visible only in a log line.

Change: crank.ingress.reserved.placements counts unbound requests that were placed outside a bound region.

Ruled out: a gauge of the share, which is 0 again when it is scraped.

--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
@@ -88,6 +88,7 @@
     private volatile boolean closing;
 
     private volatile int excludedServers;
+    private volatile long reservedPlacements;
     private volatile HttpServer server;
 
     /** Creates an ingress and registers its handlers for forwarded requests, cancellations and outcome queries. */
@@ -109,7 +110,10 @@
                 new RetryBudgets(options.retryBudget(), dependencies.routingView()::current),
                 metrics);
         metrics.registerGauges(
-                inFlight::get, () -> excludedServers, counted -> server == null ? 0 : server.abandonedRequests());
+                inFlight::get,
+                () -> excludedServers,
+                counted -> server == null ? 0 : server.abandonedRequests(),
+                counted -> reservedPlacements);
         PeerMessageHandlers.register(
                 dependencies.peerHandlers(),
                 dependencies.ownerGate(),
@@ -317,6 +321,7 @@
         try {
             dispatch.start();
             excludedServers = context.balancer().excludedCount();
+            reservedPlacements = context.balancer().reservedPlacements();
         } catch (RuntimeException e) {
             result.completeExceptionally(e);
         }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/IngressMetrics.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/IngressMetrics.java
@@ -36,8 +36,13 @@
     }
 
     public void registerGauges(
-            Supplier<Number> inFlight, Supplier<Number> excludedServers, ToDoubleFunction<IngressMetrics> abandoned) {
+            Supplier<Number> inFlight,
+            Supplier<Number> excludedServers,
+            ToDoubleFunction<IngressMetrics> abandoned,
+            ToDoubleFunction<IngressMetrics> reservedPlacements) {
         FunctionCounter.builder("crank.ingress.abandoned", this, abandoned).register(meters);
+        FunctionCounter.builder("crank.ingress.reserved.placements", this, reservedPlacements)
+                .register(meters);
         Gauge.builder("crank.ingress.in.flight", inFlight).register(meters);
         Gauge.builder("crank.ingress.excluded.servers", excludedServers).register(meters);
     }
