Move refusals for regions out of RequestDispatch

Change: RegionRefusals builds the refusals; Balancer.chooseConfined checks the region itself, as choose does.

--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
@@ -163,15 +163,26 @@
     }
 
     /**
-     * Returns the member to which a confined request is sent, whatever its load; empty if it was tried before, because
-     * the request must not be sent to another.
+     * Returns the member to which a confined request is sent, whatever its load; empty if it was tried before or is in a
+     * region where the request is not allowed, because the request must not be sent to another.
      */
     public Optional<Member> chooseConfined(
-            RoutingSnapshot snapshot, ServiceConfig service, RequestFingerprint request, Set<MemberId> tried) {
+            RoutingSnapshot snapshot,
+            ServiceConfig service,
+            RequestFingerprint request,
+            Set<MemberId> tried,
+            Optional<RequestRules> rules) {
         List<Member> members = serviceState(snapshot, service.name()).eligible.stream()
                 .map(EligibleServer::member)
                 .toList();
-        return ConfinedRequests.server(request, members).filter(member -> !tried.contains(member.id()));
+        return ConfinedRequests.server(request, members)
+                .filter(member -> !tried.contains(member.id()) && isAllowed(member, snapshot, rules));
+    }
+
+    /** The record of this daemon may be older than its settings, so its region is that of the settings. */
+    private boolean isAllowed(Member member, RoutingSnapshot snapshot, Optional<RequestRules> rules) {
+        Region serverRegion = member.id().equals(snapshot.self()) ? region : member.region();
+        return rules.map(r -> r.allows(serverRegion)).orElse(true);
     }
 
     /** Counts a request as in flight to a member. */
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
@@ -15,7 +15,6 @@
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.KeyHash;
 import org.coriandercrank.kernel.id.MemberId;
-import org.coriandercrank.kernel.id.Region;
 import org.coriandercrank.kernel.id.RequestId;
 import org.coriandercrank.kernel.ownership.RequestQuarantine;
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
@@ -187,17 +186,12 @@
             return;
         }
         MemberId owner = assignment.get().owner();
-        boolean local = owner.equals(snapshot.self());
-        Optional<Region> ownerRegion = local
-                ? Optional.of(context.dependencies().region())
-                : snapshot.member(owner).map(Member::region);
-        if (ownerRegion.isPresent() && !request.isAllowedIn(ownerRegion.get())) {
-            finish(retryLaterAnswer(
-                    ResultCode.REGION_NOT_ALLOWED,
-                    "the owner " + owner + " is in " + ownerRegion.get() + ", where the request is not allowed"));
+        Optional<CallerAnswer> regionRefusal = RegionRefusals.ofOwner(context, request, owner, snapshot);
+        if (regionRefusal.isPresent()) {
+            finish(regionRefusal.get());
             return;
         }
-        if (local) {
+        if (owner.equals(snapshot.self())) {
             send(Target.local(owner), snapshot, reason);
             return;
         }
@@ -212,7 +206,7 @@
     private void routeLoadBalanced(RoutingSnapshot snapshot, String reason) {
         Optional<Member> chosen = chooseServer(snapshot);
         if (chosen.isEmpty()) {
-            finish(lastAnswer.orElseGet(this::noServerAnswer));
+            finish(lastAnswer.orElseGet(() -> RegionRefusals.noServer(context, request)));
             return;
         }
         Member member = chosen.get();
@@ -221,25 +215,11 @@
         send(local ? Target.local(member.id()) : Target.remote(member), snapshot, reason);
     }
 
-    private CallerAnswer noServerAnswer() {
-        Set<Region> allowedRegions =
-                request.rules().map(RequestRules::allowedRegions).orElse(Set.of());
-        return allowedRegions.isEmpty()
-                ? retryLaterAnswer(ResultCode.NO_OWNER, "no server of the service accepts requests")
-                : retryLaterAnswer(
-                        ResultCode.REGION_NOT_ALLOWED,
-                        "no server of the service in " + allowedRegions + " accepts requests");
-    }
-
     private Optional<Member> chooseServer(RoutingSnapshot snapshot) {
         if (context.dependencies().quarantine().status(request) == RequestQuarantine.Status.CONFINED) {
             return request.fingerprint()
-                    .flatMap(fingerprint ->
-                            context.balancer().chooseConfined(snapshot, service, fingerprint, triedMembers))
-                    .filter(member -> request.isAllowedIn(
-                            member.id().equals(snapshot.self())
-                                    ? context.dependencies().region()
-                                    : member.region()));
+                    .flatMap(fingerprint -> context.balancer()
+                            .chooseConfined(snapshot, service, fingerprint, triedMembers, request.rules()));
         }
         BalancingPolicy policy = context.dependencies().pluginRegistry().get(Kind.BALANCING, service.balancingPolicy());
         return context.balancer()
