--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/internal/balancing/ReservedCapacityReplayTest.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/internal/balancing/ReservedCapacityReplayTest.java
@@ -14,7 +14,7 @@
     private static final double MAX_SHARE_ELSEWHERE = 0.05;
 
     /** Changes of the share from one second to another that count as a change of direction when they are reversed. */
-    private static final double DIRECTION_THRESHOLD = 0.25;
+    private static final double DIRECTION_THRESHOLD = 0.15;
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
@@ -52,6 +52,6 @@
         }
         StringBuilder line = new StringBuilder();
         Arrays.stream(replay.sharesElsewhere()).forEach(share -> line.append(String.format(" %.2f", share)));
-        System.out.printf("%s changes %d, by second:%s%n", name, replay.directionChanges(0.15), line);
+        System.out.printf("%s changes %d, by second:%s%n", name, replay.directionChanges(DIRECTION_THRESHOLD), line);
     }
 }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
@@ -100,10 +100,7 @@
         List<BalancingCandidate> excluded = new ArrayList<>();
         for (EligibleServer eligible : state.eligible) {
             MemberId id = eligible.member().id();
-            Region serverRegion =
-                    id.equals(snapshot.self()) ? region : eligible.member().region();
-            boolean allowed = rules.map(r -> r.allows(serverRegion)).orElse(true);
-            if (!allowed || tried.contains(id)) {
+            if (!isAllowed(eligible.member(), snapshot, rules) || tried.contains(id)) {
                 continue;
             }
             if (!state.outlierDetector.isExcluded(id)) {
