Accept only valid HTTP responses

Cause: Netty skips control characters before a status line, splits it at any white space and reads the status with Integer.parseInt. HttpClientCodec creates its decoder itself, so it cannot be extended.

Change: HttpClientCodec is replaced by Netty's request encoder and ResponseDecoder, a subclass of Netty's response decoder. It checks the status line in the received bytes before the superclass reads them, the framing once the header fields are known, and the body of a 205. It rejects bytes that arrive while no request is in progress. A rejection closes the connection and fails the request as sent, which is the existing path for a lost answer. HttpServer writes 502 without headers in place of a status outside 200 to 599. Both are logged, at most once a second, and rejections are counted in crank.http.rejected.responses.

Ruled out: a handler before the codec, which would have to find the ends of messages itself; overriding createMessage, which sees the words of the line after white space has been dropped; 500 for an invalid status of a handler, because the outcome is unknown and 502 says so.

--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ClientConnectionHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ClientConnectionHandler.java
@@ -36,6 +36,7 @@
     private static final int MAX_REFUSED_REQUESTS = 256;
 
     private final HttpClientOptions options;
+    private final ResponseDecoder decoder;
     private final Set<String> refusedRequestIds = new HashSet<>();
     private HttpRequest request;
     private int interimResponses;
@@ -50,8 +51,9 @@
     private ScheduledFuture<?> responseTimeout;
     private ScheduledFuture<?> idleTimeout;
 
-    ClientConnectionHandler(HttpClientOptions options) {
+    ClientConnectionHandler(HttpClientOptions options, ResponseDecoder decoder) {
         this.options = options;
+        this.decoder = decoder;
     }
 
     /** Whether the server refused a request with the same id on this connection. Called on the event loop. */
@@ -109,6 +111,7 @@
                                 channel, "no response from " + target + " within " + timeoutMs + " ms", null),
                         timeoutMs,
                         TimeUnit.MILLISECONDS);
+        decoder.expectResponse(newRequest.method());
         requestWritten = channel.writeAndFlush(nettyRequest);
         response.whenComplete((result, failure) -> {
             if (response.isCancelled()) {
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClient.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpClient.java
@@ -8,8 +8,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -54,6 +54,7 @@
     public HttpClient(EventLoopGroup group, HostAddress target, HttpClientOptions options) {
         this.target = target;
         this.options = options;
+        RejectedResponses rejectedResponses = new RejectedResponses(target);
         this.bootstrap = new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
@@ -62,12 +63,14 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
+                        ResponseDecoder decoder = new ResponseDecoder(rejectedResponses);
                         channel.pipeline()
-                                .addLast(new HttpClientCodec())
+                                .addLast(decoder)
+                                .addLast(new HttpRequestEncoder())
                                 .addLast(new UnfinishedResponseLimit(
                                         unfinishedBytes, Math.max(MIN_UNFINISHED_BYTES_LIMIT, options.maxBodyBytes())))
                                 .addLast(new HttpObjectAggregator(options.maxBodyBytes()))
-                                .addLast(new ClientConnectionHandler(options));
+                                .addLast(new ClientConnectionHandler(options, decoder));
                     }
                 });
     }
@@ -176,6 +179,14 @@
         return connected;
     }
 
+    /**
+     * How often the clients of this process closed a connection because the received bytes were no response. Bytes that
+     * arrive while no request is in progress count.
+     */
+    public static long rejectedResponses() {
+        return RejectedResponses.countOfProcess();
+    }
+
     /** Number of connections that are open or being opened. */
     public int openConnections() {
         synchronized (lock) {
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpResponse.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpResponse.java
@@ -12,6 +12,9 @@
  *     {@code connection: close} makes the server close the connection
  */
 public record HttpResponse(int status, List<Header> headers, byte[] body) {
+    private static final int MIN_FINAL_STATUS = 200;
+    private static final int MAX_FINAL_STATUS = 599;
+
     public HttpResponse {
         headers = List.copyOf(headers);
     }
@@ -33,6 +36,15 @@
         return HeaderConverter.firstValue(headers, name);
     }
 
+    /** Whether a status is that of a final response. The only definition of the range, for client and server. */
+    static boolean isFinalStatus(int status) {
+        return status >= MIN_FINAL_STATUS && status <= MAX_FINAL_STATUS;
+    }
+
+    boolean hasFinalStatus() {
+        return isFinalStatus(status);
+    }
+
     /** Whether the server must close the connection after this response, because it has {@code connection: close}. */
     boolean closesConnection() {
         return header("connection").map("close"::equalsIgnoreCase).orElse(false);
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/ServerConnectionHandler.java
@@ -52,6 +52,8 @@
     private static final int STATUS_BODY_TOO_LARGE = 413;
     private static final int STATUS_HEADER_TOO_LARGE = 431;
     private static final int STATUS_INTERNAL_ERROR = 500;
+    private static final int STATUS_BAD_GATEWAY = 502;
+    private static final int LOG_INTERVAL_S = 1;
 
     /** Time after which the server closes a connection whose output it has shut down. */
     private static final long CLIENT_CLOSE_TIMEOUT_MS = 1_000;
@@ -220,7 +222,7 @@
                 && unwrapCompletionException(exchange.failure) instanceof HttpAbortException abort) {
             return abortConnection(context, abort);
         }
-        HttpResponse response = responseOrInternalError(exchange.response, exchange.failure);
+        HttpResponse response = requireFinalStatus(responseOrInternalError(exchange.response, exchange.failure));
         boolean last = exchanges.isEmpty();
         boolean keepAlive = !last || (exchange.clientKeepsAlive && !response.closesConnection() && !closing);
         return writeFullResponse(context, response, keepAlive, exchange.headOnly);
@@ -239,7 +241,7 @@
         if (abort.truncatedResponse().isEmpty()) {
             return context.close();
         }
-        HttpResponse response = abort.truncatedResponse().get();
+        HttpResponse response = requireFinalStatus(abort.truncatedResponse().get());
         DefaultHttpResponse nettyResponse =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(response.status()));
         HeaderConverter.toNetty(response.headers(), nettyResponse.headers());
@@ -266,6 +268,19 @@
         return HttpResponse.text(STATUS_INTERNAL_ERROR, "internal error\n");
     }
 
+    /**
+     * Replaces a response whose status is not that of a final response. The request may have been executed, so the
+     * replacement has the status of an unknown outcome and none of the headers, which may state something else.
+     */
+    private static HttpResponse requireFinalStatus(HttpResponse response) {
+        if (response.hasFinalStatus()) {
+            return response;
+        }
+        logger.atSevere().atMostEvery(LOG_INTERVAL_S, TimeUnit.SECONDS).log(
+                "event=http-status-invalid status=%d", response.status());
+        return HttpResponse.text(STATUS_BAD_GATEWAY, "invalid status of the response\n");
+    }
+
     private ChannelFuture writeFullResponse(
             ChannelHandlerContext context, HttpResponse response, boolean keepAlive, boolean headOnly) {
         FullHttpResponse nettyResponse = new DefaultFullHttpResponse(
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/IngressMetrics.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/IngressMetrics.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
+import org.coriandercrank.http.HttpClient;
 import org.coriandercrank.kernel.code.ResultCode;
 
 /** Metrics of the caller side. Thread safe. */
@@ -38,6 +39,8 @@
     public void registerGauges(
             Supplier<Number> inFlight, Supplier<Number> excludedServers, ToDoubleFunction<IngressMetrics> abandoned) {
         FunctionCounter.builder("crank.ingress.abandoned", this, abandoned).register(meters);
+        FunctionCounter.builder("crank.http.rejected.responses", this, metrics -> HttpClient.rejectedResponses())
+                .register(meters);
         Gauge.builder("crank.ingress.in.flight", inFlight).register(meters);
         Gauge.builder("crank.ingress.excluded.servers", excludedServers).register(meters);
     }
