--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/RejectedResponses.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/RejectedResponses.java
@@ -12,7 +12,8 @@
 final class RejectedResponses {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int LOG_INTERVAL_S = 1;
-    private static final LongAdder countOfProcess = new LongAdder();
+    private static final int MAX_REASON_CHARS = 100;
+    private static final LongAdder COUNT_OF_PROCESS = new LongAdder();
 
     private final HostAddress server;
 
@@ -20,15 +21,19 @@
         this.server = server;
     }
 
-    /** @param reason short description without received bytes */
+    /** @param reason may contain received bytes; control characters and what is too long are left out of the log */
     void add(String reason) {
-        countOfProcess.increment();
+        COUNT_OF_PROCESS.increment();
         logger.atWarning().atMostEvery(LOG_INTERVAL_S, TimeUnit.SECONDS).log(
-                "event=http-response-rejected server=%s reason=\"%s\"", server, reason);
+                "event=http-response-rejected server=%s reason=\"%s\"", server, printable(reason));
+    }
+
+    private static String printable(String text) {
+        return text.substring(0, Math.min(text.length(), MAX_REASON_CHARS)).replaceAll("[^ !#-~]", "?");
     }
 
     /** Number since the start of the process, of all clients. */
     static long countOfProcess() {
-        return countOfProcess.sum();
+        return COUNT_OF_PROCESS.sum();
     }
 }
