Read the evacuations of failure domains

Cause: the operator's entries evacuations/ZONE were not known to any daemon.

Change: a further kind of control object, read only if the options say so. Each daemon lists it before it serves; after that the relay of each region watches it with a wait of 2 s on the platform and the others fetch it from peers. The position in digests is written after the fields that earlier versions read, and an acknowledgement has it only if the heartbeat had it, because an earlier version would take it for the boot of a witness. An entry that cannot be read is logged and evacuates nothing, also if an earlier revision of it was readable.

Ruled out: to carry the entries in the configuration object, because the two have positions of their own in the store; a watch at each daemon, because the platform charges for each renewal; to keep entries that the store lost when it returned from an older copy, because the operator could not remove them.

--- a/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/FakeCluster.java
+++ b/org.coriandercrank.control.test/src/test/java/org/coriandercrank/control/test/FakeCluster.java
@@ -64,6 +64,16 @@
         }
     }
 
+    /** Starts a daemon with other options than the default ones. */
+    FakeHost add(String location, ControlOptions options) {
+        int number = hosts.size() + 1;
+        FakeHost host = new FakeHost(time, network, store, number, location, options, number);
+        hosts.add(host);
+        host.control().start();
+        host.control().backendAnnounced(backend(number));
+        return host;
+    }
+
     /** Starts a daemon on the address of a killed one. */
     FakeHost restart(FakeHost killed, ControlOptions options, String location, int seed) {
         int index = hosts.indexOf(killed);
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlOptions.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlOptions.java
@@ -30,6 +30,7 @@
  * @param ownWatchIntervalMs the same for daemons that are not relays
  * @param minPushIntervalMs minimum interval between a heartbeat and an early one that announces an update to peers
  * @param maxWitnessedMembers maximum number of members whose votes this daemon remembers individually as a witness
+ * @param evacuationsRead whether the evacuations of failure domains are read from the store
  */
 public record ControlOptions(
         long ttlMs,
@@ -48,7 +49,8 @@
         long relayWatchIntervalMs,
         long ownWatchIntervalMs,
         long minPushIntervalMs,
-        int maxWitnessedMembers) {
+        int maxWitnessedMembers,
+        boolean evacuationsRead) {
     private static final long DEFAULT_TTL_MS = 2_000;
     private static final long DEFAULT_HEARTBEAT_MS = 500;
     private static final int DEFAULT_MARGIN_PERCENT = 105;
@@ -88,7 +90,8 @@
             DEFAULT_RELAY_WATCH_INTERVAL_MS,
             DEFAULT_OWN_WATCH_INTERVAL_MS,
             DEFAULT_MIN_PUSH_INTERVAL_MS,
-            DEFAULT_MAX_WITNESSED_MEMBERS);
+            DEFAULT_MAX_WITNESSED_MEMBERS,
+            /* evacuationsRead= */ false);
 
     public ControlOptions {
         requirePositive("tickMs", tickMs);
@@ -128,7 +131,8 @@
                 relayWatchIntervalMs,
                 ownWatchIntervalMs,
                 minPushIntervalMs,
-                maxWitnessedMembers);
+                maxWitnessedMembers,
+                evacuationsRead);
     }
 
     /** Returns a copy with other wait times for watches of the store. */
@@ -151,7 +155,8 @@
                 relayWatchIntervalMs,
                 ownWatchIntervalMs,
                 minPushIntervalMs,
-                maxWitnessedMembers);
+                maxWitnessedMembers,
+                evacuationsRead);
     }
 
     /** Returns a copy with other minimum intervals between watches of the store. */
@@ -173,7 +178,31 @@
                 newRelayWatchIntervalMs,
                 newOwnWatchIntervalMs,
                 minPushIntervalMs,
-                maxWitnessedMembers);
+                maxWitnessedMembers,
+                evacuationsRead);
+    }
+
+    /** Returns a copy that reads the evacuations of failure domains from the store, or does not. */
+    public ControlOptions withEvacuationsRead(boolean newEvacuationsRead) {
+        return new ControlOptions(
+                ttlMs,
+                heartbeatMs,
+                marginPercent,
+                tickMs,
+                takeoverRankDelayMs,
+                witnessTimeoutMs,
+                witnessRetryDelayMs,
+                rebalanceIntervalMs,
+                storeTimeoutMs,
+                listTimeoutMs,
+                watchWaitMs,
+                configurationWatchWaitMs,
+                startupWatchMs,
+                relayWatchIntervalMs,
+                ownWatchIntervalMs,
+                minPushIntervalMs,
+                maxWitnessedMembers,
+                newEvacuationsRead);
     }
 
     public LeaseTiming leaseTiming() {
@@ -187,7 +216,7 @@
     public long relayWatchWaitMs(FetchObject.Kind kind) {
         return switch (kind) {
             case CONFIGURATION -> Math.max(1, watchWaitMs * CONFIGURATION_WAIT_PERCENT / PERCENT);
-            case MEMBERS -> watchWaitMs;
+            case MEMBERS, EVACUATIONS -> watchWaitMs;
             case ASSIGNMENTS -> watchWaitMs * ASSIGNMENTS_WAIT_PERCENT / PERCENT;
         };
     }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ClusterView.java
@@ -55,6 +55,7 @@
     private final Map<FetchObject.Kind, ObjectCache> caches = new EnumMap<>(FetchObject.Kind.class);
     private final Map<ServiceName, AssignmentTable> tables = new HashMap<>();
     private final Map<MemberId, VersionedMember> members = new HashMap<>();
+    private final EvacuatedDomains evacuatedDomains;
     private final Map<MemberId, Long> revisionSeenNanos = new HashMap<>();
     private final Consumer<Member> memberListener;
     private final List<Consumer<RoutingSnapshot>> listeners = new CopyOnWriteArrayList<>();
@@ -76,6 +77,7 @@
     public ClusterView(ControlContext context, MemberId self, Consumer<Member> memberListener) {
         this.context = context;
         this.memberListener = memberListener;
+        this.evacuatedDomains = new EvacuatedDomains(context);
         this.snapshot = RoutingSnapshot.empty(self);
         for (FetchObject.Kind kind : FetchObject.Kind.values()) {
             caches.put(kind, new ObjectCache(kind));
@@ -101,6 +103,7 @@
             case CONFIGURATION -> ObjectNames.CONFIGURATION_PREFIX;
             case MEMBERS -> ObjectNames.MEMBERS_PREFIX;
             case ASSIGNMENTS -> ObjectNames.ASSIGNMENTS_PREFIX;
+            case EVACUATIONS -> ObjectNames.EVACUATIONS_PREFIX;
         };
     }
 
@@ -179,7 +182,8 @@
         return new Digest(
                 completeUpTo(FetchObject.Kind.CONFIGURATION),
                 completeUpTo(FetchObject.Kind.MEMBERS),
-                completeUpTo(FetchObject.Kind.ASSIGNMENTS));
+                completeUpTo(FetchObject.Kind.ASSIGNMENTS),
+                completeUpTo(FetchObject.Kind.EVACUATIONS));
     }
 
     /**
@@ -271,6 +275,7 @@
                 case CONFIGURATION -> decodeConfiguration(change, source);
                 case MEMBERS -> decodeMember(change);
                 case ASSIGNMENTS -> decodeTable(change);
+                case EVACUATIONS -> evacuatedDomains.apply(change);
             }
         } catch (CrankException | IllegalArgumentException e) {
             logger.atWarning().withCause(e).log(
@@ -348,7 +353,8 @@
     }
 
     private void publish(MemberId self) {
-        RoutingSnapshot next = new RoutingSnapshot(self, configurationRevision, configuration, tables, members);
+        RoutingSnapshot next = new RoutingSnapshot(
+                self, configurationRevision, configuration, tables, members, evacuatedDomains.domains());
         snapshotVersion++;
         snapshot = next;
         for (Consumer<RoutingSnapshot> listener : listeners) {
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/Dissemination.java
@@ -100,7 +100,9 @@
         long nowNanos = context.nowNanos();
         startupWatch = new StartupWatch(context, view);
         for (FetchObject.Kind kind : FetchObject.Kind.values()) {
-            syncs.put(kind, new KindSync(kind, nowNanos));
+            if (kind != FetchObject.Kind.EVACUATIONS || context.options().evacuationsRead()) {
+                syncs.put(kind, new KindSync(kind, nowNanos));
+            }
         }
     }
 
@@ -248,6 +250,10 @@
         fetcher.fetchIfAhead(peer, syncs.get(FetchObject.Kind.CONFIGURATION), digest.configuration());
         fetcher.fetchIfAhead(peer, syncs.get(FetchObject.Kind.MEMBERS), digest.members());
         fetcher.fetchIfAhead(peer, syncs.get(FetchObject.Kind.ASSIGNMENTS), digest.assignments());
+        KindSync evacuations = syncs.get(FetchObject.Kind.EVACUATIONS);
+        if (evacuations != null) {
+            fetcher.fetchIfAhead(peer, evacuations, digest.evacuations());
+        }
     }
 
     private void updateRoles(Member self, boolean settled, Set<MemberId> suspects, long nowNanos) {
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/WitnessService.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/WitnessService.java
@@ -6,6 +6,7 @@
 import org.coriandercrank.kernel.id.BootId;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.Revision;
+import org.coriandercrank.kernel.message.Digest;
 import org.coriandercrank.kernel.message.Heartbeat;
 import org.coriandercrank.kernel.message.HeartbeatAck;
 import org.coriandercrank.kernel.message.RefusalAnswer;
@@ -75,7 +76,13 @@
         Optional<WitnessBoot> otherBoot = decision == Witness.HeartbeatDecision.OTHER_BOOT
                 ? Optional.of(new WitnessBoot(witness.boot(), (nowNanos - startNanos) / NANOS_PER_MS))
                 : Optional.empty();
-        return new HeartbeatAck(self, heartbeat.sequence(), granted, view.digest(), otherBoot);
+        return new HeartbeatAck(self, heartbeat.sequence(), granted, digestFor(heartbeat), otherBoot);
+    }
+
+    /** Returns the digest without the position that a member of an earlier version cannot read. */
+    private Digest digestFor(Heartbeat heartbeat) {
+        Digest digest = view.digest();
+        return heartbeat.digest().evacuations().equals(Revision.NONE) ? digest.withEvacuations(Revision.NONE) : digest;
     }
 
     /** Whether the record that the heartbeat names was lost when the store returned from an older copy. */
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/message/Digest.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/message/Digest.java
@@ -11,13 +11,24 @@
  * @param configuration revision for {@code config/current}
  * @param members revision for all objects under {@code members/}
  * @param assignments revision for all objects under {@code assignments/}
+ * @param evacuations revision for all objects under {@code evacuations/}; {@link Revision#NONE} if the daemon does not read
+ *     them, as with daemons of earlier versions
  */
-public record Digest(Revision configuration, Revision members, Revision assignments) {
+public record Digest(Revision configuration, Revision members, Revision assignments, Revision evacuations) {
     public static final Digest NONE = new Digest(Revision.NONE, Revision.NONE, Revision.NONE);
 
+    /** Creates the digest of a daemon that does not read evacuations. */
+    public Digest(Revision configuration, Revision members, Revision assignments) {
+        this(configuration, members, assignments, Revision.NONE);
+    }
+
+    public Digest withEvacuations(Revision newEvacuations) {
+        return new Digest(configuration, members, assignments, newEvacuations);
+    }
+
     /** Returns the latest era in which the daemon has heard from the store. */
     public Era latestEra() {
-        return Stream.of(configuration, members, assignments)
+        return Stream.of(configuration, members, assignments, evacuations)
                 .max(Revision::compareTo)
                 .map(Revision::era)
                 .orElseThrow();
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/message/FetchObject.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/message/FetchObject.java
@@ -11,6 +11,8 @@
     public enum Kind {
         CONFIGURATION,
         MEMBERS,
-        ASSIGNMENTS
+        ASSIGNMENTS,
+        /** Known only to daemons that read evacuations. */
+        EVACUATIONS
     }
 }
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/RoutingSnapshot.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/RoutingSnapshot.java
@@ -1,9 +1,12 @@
 package org.coriandercrank.kernel.ownership;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.coriandercrank.kernel.config.Configuration;
+import org.coriandercrank.kernel.id.FailureDomain;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.id.ServiceName;
@@ -17,16 +20,29 @@
  * @param configurationRevision {@link Revision#NONE} until a configuration has been read
  * @param tables assignment tables by service
  * @param members member records by id
+ * @param evacuatedDomains failure domains whose servers receive no requests and own no ranges, by decision of the operator
  */
 public record RoutingSnapshot(
         MemberId self,
         Revision configurationRevision,
         Configuration configuration,
         Map<ServiceName, AssignmentTable> tables,
-        Map<MemberId, VersionedMember> members) {
+        Map<MemberId, VersionedMember> members,
+        Set<FailureDomain> evacuatedDomains) {
     public RoutingSnapshot {
         tables = ImmutableMap.copyOf(tables);
         members = ImmutableMap.copyOf(members);
+        evacuatedDomains = ImmutableSet.copyOf(evacuatedDomains);
+    }
+
+    /** Creates a snapshot without evacuated failure domains. */
+    public RoutingSnapshot(
+            MemberId self,
+            Revision configurationRevision,
+            Configuration configuration,
+            Map<ServiceName, AssignmentTable> tables,
+            Map<MemberId, VersionedMember> members) {
+        this(self, configurationRevision, configuration, tables, members, Set.of());
     }
 
     public static RoutingSnapshot empty(MemberId self) {
@@ -37,6 +53,11 @@
         return Optional.ofNullable(tables.get(service));
     }
 
+    /** Whether a member is in a failure domain that the operator evacuates. */
+    public boolean isEvacuated(Member member) {
+        return evacuatedDomains.contains(member.failureDomain());
+    }
+
     public Optional<Member> member(MemberId id) {
         return Optional.ofNullable(members.get(id)).map(VersionedMember::member);
     }
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/store/ObjectNames.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/store/ObjectNames.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.kernel.store;
 
+import org.coriandercrank.kernel.id.FailureDomain;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.NoteId;
 import org.coriandercrank.kernel.id.ServiceName;
@@ -10,6 +11,7 @@
     public static final String ASSIGNMENTS_PREFIX = "assignments/";
     public static final String CONFIGURATION_PREFIX = "config/";
     public static final String CONFIGURATION = "config/current";
+    public static final String EVACUATIONS_PREFIX = "evacuations/";
     public static final String NOTES_PREFIX = "notes/";
     public static final String PLANNER = "planner";
 
@@ -23,6 +25,10 @@
         return ASSIGNMENTS_PREFIX + service;
     }
 
+    public static String evacuation(FailureDomain domain) {
+        return EVACUATIONS_PREFIX + domain;
+    }
+
     public static String note(NoteId id) {
         return NOTES_PREFIX + id;
     }
--- a/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/internal/MessageCodecTest.java
+++ b/org.coriandercrank.peer.test/src/test/java/org/coriandercrank/peer/internal/MessageCodecTest.java
@@ -87,6 +87,9 @@
     private static final OutcomeRecord RECORD = new OutcomeRecord(
             new RequestId("r-1"), Optional.empty(), new KeyHash(-5), 77, CallerAnswer.of(ResultCode.OK, ""), 9);
 
+    private static final Digest EVACUATIONS_DIGEST =
+            new Digest(new Revision(1), new Revision(2), new Revision(3), new Revision(1_000_000));
+
     static Stream<Message> messages() {
         return Stream.of(
                 new Hello(MEMBER, 1),
@@ -99,6 +102,15 @@
                         4,
                         new Digest(new Revision(1), new Revision(2), new Revision(3)),
                         new BootId(0x12345678)),
+                new Heartbeat(MEMBER, new Revision(3), 4, EVACUATIONS_DIGEST, new BootId(0x12345678)),
+                new Heartbeat(MEMBER, new Revision(3), 4, EVACUATIONS_DIGEST, BootId.NONE),
+                new HeartbeatAck(MEMBER, 4, true, EVACUATIONS_DIGEST, Optional.empty()),
+                new HeartbeatAck(
+                        MEMBER,
+                        4,
+                        false,
+                        EVACUATIONS_DIGEST,
+                        Optional.of(new WitnessBoot(new BootId(0x12345678), 1_000_000))),
                 new HeartbeatAck(MEMBER, 4, true, Digest.NONE, Optional.empty()),
                 new HeartbeatAck(
                         MEMBER, 4, false, Digest.NONE, Optional.of(new WitnessBoot(new BootId(0x12345678), 1_000_000))),
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/MessageCodec.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/MessageCodec.java
@@ -12,10 +12,13 @@
 import org.coriandercrank.kernel.id.BootId;
 import org.coriandercrank.kernel.id.Era;
 import org.coriandercrank.kernel.id.Generation;
+import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.id.Region;
 import org.coriandercrank.kernel.id.RequestFingerprint;
+import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.message.CallFailure;
 import org.coriandercrank.kernel.message.CancelRequest;
+import org.coriandercrank.kernel.message.Digest;
 import org.coriandercrank.kernel.message.FetchObject;
 import org.coriandercrank.kernel.message.ForwardAnswer;
 import org.coriandercrank.kernel.message.ForwardRequest;
@@ -54,6 +57,9 @@
         }
     }
 
+    /** Stands for no boot if another field follows it. */
+    private static final WitnessBoot NO_BOOT = new WitnessBoot(BootId.NONE, 0);
+
     private static final Map<Class<?>, TypeCodec<?>> BY_TYPE = new HashMap<>();
     private static final Map<Integer, TypeCodec<?>> BY_NUMBER = new HashMap<>();
 
@@ -110,6 +116,34 @@
         return new WitnessBoot(new BootId(in.int32()), in.int64());
     }
 
+    /** Whether a digest has the position that is written after the fields which earlier versions know. */
+    private static boolean hasEvacuations(Digest digest) {
+        return !digest.evacuations().equals(Revision.NONE);
+    }
+
+    private static Digest withEvacuations(Digest digest, FieldReader in) throws IOException {
+        return in.hasMore() ? digest.withEvacuations(ValueFields.revision(in)) : digest;
+    }
+
+    private static Heartbeat heartbeat(FieldReader in) throws IOException {
+        MemberId member = ValueFields.memberId(in);
+        Revision recordRevision = ValueFields.revision(in);
+        long sequence = in.int64();
+        Digest digest = ValueFields.digest(in);
+        BootId witnessBoot = in.hasMore() ? new BootId(in.int32()) : BootId.NONE;
+        return new Heartbeat(member, recordRevision, sequence, withEvacuations(digest, in), witnessBoot);
+    }
+
+    private static HeartbeatAck heartbeatAck(FieldReader in) throws IOException {
+        MemberId witness = ValueFields.memberId(in);
+        long sequence = in.int64();
+        boolean granted = in.bool();
+        Digest digest = ValueFields.digest(in);
+        Optional<WitnessBoot> otherBoot =
+                in.hasMore() ? Optional.of(witnessBoot(in)).filter(boot -> !boot.equals(NO_BOOT)) : Optional.empty();
+        return new HeartbeatAck(witness, sequence, granted, withEvacuations(digest, in), otherBoot);
+    }
+
     private static void registerLinkMessages() {
         register(
                 1,
@@ -132,32 +166,30 @@
                 (out, m) -> {
                     out.string(m.member()).int64(m.recordRevision().value()).int64(m.sequence());
                     ValueFields.writeDigest(out, m.digest());
-                    if (!m.witnessBoot().equals(BootId.NONE)) {
+                    boolean evacuations = hasEvacuations(m.digest());
+                    if (evacuations || !m.witnessBoot().equals(BootId.NONE)) {
                         out.int64(m.witnessBoot().value());
                     }
+                    if (evacuations) {
+                        out.int64(m.digest().evacuations().value());
+                    }
                 },
-                in -> new Heartbeat(
-                        ValueFields.memberId(in),
-                        ValueFields.revision(in),
-                        in.int64(),
-                        ValueFields.digest(in),
-                        in.hasMore() ? new BootId(in.int32()) : BootId.NONE));
+                MessageCodec::heartbeat);
         register(
                 11,
                 HeartbeatAck.class,
                 (out, m) -> {
                     out.string(m.witness()).int64(m.sequence()).bool(m.granted());
                     ValueFields.writeDigest(out, m.digest());
-                    if (m.otherBoot().isPresent()) {
-                        writeWitnessBoot(out, m.otherBoot().get());
+                    boolean evacuations = hasEvacuations(m.digest());
+                    if (evacuations || m.otherBoot().isPresent()) {
+                        writeWitnessBoot(out, m.otherBoot().orElse(NO_BOOT));
+                    }
+                    if (evacuations) {
+                        out.int64(m.digest().evacuations().value());
                     }
                 },
-                in -> new HeartbeatAck(
-                        ValueFields.memberId(in),
-                        in.int64(),
-                        in.bool(),
-                        ValueFields.digest(in),
-                        in.hasMore() ? Optional.of(witnessBoot(in)) : Optional.empty()));
+                MessageCodec::heartbeatAck);
         register(
                 12,
                 RefusalRequest.class,
