Send no requests to servers of evacuated failure domains

Change: the balancer leaves out members of an evacuated domain. If the domains of all active servers of a service are evacuated, ingress refuses a keyed request at once instead of waiting for another owner.

Ruled out: to route keyed requests away before the table changes, because a key has one owner; the drain notice to the server, because the protocol cannot end a drain.

--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateFixture.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateFixture.java
@@ -21,12 +21,14 @@
 import org.coriandercrank.kernel.config.BackendRule;
 import org.coriandercrank.kernel.config.Configuration;
 import org.coriandercrank.kernel.config.ServiceConfig;
+import org.coriandercrank.kernel.id.FailureDomain;
 import org.coriandercrank.kernel.id.Generation;
 import org.coriandercrank.kernel.id.HostAddress;
 import org.coriandercrank.kernel.id.IdempotencyKey;
 import org.coriandercrank.kernel.id.Key;
 import org.coriandercrank.kernel.id.KeyHash;
 import org.coriandercrank.kernel.id.MemberId;
+import org.coriandercrank.kernel.id.Region;
 import org.coriandercrank.kernel.id.RequestId;
 import org.coriandercrank.kernel.id.Revision;
 import org.coriandercrank.kernel.id.ServiceName;
@@ -37,12 +39,15 @@
 import org.coriandercrank.kernel.ownership.RoutingSnapshot;
 import org.coriandercrank.kernel.ownership.RoutingView;
 import org.coriandercrank.kernel.ownership.TransferredRecords;
+import org.coriandercrank.kernel.ownership.VersionedMember;
 import org.coriandercrank.kernel.request.CallerAnswer;
 import org.coriandercrank.kernel.request.CallerRequest;
 import org.coriandercrank.kernel.table.AssignmentTable;
 import org.coriandercrank.kernel.table.BackendInfo;
 import org.coriandercrank.kernel.table.BackendInfo.Capability;
 import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.MemberState;
 
 /** A gate core with a fake backend server in virtual time. Not thread safe. */
 final class GateFixture implements RoutingView {
@@ -59,9 +64,11 @@
     final GateCore core;
     long leaseEndNanos;
     boolean leaseRenewed = true;
+    static final FailureDomain DOMAIN = new FailureDomain("east-a");
     ServiceConfig serviceConfig = ServiceConfig.withDefaults(SERVICE, true);
     List<BackendRule> backendRules = List.of();
     Map<ServiceName, AssignmentTable> assignmentTables = Map.of();
+    Set<FailureDomain> evacuatedDomains = Set.of();
     private int nextId;
 
     GateFixture() {
@@ -184,10 +191,25 @@
         return answer.isDone() ? answer.join().code() : null;
     }
 
+    private Member ownRecord() {
+        HostAddress address = HostAddress.parse("127.0.0.1:9001");
+        return new Member(
+                self,
+                address,
+                address,
+                address,
+                new Region("east"),
+                DOMAIN,
+                MemberState.ACTIVE,
+                Optional.empty(),
+                List.of());
+    }
+
     @Override
     public RoutingSnapshot current() {
         Configuration configuration = new Configuration(List.of(serviceConfig), backendRules, List.of());
-        return new RoutingSnapshot(self, new Revision(1), configuration, assignmentTables, Map.of());
+        Map<MemberId, VersionedMember> members = Map.of(self, new VersionedMember(ownRecord(), new Revision(1)));
+        return new RoutingSnapshot(self, new Revision(1), configuration, assignmentTables, members, evacuatedDomains);
     }
 
     @Override
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateOptions.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateOptions.java
@@ -35,6 +35,8 @@
  *     served; with 0 such requests are refused
  * @param parkTimeoutMs maximum time that such a request waits
  * @param coldOverage factor by which the requests to a cold server may exceed the rate that its service states
+ * @param evacuationDelayMs time from the evacuation of the failure domain of the server until the gate refuses requests,
+ *     in which the ranges are moved
  * @param allowUnconfirmedRelease whether a release may complete although the backend server neither acknowledged the
  *     revocation nor honours the validity of grants
  */
@@ -60,6 +62,7 @@
         int maxParkedRequests,
         int parkTimeoutMs,
         double coldOverage,
+        int evacuationDelayMs,
         boolean allowUnconfirmedRelease) {
     private static final int DEFAULT_TASK_QUEUE_CAPACITY = 8_192;
     private static final int DEFAULT_BUSY_TICK_MS = 5;
@@ -82,6 +85,7 @@
     private static final int DEFAULT_MAX_PARKED_REQUESTS = 0;
     private static final int DEFAULT_PARK_TIMEOUT_MS = 0;
     private static final double DEFAULT_COLD_OVERAGE = 1;
+    private static final int DEFAULT_EVACUATION_DELAY_MS = 2_000;
     private static final boolean DEFAULT_ALLOW_UNCONFIRMED_RELEASE = false;
 
     /** Default options, with parking of requests disabled. */
@@ -107,6 +111,7 @@
             DEFAULT_MAX_PARKED_REQUESTS,
             DEFAULT_PARK_TIMEOUT_MS,
             DEFAULT_COLD_OVERAGE,
+            DEFAULT_EVACUATION_DELAY_MS,
             DEFAULT_ALLOW_UNCONFIRMED_RELEASE);
 
     public GateOptions {
@@ -130,6 +135,7 @@
         checkNotNegative("lostCallLifetimeMs", lostCallLifetimeMs);
         checkNotNegative("maxParkedRequests", maxParkedRequests);
         checkNotNegative("parkTimeoutMs", parkTimeoutMs);
+        checkNotNegative("evacuationDelayMs", evacuationDelayMs);
         if (!(coldOverage > 0 && coldOverage < Double.POSITIVE_INFINITY)) {
             throw new IllegalArgumentException("coldOverage must be positive and finite, got " + coldOverage);
         }
@@ -180,6 +186,11 @@
         return with(builder -> builder.coldOverage = newColdOverage);
     }
 
+    /** Returns these options with another time until an evacuated server receives no requests. */
+    public GateOptions withEvacuationDelayMs(int newEvacuationDelayMs) {
+        return with(builder -> builder.evacuationDelayMs = newEvacuationDelayMs);
+    }
+
     /** Returns these options with another value of {@code allowUnconfirmedRelease}. */
     public GateOptions withUnconfirmedRelease(boolean newAllowUnconfirmedRelease) {
         return with(builder -> builder.allowUnconfirmedRelease = newAllowUnconfirmedRelease);
@@ -208,6 +219,7 @@
         private int maxParkedRequests;
         private int parkTimeoutMs;
         private double coldOverage;
+        private int evacuationDelayMs;
         private boolean allowUnconfirmedRelease;
 
         Builder(GateOptions from) {
@@ -232,6 +244,7 @@
             maxParkedRequests = from.maxParkedRequests;
             parkTimeoutMs = from.parkTimeoutMs;
             coldOverage = from.coldOverage;
+            evacuationDelayMs = from.evacuationDelayMs;
             allowUnconfirmedRelease = from.allowUnconfirmedRelease;
         }
 
@@ -258,6 +271,7 @@
                     maxParkedRequests,
                     parkTimeoutMs,
                     coldOverage,
+                    evacuationDelayMs,
                     allowUnconfirmedRelease);
         }
     }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateCore.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateCore.java
@@ -295,6 +295,9 @@
         rangeService.completeAcquires(nowNanos);
         requestService.processParked(nowNanos);
         rangeService.completeReleases(nowNanos);
+        if (drainState.isEvacuated(backend)) {
+            requestService.refuseQueued(ResultCode.DRAINING, "the failure domain is evacuated");
+        }
         requestService.dispatch();
         drainState.update(backend, requestService.queued(), requestService.inFlight());
         publish();
--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/IngressFixture.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/IngressFixture.java
@@ -166,6 +166,16 @@
                 versionedMembers);
     }
 
+    static RoutingSnapshot evacuate(RoutingSnapshot snapshot, FailureDomain... domains) {
+        return new RoutingSnapshot(
+                snapshot.self(),
+                snapshot.configurationRevision(),
+                snapshot.configuration(),
+                snapshot.tables(),
+                snapshot.members(),
+                Set.of(domains));
+    }
+
     HttpResponse send(String method, String target, Header... headers) {
         return client.send(new HttpRequest(method, target, List.of(headers), new byte[0]), RESPONSE_TIMEOUT_MS)
                 .join();
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
@@ -30,7 +30,7 @@
 /**
  * Chooses a member for each request to an unkeyed service. Not thread safe; confined to the ingress executor.
  *
- * <p>A member is eligible if it is active and its backend server belongs to the service, is not draining and has a
+ * <p>A member is eligible if it is active, its failure domain is not evacuated, and its backend server belongs to the service, is not draining and has a
  * positive weight. A server that outlier detection excluded receives only probes while other servers are available.
  * Only repeatable requests are used as probes, because a probe is likely to fail.
  */
@@ -199,7 +199,7 @@
             Member member = versionedMember.member();
             Optional<BackendInfo> backend =
                     member.backend().filter(b -> b.service().equals(service));
-            if (member.state() != MemberState.ACTIVE || backend.isEmpty()) {
+            if (member.state() != MemberState.ACTIVE || backend.isEmpty() || snapshot.isEvacuated(member)) {
                 continue;
             }
             String name = backend.get().name();
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
@@ -197,6 +197,10 @@
                     "the owner " + owner + " is in " + ownerRegion.get() + ", where the request is not allowed"));
             return;
         }
+        if (snapshot.isEvacuated(service.name())) {
+            finish(retryLaterAnswer(ResultCode.DRAINING, "all servers of the service are evacuated"));
+            return;
+        }
         if (local) {
             send(Target.local(owner), snapshot, reason);
             return;
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/RoutingSnapshot.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/RoutingSnapshot.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -12,6 +13,7 @@
 import org.coriandercrank.kernel.id.ServiceName;
 import org.coriandercrank.kernel.table.AssignmentTable;
 import org.coriandercrank.kernel.table.Member;
+import org.coriandercrank.kernel.table.MemberState;
 
 /**
  * The control objects that a daemon knows at one moment. Immutable.
@@ -58,6 +60,21 @@
         return evacuatedDomains.contains(member.failureDomain());
     }
 
+    /** Whether a service has active members and the operator evacuates the failure domains of all of them. */
+    public boolean isEvacuated(ServiceName service) {
+        if (evacuatedDomains.isEmpty()) {
+            return false;
+        }
+        List<Member> serving = members.values().stream()
+                .map(VersionedMember::member)
+                .filter(member -> member.state() == MemberState.ACTIVE)
+                .filter(member -> member.backend()
+                        .filter(backend -> backend.service().equals(service))
+                        .isPresent())
+                .toList();
+        return !serving.isEmpty() && serving.stream().allMatch(this::isEvacuated);
+    }
+
     public Optional<Member> member(MemberId id) {
         return Optional.ofNullable(members.get(id)).map(VersionedMember::member);
     }
