--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
@@ -84,6 +84,7 @@
         proofMonitor = new ConfigurationProofMonitor(dissemination.configurationProof(), context.nowNanos());
         metrics.registerConfiguration(
                 () -> view.current().configuration().version(), dissemination.configurationProof());
+        metrics.registerEvacuations(() -> view.current().evacuatedDomains().size());
         takeovers = new TakeoverCoordinator(context, view, metrics, self);
         predecessors = new PredecessorSealer(context, view);
         membership = newMembership(parameters);
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlMetrics.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlMetrics.java
@@ -51,6 +51,11 @@
                 .register(registry);
     }
 
+    /** Registers the number of failure domains that the operator evacuates, as this daemon knows it. */
+    public void registerEvacuations(Supplier<Number> evacuatedDomains) {
+        Gauge.builder("crank.control.evacuated.domains", evacuatedDomains).register(registry);
+    }
+
     private static Number proofAgeMs(ConfigurationProof proof) {
         OptionalLong ageMs = proof.ageMs();
         return ageMs.isPresent() ? (double) ageMs.getAsLong() : Double.NaN;
