--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateOptions.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateOptions.java
@@ -36,6 +36,8 @@
  * @param parkTimeoutMs maximum time that such a request waits
  * @param coldOverage factor by which the requests to a cold server may exceed the rate that its service states
  * @param coldSlack requests in a second that a cold server tolerates in addition to those of its rate
+ * @param evacuationDelayMs time from the evacuation of the failure domain of the server until the gate refuses requests,
+ *     in which the ranges are moved
  * @param allowUnconfirmedRelease whether a release may complete although the backend server neither acknowledged the
  *     revocation nor honours the validity of grants
  */
@@ -62,6 +64,7 @@
         int parkTimeoutMs,
         double coldOverage,
         double coldSlack,
+        int evacuationDelayMs,
         boolean allowUnconfirmedRelease) {
     private static final int DEFAULT_TASK_QUEUE_CAPACITY = 8_192;
     private static final int DEFAULT_BUSY_TICK_MS = 5;
@@ -85,6 +88,7 @@
     private static final int DEFAULT_PARK_TIMEOUT_MS = 0;
     private static final double DEFAULT_COLD_OVERAGE = 1;
     private static final double DEFAULT_COLD_SLACK = 8;
+    private static final int DEFAULT_EVACUATION_DELAY_MS = 2_000;
     private static final boolean DEFAULT_ALLOW_UNCONFIRMED_RELEASE = false;
 
     /** Default options, with parking of requests disabled. */
@@ -111,6 +115,7 @@
             DEFAULT_PARK_TIMEOUT_MS,
             DEFAULT_COLD_OVERAGE,
             DEFAULT_COLD_SLACK,
+            DEFAULT_EVACUATION_DELAY_MS,
             DEFAULT_ALLOW_UNCONFIRMED_RELEASE);
 
     public GateOptions {
@@ -134,6 +139,7 @@
         checkNotNegative("lostCallLifetimeMs", lostCallLifetimeMs);
         checkNotNegative("maxParkedRequests", maxParkedRequests);
         checkNotNegative("parkTimeoutMs", parkTimeoutMs);
+        checkNotNegative("evacuationDelayMs", evacuationDelayMs);
         if (!(coldOverage > 0 && coldOverage < Double.POSITIVE_INFINITY)) {
             throw new IllegalArgumentException("coldOverage must be positive and finite, got " + coldOverage);
         }
@@ -192,6 +198,11 @@
         return with(builder -> builder.coldSlack = newColdSlack);
     }
 
+    /** Returns these options with another time until an evacuated server receives no requests. */
+    public GateOptions withEvacuationDelayMs(int newEvacuationDelayMs) {
+        return with(builder -> builder.evacuationDelayMs = newEvacuationDelayMs);
+    }
+
     /** Returns these options with another value of {@code allowUnconfirmedRelease}. */
     public GateOptions withUnconfirmedRelease(boolean newAllowUnconfirmedRelease) {
         return with(builder -> builder.allowUnconfirmedRelease = newAllowUnconfirmedRelease);
@@ -221,6 +232,7 @@
         private int parkTimeoutMs;
         private double coldOverage;
         private double coldSlack;
+        private int evacuationDelayMs;
         private boolean allowUnconfirmedRelease;
 
         Builder(GateOptions from) {
@@ -246,6 +258,7 @@
             parkTimeoutMs = from.parkTimeoutMs;
             coldOverage = from.coldOverage;
             coldSlack = from.coldSlack;
+            evacuationDelayMs = from.evacuationDelayMs;
             allowUnconfirmedRelease = from.allowUnconfirmedRelease;
         }
 
@@ -273,6 +286,7 @@
                     parkTimeoutMs,
                     coldOverage,
                     coldSlack,
+                    evacuationDelayMs,
                     allowUnconfirmedRelease);
         }
     }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/RequestDispatch.java
@@ -191,6 +191,10 @@
             finish(regionRefusal.get());
             return;
         }
+        if (snapshot.isEvacuated(service.name())) {
+            finish(retryLaterAnswer(ResultCode.DRAINING, "all servers of the service are evacuated"));
+            return;
+        }
         if (owner.equals(snapshot.self())) {
             send(Target.local(owner), snapshot, reason);
             return;
