Add the balancing policy spread

Cause: daemons that choose the least loaded server of old reports overload the servers in turn (docs/HARD_LOAD.md 4.4). Change: a choice at random, with the shares of the servers in the requests that level their costs while the reports age. Candidates carry the report. Ruled out: leveling occupancy without the requests that end meanwhile, which gave slow servers as many requests as fast ones (refusals as with random).

--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
@@ -163,7 +163,8 @@
                 member.region().equals(region),
                 eligible.weightPercent(),
                 loadEstimator.expectedMs(member.id(), ownInFlight, nowNanos),
-                0);
+                0,
+                loadEstimator.reportedLoad(member.id(), nowNanos));
     }
 
     /**
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/BalancingPlugin.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/BalancingPlugin.java
@@ -3,6 +3,7 @@
 import org.coriandercrank.kernel.plugin.Plugin;
 import org.coriandercrank.kernel.plugin.PluginRegistry;
 import org.coriandercrank.kernel.plugin.PluginRegistry.Kind;
+import org.coriandercrank.scheduling.balancing.SpreadPolicy;
 
 /** Registers the load balancing policies of this module. Stateless. */
 public final class BalancingPlugin implements Plugin {
@@ -12,5 +13,6 @@
         registry.register(Kind.BALANCING, "round-robin", new RoundRobinPolicy());
         registry.register(Kind.BALANCING, "expected-time", new ExpectedTimePolicy());
         registry.register(Kind.BALANCING, "least-in-flight", new LeastInFlightPolicy());
+        registry.register(Kind.BALANCING, "spread", new SpreadPolicy());
     }
 }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/LoadEstimator.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/LoadEstimator.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.ownership.GateLoad;
+import org.coriandercrank.kernel.placement.ReportedLoad;
 
 /**
  * Estimates the time that the next request takes at a server, from the load reported by the gate of the server. Not
@@ -80,6 +81,20 @@
         return backlog == null ? 0 : backlog.remainingMs(nowNanos);
     }
 
+    /** The latest report of a server; {@link ReportedLoad#NONE} without one. */
+    ReportedLoad reportedLoad(MemberId member, long nowNanos) {
+        Report report = reports.get(member);
+        if (report == null) {
+            return ReportedLoad.NONE;
+        }
+        GateLoad load = report.load();
+        return new ReportedLoad(
+                (nowNanos - report.atNanos()) / NANOS_PER_MS,
+                Math.max(0, load.pending() - report.ownInFlight()),
+                load.concurrency(),
+                load.serviceMs());
+    }
+
     /** Expected time from the arrival of a request at a server to the answer, in milliseconds; 0 without a report. */
     double expectedMs(MemberId member, int ownInFlight, long nowNanos) {
         Report report = reports.get(member);
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/placement/BalancingCandidate.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/placement/BalancingCandidate.java
@@ -13,6 +13,7 @@
  *     server reported; 0 if unknown
  * @param penaltyMs time in milliseconds by which the server is less preferred than its load says, because its capacity is
  *     kept for other requests
+ * @param report the latest load that the server reported, with its age
  */
 public record BalancingCandidate(
         Member member,
@@ -21,7 +22,20 @@
         boolean sameRegion,
         int weightPercent,
         double expectedMs,
-        double penaltyMs) {
+        double penaltyMs,
+        ReportedLoad report) {
+    /** A candidate without a report. */
+    public BalancingCandidate(
+            Member member,
+            int inFlight,
+            boolean sameFailureDomain,
+            boolean sameRegion,
+            int weightPercent,
+            double expectedMs,
+            double penaltyMs) {
+        this(member, inFlight, sameFailureDomain, sameRegion, weightPercent, expectedMs, penaltyMs, ReportedLoad.NONE);
+    }
+
     /** A candidate without a penalty. */
     public BalancingCandidate(
             Member member,
