--- a/org.coriandercrank.scheduling/src/main/java/org/coriandercrank/scheduling/balancing/ServerLoads.java
+++ b/org.coriandercrank.scheduling/src/main/java/org/coriandercrank/scheduling/balancing/ServerLoads.java
@@ -20,16 +20,16 @@
      * Part of the service time that counts as cost. With the whole of it, slow servers stay unused until fast ones
      * queue, and a queue from stale reports costs more than the slower execution.
      */
-    private static final double SERVICE_WEIGHT = 0.35;
+    private static final double SERVICE_WEIGHT = 0.25;
 
     /**
      * Mean age of the reports at which half of that part counts. A burst that old reports do not show yet would
      * otherwise reach the fast servers alone.
      */
-    private static final double SERVICE_WEIGHT_AGE_MS = 300;
+    private static final double SERVICE_WEIGHT_AGE_MS = 150;
 
     /** Time for which requests are on their way and not contained in a report that has just arrived. */
-    private static final double TRANSIT_MS = 20;
+    private static final double TRANSIT_MS = 40;
 
     /** A reported service time counts in full up to this age. */
     private static final double SERVICE_TIME_VALID_MS = 2_000;
