Show the age of load reports in metrics and route lines

Cause: operators cannot see on how old reports the choice of a server rests. BalancingTest lists the registered names exactly; spread is added to the list. Not included: spread and reason of the choice as fields.

--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/internal/balancing/BalancingTest.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/internal/balancing/BalancingTest.java
@@ -46,7 +46,7 @@
     @Test
     void registersThePoliciesByName() {
         assertThat(PluginRegistry.load().names(Kind.BALANCING))
-                .containsExactly("expected-time", "least-in-flight", "round-robin", "two-choices");
+                .containsExactly("expected-time", "least-in-flight", "round-robin", "spread", "two-choices");
     }
 
     @Test
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -23,6 +24,7 @@
 import org.coriandercrank.kernel.ownership.VersionedMember;
 import org.coriandercrank.kernel.placement.BalancingCandidate;
 import org.coriandercrank.kernel.placement.BalancingPolicy;
+import org.coriandercrank.kernel.placement.ReportedLoad;
 import org.coriandercrank.kernel.table.BackendInfo;
 import org.coriandercrank.kernel.table.Member;
 import org.coriandercrank.kernel.table.MemberState;
@@ -138,6 +140,12 @@
         loadEstimator.recordReport(member, load, inFlight.getOrDefault(member, 0), nowNanos);
     }
 
+    /** Age in milliseconds of the latest load report of a server; empty without one. */
+    public OptionalLong reportAgeMs(MemberId member, long nowNanos) {
+        ReportedLoad report = loadEstimator.reportedLoad(member, nowNanos);
+        return report.isPresent() ? OptionalLong.of((long) report.ageMs()) : OptionalLong.empty();
+    }
+
     /** Records for outlier detection whether a server handled a request well. */
     public void recordResult(ServiceName service, MemberId member, boolean success, long nowNanos) {
         ServiceState state = services.get(service);
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/AttemptSender.java
@@ -1,6 +1,7 @@
 package org.coriandercrank.ingress.internal.routing;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.coriandercrank.kernel.code.CrankException;
 import org.coriandercrank.kernel.code.ResultCode;
 import org.coriandercrank.kernel.id.Generation;
@@ -39,6 +40,7 @@
      * @param number number of the send, from 1 on
      * @param reason why the request was sent, for the decision log
      * @param sentAtNanos time of the send on the clock that includes suspensions of the host
+     * @param reportAgeMs age of the load report on which the choice of the server is based; empty without one
      */
     record Attempt(
             Target target,
@@ -47,7 +49,8 @@
             Generation generation,
             int number,
             String reason,
-            long sentAtNanos) {}
+            long sentAtNanos,
+            OptionalLong reportAgeMs) {}
 
     AttemptSender(DispatchContext context, RequestDispatch dispatch, AttemptHistory history) {
         this.context = context;
@@ -66,7 +69,11 @@
                 generation,
                 history.sendCount(),
                 reason,
-                context.suspensionAwareNanos());
+                context.suspensionAwareNanos(),
+                isLoadBalanced()
+                        ? context.balancer().reportAgeMs(target.member(), context.nowNanos())
+                        : OptionalLong.empty());
+        attempt.reportAgeMs().ifPresent(context.metrics()::recordReportAge);
         outstanding = Optional.of(attempt);
         if (isLoadBalanced()) {
             context.balancer().recordSend(target.member(), context.nowNanos());
@@ -254,11 +261,20 @@
                         + " request=" + attempt.id()
                         + " attempt=" + attempt.number()
                         + " reason=" + attempt.reason()
+                        + reportField(attempt)
                         + " result=" + result
                         + " latencyMs=" + latencyMs
                         + dispatch.configurationFields());
     }
 
+    private String reportField(Attempt attempt) {
+        if (!isLoadBalanced()) {
+            return "";
+        }
+        OptionalLong ageMs = attempt.reportAgeMs();
+        return " reportAgeMs=" + (ageMs.isPresent() ? Long.toString(ageMs.getAsLong()) : "none");
+    }
+
     private boolean isLoadBalanced() {
         return dispatch.keyHash().isEmpty();
     }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/IngressMetrics.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/routing/IngressMetrics.java
@@ -1,6 +1,7 @@
 package org.coriandercrank.ingress.internal.routing;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.DistributionSummary;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
@@ -17,6 +18,7 @@
     private final MeterRegistry meters;
     private final Map<ServiceAndCode, Counter> requests = new ConcurrentHashMap<>();
     private final Map<String, Timer> latencies = new ConcurrentHashMap<>();
+    private final DistributionSummary reportAgeMs;
     private final Counter forwards;
     private final Counter extraHops;
     private final Counter outcomeQueries;
@@ -28,6 +30,7 @@
 
     public IngressMetrics(MeterRegistry meters) {
         this.meters = meters;
+        reportAgeMs = meters.summary("crank.ingress.report.age.ms");
         forwards = meters.counter("crank.ingress.forwards");
         extraHops = meters.counter("crank.ingress.extra.hops");
         outcomeQueries = meters.counter("crank.ingress.outcome.queries");
@@ -62,6 +65,11 @@
                 .record(latencyNanos, TimeUnit.NANOSECONDS);
     }
 
+    /** Records the age of the load report on which the choice of a server was based. */
+    void recordReportAge(long ageMs) {
+        reportAgeMs.record((double) ageMs);
+    }
+
     public void countForward() {
         forwards.increment();
     }
