--- a/org.coriandercrank.http.test/src/test/java/org/coriandercrank/http/ServerStatusTest.java
+++ b/org.coriandercrank.http.test/src/test/java/org/coriandercrank/http/ServerStatusTest.java
@@ -33,7 +33,7 @@
                 HttpServerOptions.DEFAULTS,
                 (request, connectionClosed) -> CompletableFuture.completedFuture(new HttpResponse(
                         Integer.parseInt(request.path().substring(1)),
-                        List.of(new Header("coriandercrank-not-executed", "1")),
+                        List.of(new Header("x-not-executed", "1")),
                         "body".getBytes(US_ASCII))));
     }
 
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/internal/balancing/Balancer.java
@@ -36,9 +36,9 @@
 /**
  * Chooses a member for each request to an unkeyed service. Not thread safe; confined to the ingress executor.
  *
- * <p>A member is eligible if it is active, its failure domain is not evacuated, and its backend server belongs to the service, is not draining and has a
- * positive weight. A server that outlier detection excluded receives only probes while other servers are available.
- * Only repeatable requests are used as probes, because a probe is likely to fail.
+ * <p>A member is eligible if it is active, its failure domain is not evacuated, and its backend server belongs to the
+ * service, is not draining and has a positive weight. A server that outlier detection excluded receives only probes
+ * while other servers are available. Only repeatable requests are used as probes, because a probe is likely to fail.
  */
 public final class Balancer {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
