Keep requests in their region while its servers have room

Cause: the policy spread counted the requests that the daemons of another region send to their own servers as requests of the own region, and took a server of 13 slots for nearly as slow as one of 4 at the same occupancy. On a small twin of the build service, requests went to the other region while servers of the own one had free slots.

Change: requests at servers of another region are expected to go on there. The wait at a server with 8 slots or more rises with a higher power of its occupancy. Requests that end while others are on their way are counted as the new ones are.

Ruled out: a larger penalty for the other region, which would also hold back requests from a region whose servers all have queues.

--- a/org.coriandercrank.scheduling.test/src/test/java/org/coriandercrank/scheduling/balancing/SpreadFailureTest.java
+++ b/org.coriandercrank.scheduling.test/src/test/java/org/coriandercrank/scheduling/balancing/SpreadFailureTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Guards against load that follows missing or wrong reports to one server, and against servers that get none for good. */
@@ -148,4 +149,33 @@
         }
         return count;
     }
+
+    /**
+     * Guards against requests that leave their region while its servers have room, which takes 40 ms and costs bytes
+     * between regions: the requests of the other region were taken for requests of the own one.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, 11", "300, 11", "1500, 11", "300, 12"})
+    void serversOfTheOwnRegionWithRoomGetItsRequests(double ageMs, int pending) {
+        double shareElsewhere = shareElsewhere(ageMs, pending);
+        assertThat(shareElsewhere).isLessThan(0.05);
+    }
+
+    /** Guards against a region that is left alone although all its servers have a long queue. */
+    @Test
+    void serversOfAnotherRegionRelieveFullOnes() {
+        assertThat(shareElsewhere(20, 40)).isGreaterThan(0.5);
+    }
+
+    /** Share of the servers of another region, which are half idle, in the requests of a region. */
+    private static double shareElsewhere(double ageMs, int pending) {
+        List<BalancingCandidate> candidates = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            boolean own = i < 4;
+            ReportedLoad report = new ReportedLoad(ageMs, own ? pending : 6, 13, 150);
+            candidates.add(new BalancingCandidate(null, 0, false, own, 100, 150, 0, report));
+        }
+        double[] shares = SpreadPolicy.shares(candidates);
+        return shares[4] + shares[5] + shares[6] + shares[7];
+    }
 }
--- a/org.coriandercrank.scheduling/src/main/java/org/coriandercrank/scheduling/balancing/ServerLoads.java
+++ b/org.coriandercrank.scheduling/src/main/java/org/coriandercrank/scheduling/balancing/ServerLoads.java
@@ -9,8 +9,8 @@
  * to one call.
  *
  * <p>The cost of a server at occupancy {@code u} (requests per slot) is {@code distance + SERVICE_WEIGHT * serviceMs +
- * meanServiceMs * u^4}. The power approximates the mean wait of a queue with 4 to 13 slots, which is short until most
- * of the slots are taken.
+ * meanServiceMs * u^4}, or {@code u^8} for servers with many slots. The powers approximate the mean wait of a queue,
+ * which is short until most of the slots are taken, and the shorter the more slots there are.
  */
 final class ServerLoads {
     private static final double OTHER_DOMAIN_PENALTY_MS = 8;
@@ -48,6 +48,12 @@
     /** Slope of the cost of a queue over its mean wait, which continues the slope at a full server. */
     private static final double QUEUE_WEIGHT = 4;
 
+    /**
+     * Slots from which the wait follows the higher power. With the lower one, requests to servers of 13 slots left their
+     * region while one slot in seven was free.
+     */
+    private static final double MANY_SLOTS = 8;
+
     private static final int BISECTION_STEPS = 24;
 
     private final int size;
@@ -130,20 +136,28 @@
         return shortestMs + (reportedMs - shortestMs) * Math.max(0, Math.min(1, validity));
     }
 
-    /** Sets the requests that each server is expected to have left, and those that arrived since without notice. */
+    /**
+     * Sets the requests that each server is expected to have left, and those that arrived since without notice. Daemons
+     * of another region prefer its servers, so the requests there are expected to go on and are not counted as new.
+     */
     private void predict(List<BalancingCandidate> candidates) {
+        boolean anyInRegion = candidates.stream().anyMatch(BalancingCandidate::sameRegion);
         double rate = 0;
         double weightedAgeMs = 0;
         for (int i = 0; i < size; i++) {
             BalancingCandidate candidate = candidates.get(i);
             double ageMs = Math.max(0, candidate.report().ageMs());
             int others = Math.max(0, candidate.report().othersPending());
+            double services = (ageMs + TRANSIT_MS) / serviceMs[i];
+            turnover[i] = services / (1 - Math.exp(-services));
+            if (anyInRegion && !candidate.sameRegion()) {
+                pending[i] = others + candidate.inFlight();
+                continue;
+            }
             double serverRate = Math.min(others, concurrency[i]) / serviceMs[i];
             rate += serverRate;
             weightedAgeMs += serverRate * ageMs;
-            double services = (ageMs + TRANSIT_MS) / serviceMs[i];
-            turnover[i] = services / (1 - Math.exp(-services));
-            pending[i] = remaining(others, concurrency[i], serviceMs[i], ageMs) + candidate.inFlight();
+            pending[i] = remaining(others, concurrency[i], serviceMs[i], ageMs + TRANSIT_MS) + candidate.inFlight();
         }
         double meanAgeMs = rate > 0 ? weightedAgeMs / rate : 0;
         newRequests = 1 + rate * (meanAgeMs + TRANSIT_MS);
@@ -214,8 +228,13 @@
             return 0;
         }
         double occupancy = waitMs < meanServiceMs
-                ? Math.sqrt(Math.sqrt(waitMs / meanServiceMs))
+                ? occupancyBelowFull(waitMs / meanServiceMs, concurrency[server])
                 : 1 + (waitMs - meanServiceMs) / (QUEUE_WEIGHT * serviceMs[server]);
         return Math.max(0, occupancy * concurrency[server] - pending[server]) * turnover[server];
     }
+
+    private static double occupancyBelowFull(double relativeWait, double slots) {
+        double fourthRoot = Math.sqrt(Math.sqrt(relativeWait));
+        return slots < MANY_SLOTS ? fourthRoot : Math.sqrt(fourthRoot);
+    }
 }
