--- a/review/standin-2/Recorder.java
+++ b/review/standin-2/Recorder.java
@@ -7,6 +7,7 @@
 final class Recorder implements AutoCloseable {
     private final long startNanos = System.nanoTime();
     private final PrintWriter out;
+    private boolean ended;
 
     Recorder(Path folder) throws IOException {
         out = new PrintWriter(folder.resolve("record.txt").toFile(), StandardCharsets.UTF_8);
@@ -17,6 +18,9 @@
     }
 
     synchronized void add(String format, Object... arguments) {
+        if (ended) {
+            return;
+        }
         out.printf("%8.3f %s%n", seconds(), String.format(format, arguments));
         out.flush();
     }
@@ -27,6 +31,12 @@
         System.out.println(String.format(format, arguments));
     }
 
+    /** Adds the exit code as the last line. */
+    synchronized void end(int exitCode) {
+        say("exit %d", exitCode);
+        ended = true;
+    }
+
     @Override
     public synchronized void close() {
         out.close();
--- a/review/standin-2/Site.java
+++ b/review/standin-2/Site.java
@@ -97,6 +97,7 @@
         network = freeNetwork();
         command = command();
         store = new Store(network + ".250", STORE_PORT);
+        Runtime.getRuntime().addShutdownHook(new Thread(this::killDaemons));
     }
 
     /** Finds a loopback network whose addresses have all ports free. */
@@ -262,6 +263,14 @@
         return condition.getAsBoolean();
     }
 
+    private void killDaemons() {
+        for (Machine machine : machines) {
+            if (machine.daemon != null) {
+                machine.daemon.destroyForcibly();
+            }
+        }
+    }
+
     /** Ends all processes; keeps the logs of the daemons beside the record if the variable KEEP_LOGS names a folder. */
     @Override
     public void close() throws IOException {
@@ -269,10 +278,8 @@
             if (machine.upstream != null) {
                 machine.upstream.close();
             }
-            if (machine.daemon != null) {
-                machine.daemon.destroyForcibly();
-            }
         }
+        killDaemons();
         for (Machine machine : machines) {
             try {
                 if (machine.daemon != null) {
