--- a/review/standin-2/Upstream.java
+++ b/review/standin-2/Upstream.java
@@ -100,6 +100,10 @@
         start(this::ping);
     }
 
+    long bornMs() {
+        return bornMs;
+    }
+
     static void start(Runnable task) {
         Thread thread = new Thread(task);
         thread.setDaemon(true);
