Take the end of a backend server from the process at its address only

Callers could see: keys that two servers hold at once, and a sound server that gets no request until its daemon starts again.

But start times come from clocks that step, and heartbeats arrive late, also at a daemon that has just started. An incarnation with an earlier start, or with a lower sequence than one seen before, was ignored for good.

Change: a heartbeat of an incarnation that is not attached is a claim. The daemon asks the process at the server's address for its id by a health check (ServerIdentityProbe); one process at a time listens there. If it states another id than that of the attached server, that server has ended: grants and records end at once, as before. If it contradicts the heartbeat, the heartbeat has no effect. Without an answer, or under the same id, grants end by their time. An incarnation that seems outdated is attached once its heartbeats have gone on for the silence timeout. The predecessor's record is sealed at once only after the answer.

Ruled out: comparing start times in the sealer, which clocks defeat; waiting for the time in each case, which leaves the keys of a host that lost power unserved for 3.6 s longer.

--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlPlane.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/ControlPlane.java
@@ -121,6 +121,14 @@
         loop.backendAnnounced(backend);
     }
 
+    /**
+     * Sets which backend server of this host has been identified by the process at its address. Servers of other names,
+     * which earlier members of this host had, have then ended. Empty if none has been identified since it was attached.
+     */
+    public void backendIdentified(Optional<String> backendName) {
+        loop.backendIdentified(backendName);
+    }
+
     /**
      * Sets the member state to leaving, so that the planner moves all its ranges to other members. The future completes
      * when the record has that state.
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/ControlLoop.java
@@ -130,6 +130,10 @@
         context.execute(() -> membership.backendAnnounced(backend));
     }
 
+    public void backendIdentified(Optional<String> backendName) {
+        context.execute(() -> predecessors.backendIdentified(backendName));
+    }
+
     public CompletableFuture<Void> leave() {
         return context.submit(() -> membership.leave()).thenCompose(done -> done);
     }
--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/PredecessorSealer.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/PredecessorSealer.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -19,7 +20,7 @@
  * if it will not join because its server leaves.
  *
  * <p>The address is used by one process at a time, so the earlier processes have ended, and so have the grants of a
- * backend server that was replaced. A backend server that lives on may hold what an earlier process has granted until the
+ * backend server at whose address another one has been identified. Any other backend server may hold what an earlier process has granted until the
  * longest validity has passed since the start of this process, and what a former member of this process has granted until
  * the gate says otherwise; no member is sealed before. Without the seals, the ranges would stay unavailable until
  * witnesses detect the missing heartbeats. Control thread only.
@@ -32,6 +33,9 @@
     /** Members whose seal is in flight, succeeded or waits for a retry. */
     private final Set<MemberId> sealRequested = new HashSet<>();
 
+    /** Name of the present backend server, if the process at its address has stated it. */
+    private Optional<String> identifiedBackend = Optional.empty();
+
     private Era checkedEra = Era.NONE;
     private long checkedSnapshotVersion = -1;
     private List<VersionedMember> predecessors = List.of();
@@ -42,6 +46,10 @@
         startedAtNanos = context.nowNanos();
     }
 
+    void backendIdentified(Optional<String> backendName) {
+        identifiedBackend = backendName;
+    }
+
     /** Starts the seals that are due. Only a new snapshot changes the set of predecessors. */
     void tick(MemberId self, CompletableFuture<Void> formerGrantsEnded) {
         if (!context.eras().era().equals(checkedEra)) {
@@ -61,7 +69,7 @@
                     .toList();
         }
         for (VersionedMember predecessor : predecessors) {
-            if (haveGrantsEnded(predecessor.member(), self, formerGrantsEnded.isDone())
+            if (haveGrantsEnded(predecessor.member(), formerGrantsEnded.isDone())
                     && sealRequested.add(predecessor.member().id())) {
                 seal(predecessor);
             }
@@ -69,13 +77,10 @@
     }
 
     /** Whether no backend server can hold a range that the predecessor has granted. */
-    private boolean haveGrantsEnded(Member predecessor, MemberId self, boolean formerGrantsEnded) {
+    private boolean haveGrantsEnded(Member predecessor, boolean formerGrantsEnded) {
         // A record without a server proves nothing: the store may have returned from a copy made before the
         // announcement.
-        if (predecessor
-                .backend()
-                .filter(earlier -> isServerReplaced(earlier, self))
-                .isPresent()) {
+        if (predecessor.backend().filter(this::isServerReplaced).isPresent()) {
             return true;
         }
         boolean earlierProcessGrantsEnded = context.nowNanos() - startedAtNanos
@@ -83,12 +88,8 @@
         return earlierProcessGrantsEnded && formerGrantsEnded;
     }
 
-    private boolean isServerReplaced(BackendInfo earlier, MemberId self) {
-        return view.current()
-                .member(self)
-                .flatMap(Member::backend)
-                .map(present -> !present.name().equals(earlier.name()))
-                .orElse(false);
+    private boolean isServerReplaced(BackendInfo earlier) {
+        return identifiedBackend.filter(name -> !name.equals(earlier.name())).isPresent();
     }
 
     private void seal(VersionedMember predecessor) {
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedDaemon.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedDaemon.java
@@ -53,7 +53,13 @@
 
     private record GrantedServer(ServerIncarnation server, HeartbeatGrants grants) {}
 
+    private static final long IDENTIFICATION_MS = 1;
+
     private final SimulatedProcess process;
+
+    /** Id of the server that answers at the address of this host's server. */
+    private final Supplier<Optional<String>> serverAtAddress;
+
     private final HostIdentity identity;
     private final ServiceName service;
     private final ObjectStore store;
@@ -80,8 +86,10 @@
             ObjectStore store,
             SimulatedNetwork network,
             Random random,
-            Trace trace) {
+            Trace trace,
+            Supplier<Optional<String>> serverAtAddress) {
         this.process = process;
+        this.serverAtAddress = serverAtAddress;
         this.identity = identity;
         this.service = service;
         this.store = store;
@@ -166,6 +174,16 @@
             log.log(() -> "event=server-watch action=" + action);
             if (action instanceof Action.Attach attach) {
                 attach(attach);
+            } else if (action instanceof Action.Identify identify) {
+                timers.once(
+                        IDENTIFICATION_MS,
+                        lifecycle,
+                        () -> perform(
+                                memberLifecycle.onIdentified(identify.server(), serverAtAddress.get(), nowNanos())));
+            } else if (action instanceof Action.Identified) {
+                control.backendIdentified(backend.map(BackendInfo::name));
+            } else if (action instanceof Action.ServerRestarted) {
+                gate.onServerRestarted();
             } else if (action instanceof Action.ServerEnded) {
                 gate.onServerEnded();
             } else if (action instanceof Action.Detach detach) {
@@ -207,6 +225,7 @@
         BackendInfo info = new BackendInfo(
                 server.id(), service, identity.peerAddress(), SLOTS, 2 * SLOTS, SimulationOptions.CAPABILITIES);
         backend = Optional.of(info);
+        control.backendIdentified(Optional.empty());
         gate.attach(info, new GrantOnlyBackendServer(granted.orElseThrow().grants()));
         MemberId member = new MemberId(identity.name() + "-" + server.id() + "-"
                 + Long.toString(server.bornMs(), Character.MAX_RADIX) + "-" + attach.life());
--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedHost.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedHost.java
@@ -91,7 +91,8 @@
                 client,
                 cluster.network(),
                 new Random(cluster.random().nextLong()),
-                cluster.trace());
+                cluster.trace(),
+                () -> server.filter(s -> !frozen).map(s -> s.incarnation().id()));
         daemon = Optional.of(started);
         long[] newestVersion = {0};
         started.routing().subscribe(snapshot -> checkConfiguration(snapshot, newestVersion));
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
@@ -163,6 +163,7 @@
     /** Replaces the backend server; does not announce it to other daemons. */
     public void attach(BackendInfo info, BackendServer server) {
         attachedBackend.set(info);
+        control.backendIdentified(Optional.empty());
         gate.attach(info, server);
     }
 
@@ -237,6 +238,19 @@
         gate.onServerEnded();
     }
 
+    /** Notes that the attached backend server is said to have started again; it may hold what it was granted. */
+    public void onServerRestarted() {
+        gate.onServerRestarted();
+    }
+
+    /**
+     * Notes that the process at the address of the attached backend server has stated the server's id, so that servers of
+     * other ids at this host have ended. Holds until the next {@link #attach}.
+     */
+    public void onServerIdentified() {
+        control.backendIdentified(backend().map(BackendInfo::name));
+    }
+
     /** Notes that the backend server announced its end; it still receives requests. */
     public void onServerLeaving() {
         gate.onServerLeaving();
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HeartbeatGrants.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HeartbeatGrants.java
@@ -152,6 +152,11 @@
         return Optional.of(renewal);
     }
 
+    /** Whether a heartbeat with this sequence renews nothing because a later one was handled. */
+    public synchronized boolean isOutdated(long heartbeatSequence) {
+        return heartbeatSequence < lastHeartbeatSequence;
+    }
+
     private List<GrantedRange> mergeRows(List<GrantedRange> reported) {
         List<GrantedRange> leftOutBefore = rowMerger.leftOutRows();
         List<GrantedRange> rows = rowMerger.merge(latestGrant.ranges(), reported);
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/MemberLifecycle.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/MemberLifecycle.java
@@ -1,7 +1,9 @@
 package org.coriandercrank.daemon;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -16,8 +18,11 @@
  *   <li>A member belongs to one incarnation of the server.
  *   <li>A server gets a new member if it was silent for longer than its grants can be valid, or if it announces that it
  *       is leaving and then reports that it stays.
- *   <li>A heartbeat of an earlier incarnation, or one that arrives after a later one of the same incarnation, has no
- *       effect.
+ *   <li>A heartbeat that arrives after a later one of the same incarnation has no effect.
+ *   <li>A heartbeat of another incarnation is only a claim: start times come from clocks that step, and heartbeats are
+ *       delayed. It takes the place of the current server if the process at the server's address confirms the id, or
+ *       after the current server has been silent for as long as its grants are valid.
+ *   <li>Only a process that listens at the address of an earlier server under another id proves the end of that server.
  * </ul>
  */
 public final class MemberLifecycle {
@@ -40,9 +45,21 @@
          */
         record Detach(String reason, boolean replaced) implements Action {}
 
-        /** Note that the process of the latest server has ended, because another one has started in its place. */
+        /** Ask the process at the server's address for its id, and report the answer with {@link #onIdentified}. */
+        record Identify(ServerIncarnation server) implements Action {}
+
+        /** Note that the process at the server's address has the id of the attached server. */
+        record Identified(ServerIncarnation server) implements Action {}
+
+        /** Note that the process of the latest server has ended, because another one listens at its address. */
         record ServerEnded(ServerIncarnation server) implements Action {}
 
+        /**
+         * Note that the attached server is said to have started again under its id. That does not prove that it holds
+         * nothing.
+         */
+        record ServerRestarted(ServerIncarnation server) implements Action {}
+
         /** Mark the member as leaving, so that the planner moves its ranges; the server still receives requests. */
         record Leave(ServerIncarnation server) implements Action {}
 
@@ -62,6 +79,9 @@
      */
     public record Timeouts(long silenceTimeoutMs, long joinAloneDelayMs, long drainDelayMs) {}
 
+    /** A heartbeat whose sender is being identified. */
+    private record Claim(ServerIncarnation server, long sequence, boolean serverLeaving, long arrivedNanos) {}
+
     private final Timeouts timeouts;
     private Optional<ServerIncarnation> currentServer = Optional.empty();
     private Optional<ServerIncarnation> previousServer = Optional.empty();
@@ -69,8 +89,18 @@
     /** Sequence of the latest heartbeat of the current server, or of the previous one if there is none. */
     private long lastSequence;
 
-    /** Number of successive members of the current server. */
-    private int attachCount;
+    /** Number of members that each incarnation has had; a member id is used once. */
+    private final Map<ServerIncarnation, Integer> attachCounts = new HashMap<>();
+
+    /** The heartbeat whose sender is being identified; it may be one of the current server. */
+    private Optional<Claim> pendingClaim = Optional.empty();
+
+    private final OutdatedHeartbeats outdatedHeartbeats;
+
+    /** Whether the process at the address has confirmed the id of the current server. */
+    private boolean identified;
+
+    private long attachedNanos;
 
     private boolean leaving;
     private boolean drained;
@@ -85,6 +115,7 @@
 
     public MemberLifecycle(Timeouts timeouts, long nowNanos) {
         this.timeouts = timeouts;
+        outdatedHeartbeats = new OutdatedHeartbeats(timeouts.silenceTimeoutMs());
         this.withoutServerSinceNanos = nowNanos;
     }
 
@@ -107,29 +138,124 @@
      */
     public List<Action> onHeartbeat(ServerIncarnation server, long sequence, boolean serverLeaving, long nowNanos) {
         List<Action> actions = new ArrayList<>();
-        boolean sameServer = currentServer.equals(Optional.of(server));
-        boolean sameIncarnation = newestServer().equals(Optional.of(server));
-        if (isOutdated(server) || (sameIncarnation && sequence <= lastSequence)) {
-            return actions;
+        Claim claim = new Claim(server, sequence, serverLeaving, nowNanos);
+        boolean current = currentServer.equals(Optional.of(server));
+        if (isOutdated(claim)) {
+            outdatedHeartbeats.add(server, sequence, nowNanos);
+        } else if (current) {
+            onCurrentServerHeartbeat(sequence, serverLeaving, nowNanos, actions);
         }
-        lastSequence = sequence;
-        boolean leaveWithdrawn = leaving && !serverLeaving && sameServer && !mayPrecedeStatement(nowNanos);
-        newestServer()
-                .filter(newest -> !newest.equals(server))
-                .ifPresent(ended -> actions.add(new Action.ServerEnded(ended)));
-        if (leaveWithdrawn || (currentServer.isPresent() && !sameServer)) {
-            detach(leaveWithdrawn ? "server-returned" : "server-replaced", true, nowNanos, actions);
+        boolean mayHelp = !current || (!identified && isIdentificationUseful(nowNanos));
+        if (mayHelp && !isIdentifying(nowNanos)) {
+            pendingClaim = Optional.of(claim);
+            actions.add(new Action.Identify(server));
         }
+        return actions;
+    }
+
+    private void onCurrentServerHeartbeat(long sequence, boolean serverLeaving, long nowNanos, List<Action> actions) {
+        ServerIncarnation server = currentServer.orElseThrow();
+        lastSequence = sequence;
         lastHeartbeatNanos = nowNanos;
-        if (currentServer.isEmpty()) {
-            attach(server, leaveWithdrawn ? timeouts.silenceTimeoutMs() : 0, actions);
+        if (leaving && !serverLeaving && !mayPrecedeStatement(nowNanos)) {
+            boolean wasIdentified = identified;
+            detach("server-returned", true, nowNanos, actions);
+            attach(server, timeouts.silenceTimeoutMs(), nowNanos, actions);
+            setIdentified(wasIdentified, actions);
         }
         if (serverLeaving) {
             leave(nowNanos, actions);
         }
+    }
+
+    /** Identification spares the wait for the grants of earlier servers, which have all ended after some time. */
+    private boolean isIdentificationUseful(long nowNanos) {
+        return !hasElapsed(attachedNanos, timeouts.silenceTimeoutMs(), nowNanos);
+    }
+
+    /** A claim without an answer is given up after some time, so that a lost answer does not end identification. */
+    private boolean isIdentifying(long nowNanos) {
+        return pendingClaim
+                .filter(claim -> !hasElapsed(claim.arrivedNanos(), timeouts.silenceTimeoutMs(), nowNanos))
+                .isPresent();
+    }
+
+    /**
+     * Handles the answer to {@link Action.Identify}.
+     *
+     * @param idAtAddress id that the process at the server's address has stated; empty if there was no answer
+     */
+    public List<Action> onIdentified(ServerIncarnation server, Optional<String> idAtAddress, long nowNanos) {
+        List<Action> actions = new ArrayList<>();
+        Optional<Claim> answered = pendingClaim.filter(claim -> claim.server().equals(server));
+        if (answered.isEmpty()) {
+            return actions;
+        }
+        pendingClaim = Optional.empty();
+        boolean confirmed = idAtAddress.equals(Optional.of(server.id()));
+        if (idAtAddress.isPresent() && !confirmed) {
+            return actions;
+        }
+        if (currentServer.equals(Optional.of(server))) {
+            setIdentified(confirmed, actions);
+        } else if (mayAttach(answered.orElseThrow(), confirmed)) {
+            replaceServer(answered.orElseThrow(), confirmed, nowNanos, actions);
+        }
         return actions;
     }
 
+    /** Whether the sender of a heartbeat, which no other process has contradicted, takes the place of the current server. */
+    private boolean mayAttach(Claim claim, boolean confirmed) {
+        if (provesEndOfNewestServer(claim, confirmed)) {
+            return true;
+        }
+        boolean outdated = isOutdated(claim);
+        if (currentServer.isPresent()) {
+            return !outdated && currentServer.get().id().equals(claim.server().id());
+        }
+        return !outdated || outdatedHeartbeats.persist(claim.server());
+    }
+
+    private boolean provesEndOfNewestServer(Claim claim, boolean confirmed) {
+        return confirmed
+                && newestServer()
+                        .filter(newest -> !newest.id().equals(claim.server().id()))
+                        .isPresent();
+    }
+
+    /** Whether the sender started before the newest server, or sent a later heartbeat before, if the clocks are right. */
+    private boolean isOutdated(Claim claim) {
+        return newestServer()
+                .filter(newest -> claim.server().bornMs() < newest.bornMs()
+                        || (newest.equals(claim.server()) && claim.sequence() <= lastSequence))
+                .isPresent();
+    }
+
+    private void replaceServer(Claim claim, boolean confirmed, long nowNanos, List<Action> actions) {
+        if (provesEndOfNewestServer(claim, confirmed)) {
+            actions.add(new Action.ServerEnded(newestServer().orElseThrow()));
+        } else {
+            currentServer.ifPresent(restarted -> actions.add(new Action.ServerRestarted(restarted)));
+        }
+        if (currentServer.isPresent()) {
+            detach("server-replaced", true, nowNanos, actions);
+        }
+        lastSequence = claim.sequence();
+        lastHeartbeatNanos = claim.arrivedNanos();
+        attach(claim.server(), 0, nowNanos, actions);
+        setIdentified(confirmed, actions);
+        if (claim.serverLeaving()) {
+            leave(nowNanos, actions);
+        }
+    }
+
+    private void setIdentified(boolean confirmed, List<Action> actions) {
+        if (confirmed && !identified) {
+            actions.add(new Action.Identified(currentServer.orElseThrow()));
+        }
+        identified = confirmed;
+    }
+
     /** Handles the announcement by the server with the given id that it will end. */
     public List<Action> onDeregister(String id, long nowNanos) {
         List<Action> actions = new ArrayList<>();
@@ -156,9 +282,11 @@
         Optional<ServerIncarnation> server = currentServer;
         if (server.isPresent()) {
             boolean wasLeaving = leaving;
+            boolean wasIdentified = identified;
             detach("sealed-by-others", !wasLeaving, nowNanos, actions);
             if (!wasLeaving) {
-                attach(server.get(), 0, actions);
+                attach(server.get(), 0, nowNanos, actions);
+                setIdentified(wasIdentified, actions);
             }
         } else if (joinedAlone) {
             joinedAlone = false;
@@ -196,19 +324,15 @@
         return currentServer.isPresent() ? currentServer : previousServer;
     }
 
-    private boolean isOutdated(ServerIncarnation server) {
-        Optional<ServerIncarnation> newest = newestServer();
-        return newest.isPresent() && server.bornMs() < newest.get().bornMs();
-    }
-
-    private void attach(ServerIncarnation server, long joinAfterMs, List<Action> actions) {
+    private void attach(ServerIncarnation server, long joinAfterMs, long nowNanos, List<Action> actions) {
         if (joinedAlone) {
             actions.add(new Action.Detach("server-arrived", true));
         }
         joinedAlone = false;
-        attachCount = previousServer.equals(Optional.of(server)) ? attachCount + 1 : 1;
         currentServer = Optional.of(server);
-        actions.add(new Action.Attach(server, attachCount, joinAfterMs));
+        identified = false;
+        attachedNanos = nowNanos;
+        actions.add(new Action.Attach(server, attachCounts.merge(server, 1, Integer::sum), joinAfterMs));
     }
 
     private void leave(long nowNanos, List<Action> actions) {
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/LocalGate.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/LocalGate.java
@@ -79,6 +79,11 @@
         currentGate().ifPresent(Gate::onServerEnded);
     }
 
+    @Override
+    public void onServerRestarted() {
+        currentGate().ifPresent(Gate::onServerRestarted);
+    }
+
     @Override
     public void onServerLeaving() {
         currentGate().ifPresent(Gate::onServerLeaving);
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/Gate.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/Gate.java
@@ -148,6 +148,11 @@
         executor.execute(core::onServerEnded);
     }
 
+    @Override
+    public void onServerRestarted() {
+        executor.execute(core::onServerRestarted);
+    }
+
     @Override
     public void onServerLeaving() {
         executor.execute(core::onServerLeaving);
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateCore.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateCore.java
@@ -183,6 +183,11 @@
         }
     }
 
+    /** Notes that another process is said to have taken the place of the attached backend server; proves no revocation. */
+    public void onServerRestarted() {
+        requestService.onServerEnded();
+    }
+
     private void forgetServer() {
         publishedBackend = null;
         grants.onServerEnded();
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/ServiceConfig.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/config/ServiceConfig.java
@@ -22,6 +22,8 @@
  *     has {@link #DEFAULT_CAPACITY_CONTROL}
  * @param coldRequestsPerSecond requests per second that a cold server tolerates from all daemons together; 0, the value
  *     in a stored configuration without this field, means no limit
+ * @param healthPath path of the health check of a server, whose response names the server; empty, as in a stored
+ *     configuration without this field, if there is none
  */
 public record ServiceConfig(
         ServiceName name,
@@ -37,7 +39,8 @@
         Locality locality,
         int keySpaceBits,
         CapacityControl capacityControl,
-        double coldRequestsPerSecond) {
+        double coldRequestsPerSecond,
+        String healthPath) {
     public static final Set<String> DEFAULT_REPEATABLE_METHODS = Set.of("GET", "HEAD");
     public static final int DEFAULT_DEADLINE_MS = 2_000;
     public static final int DEFAULT_MAX_DEADLINE_MS = 30_000;
@@ -60,6 +63,7 @@
         locality = locality == null ? DEFAULT_LOCALITY : locality;
         keySpaceBits = keySpaceBits == 0 ? DEFAULT_KEY_SPACE_BITS : keySpaceBits;
         capacityControl = capacityControl == null ? DEFAULT_CAPACITY_CONTROL : capacityControl;
+        healthPath = healthPath == null ? "" : healthPath;
         checkRange("keySpaceBits", keySpaceBits, 1, DEFAULT_KEY_SPACE_BITS);
         checkRange("defaultDeadlineMs", defaultDeadlineMs, 1, maxDeadlineMs);
         checkRange("maxDeadlineMs", maxDeadlineMs, 1, MAX_ALLOWED_DEADLINE_MS);
@@ -100,7 +104,8 @@
                 locality,
                 keySpaceBits,
                 DEFAULT_CAPACITY_CONTROL,
-                0);
+                0,
+                "");
     }
 
     /** Returns this service with another way of limiting the load of its servers. */
@@ -119,7 +124,28 @@
                 locality,
                 keySpaceBits,
                 newCapacityControl,
-                newColdRequestsPerSecond);
+                newColdRequestsPerSecond,
+                healthPath);
+    }
+
+    /** Returns this service with another path of the health check. */
+    public ServiceConfig withHealthPath(String newHealthPath) {
+        return new ServiceConfig(
+                name,
+                keyed,
+                repeatableMethods,
+                defaultDeadlineMs,
+                maxDeadlineMs,
+                maxBodyBytes,
+                maxQueueLength,
+                maxKeySharePercent,
+                placementPolicy,
+                balancingPolicy,
+                locality,
+                keySpaceBits,
+                capacityControl,
+                coldRequestsPerSecond,
+                newHealthPath);
     }
 
     /** A service with the default configuration. */
--- a/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/OwnerGate.java
+++ b/org.coriandercrank.kernel/src/main/java/org/coriandercrank/kernel/ownership/OwnerGate.java
@@ -43,6 +43,12 @@
     /** Notes that the process of the backend server, attached or detached, has ended, so that it holds nothing. */
     default void onServerEnded() {}
 
+    /**
+     * Notes that the attached backend server is said to have been replaced by another process, which ends the calls that
+     * run at it. The earlier process counts as the holder of its ranges until their grants have expired.
+     */
+    default void onServerRestarted() {}
+
     /** Notes that the backend server announced its end, which is then planned. It still receives requests. */
     default void onServerLeaving() {}
 
