--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedHost.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedHost.java
@@ -1,7 +1,9 @@
 package org.coriandercrank.daemon.ownership;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.IntStream;
 import org.coriandercrank.control.HostIdentity;
 import org.coriandercrank.daemon.ServerIncarnation;
 import org.coriandercrank.kernel.id.FailureDomain;
@@ -134,6 +136,19 @@
         started.start();
     }
 
+    /** Sends the first heartbeat of an incarnation, which need not exist, to the daemon of this host. */
+    void sendHeartbeatOf(ServerIncarnation sender) {
+        SimulatedServer.Heartbeat heartbeat =
+                new SimulatedServer.Heartbeat(sender, 1, false, List.of(), List.of(), renewal -> {});
+        daemon.ifPresent(d -> d.process().run(() -> d.onHeartbeat(heartbeat)));
+    }
+
+    /** Whether the server of this host holds a key. */
+    boolean holdsKeys() {
+        return server.filter(s -> IntStream.range(0, HeldKeys.COUNT).anyMatch(s::holds))
+                .isPresent();
+    }
+
     void announceLeaving() {
         server.ifPresent(s -> s.setLeaving(true));
     }
