--- a/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/PredecessorSealer.java
+++ b/org.coriandercrank.control/src/main/java/org/coriandercrank/control/internal/PredecessorSealer.java
@@ -20,10 +20,10 @@
  * if it will not join because its server leaves.
  *
  * <p>The address is used by one process at a time, so the earlier processes have ended, and so have the grants of a
- * backend server at whose address another one has been identified. Any other backend server may hold what an earlier process has granted until the
- * longest validity has passed since the start of this process, and what a former member of this process has granted until
- * the gate says otherwise; no member is sealed before. Without the seals, the ranges would stay unavailable until
- * witnesses detect the missing heartbeats. Control thread only.
+ * backend server at whose address another one has been identified. Any other backend server may hold what an earlier
+ * process has granted until the longest validity has passed since the start of this process, and what a former member of
+ * this process has granted until the gate says otherwise; no member is sealed before. Without the seals, the ranges would
+ * stay unavailable until witnesses detect the missing heartbeats. Control thread only.
  */
 final class PredecessorSealer {
     private final ControlContext context;
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/MemberLifecycle.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/MemberLifecycle.java
@@ -145,8 +145,8 @@
         } else if (current) {
             onCurrentServerHeartbeat(sequence, serverLeaving, nowNanos, actions);
         }
-        boolean mayHelp = !current || (!identified && isIdentificationUseful(nowNanos));
-        if (mayHelp && !isIdentifying(nowNanos)) {
+        boolean identify = !current || (!identified && isIdentificationUseful(nowNanos));
+        if (identify && !isIdentifying(nowNanos)) {
             pendingClaim = Optional.of(claim);
             actions.add(new Action.Identify(server));
         }
@@ -213,7 +213,7 @@
         if (currentServer.isPresent()) {
             return !outdated && currentServer.get().id().equals(claim.server().id());
         }
-        return !outdated || outdatedHeartbeats.persist(claim.server());
+        return !outdated || outdatedHeartbeats.havePersisted(claim.server());
     }
 
     private boolean provesEndOfNewestServer(Claim claim, boolean confirmed) {
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/OutdatedHeartbeats.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/OutdatedHeartbeats.java
@@ -36,7 +36,7 @@
     }
 
     /** Whether the heartbeats of a sender have gone on for the required time with rising sequence and no long pause. */
-    boolean persist(ServerIncarnation server) {
+    boolean havePersisted(ServerIncarnation server) {
         return sender.equals(Optional.of(server)) && latestNanos - sinceNanos >= persistenceNanos;
     }
 }
