--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/InboundConnection.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/InboundConnection.java
@@ -1,6 +1,7 @@
 package org.coriandercrank.peer.internal;
 
 import com.google.common.flogger.FluentLogger;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.util.Optional;
@@ -25,11 +26,13 @@
 
     private final MemberId self;
     private final PeerHandlers handlers;
+    private final AnswerWriteMeter writeMeter;
     private MemberId sender;
 
-    InboundConnection(MemberId self, PeerHandlers handlers) {
+    InboundConnection(MemberId self, PeerHandlers handlers, AnswerWriteMeter writeMeter) {
         this.self = self;
         this.handlers = handlers;
+        this.writeMeter = writeMeter;
     }
 
     @Override
@@ -54,12 +57,25 @@
         }
         answer.whenComplete((message, failure) -> {
             if (frame.correlationId() != Frame.ONE_WAY) {
-                context.writeAndFlush(
-                        new Frame(frame.correlationId(), failure == null ? message : failureMessage(failure)));
+                Frame answerFrame =
+                        new Frame(frame.correlationId(), failure == null ? message : failureMessage(failure));
+                long readyNanos = System.nanoTime();
+                if (context.executor().inEventLoop()) {
+                    write(context, answerFrame, readyNanos);
+                } else {
+                    context.executor().execute(() -> write(context, answerFrame, readyNanos));
+                }
             }
         });
     }
 
+    private void write(ChannelHandlerContext context, Frame frame, long readyNanos) {
+        long connectionBytes = AnswerWriteMeter.waitingBytesOf(context.channel());
+        ChannelFuture written = context.write(frame);
+        writeMeter.onWrite(context.channel(), sender, written, connectionBytes, readyNanos);
+        context.flush();
+    }
+
     private CompletableFuture<? extends Message> answer(Message message) {
         Optional<PeerHandler<Message>> handler = handlers.find(message);
         if (handler.isEmpty()) {
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
@@ -1,5 +1,6 @@
 package org.coriandercrank.peer.internal;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -26,6 +27,7 @@
 import org.coriandercrank.kernel.message.CallFailure;
 import org.coriandercrank.kernel.message.CancelRequest;
 import org.coriandercrank.kernel.message.ForwardRequest;
+import org.coriandercrank.kernel.message.Heartbeat;
 import org.coriandercrank.kernel.message.Hello;
 import org.coriandercrank.kernel.message.Message;
 import org.coriandercrank.kernel.message.Ping;
@@ -45,10 +47,16 @@
 public final class PeerLink {
     static final String CLOSED_BY_THIS_DAEMON = "connection closed by this daemon";
 
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long SILENCE_CHECK_PERIOD_MS = 100;
+    private static final long SLOW_CONTROL_CALL_MS = 150;
+    private static final int SLOW_CALL_LOG_INTERVAL_MS = 200;
 
     private record OutstandingCall(
-            Message message, Class<? extends Message> answerType, CompletableFuture<Message> result) {}
+            Message message,
+            Class<? extends Message> answerType,
+            long calledNanos,
+            CompletableFuture<Message> result) {}
 
     /** A frame that is written after the handshake, when the connection has room for it. */
     private record WaitingFrame(Frame frame, long sinceNanos) {
@@ -224,7 +232,7 @@
             silence.restart(lastUseNanos);
         }
         long correlationId = nextCorrelationId++;
-        outstandingCalls.put(correlationId, new OutstandingCall(message, answerType, result));
+        outstandingCalls.put(correlationId, new OutstandingCall(message, answerType, calledNanos, result));
         ScheduledFuture<?> timeout = loop.schedule(() -> timeOutCall(correlationId), timeoutMs, TimeUnit.MILLISECONDS);
         result.whenComplete((answer, error) -> timeout.cancel(false));
         if (idleCheckScheduled) {
@@ -304,10 +312,21 @@
         }
         OutstandingCall call = outstandingCalls.remove(frame.correlationId());
         if (call != null) {
+            logIfSlow(call);
             completeCall(call, frame.message());
         }
     }
 
+    /** A control call needs hardly any time at its receiver, so a slow one tells how long the network delays messages. */
+    private void logIfSlow(OutstandingCall call) {
+        long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - call.calledNanos);
+        if (call.message instanceof Heartbeat && elapsedMs >= SLOW_CONTROL_CALL_MS) {
+            logger.atInfo().atMostEvery(SLOW_CALL_LOG_INTERVAL_MS, TimeUnit.MILLISECONDS).log(
+                    "event=peer-call-slow peer=%s call=heartbeat elapsedMs=%d outstanding=%d",
+                    target.member(), elapsedMs, outstandingCalls.size());
+        }
+    }
+
     private void completeHandshake(Hello hello) {
         if (!hello.sender().equals(target.member())) {
             fail(ResultCode.WRONG_MEMBER, "address belongs to " + hello.sender());
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerListener.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerListener.java
@@ -29,6 +29,7 @@
             PeerHandlers handlers,
             MeterRegistry metrics) {
         TrafficMeter meter = new TrafficMeter(metrics);
+        AnswerWriteMeter writeMeter = new AnswerWriteMeter(metrics);
         listenChannel = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -40,7 +41,7 @@
                         connections.add(channel);
                         channel.pipeline()
                                 .addLast(new FrameCodec(meter))
-                                .addLast(new InboundConnection(self.get(), handlers));
+                                .addLast(new InboundConnection(self.get(), handlers, writeMeter));
                     }
                 })
                 .bind(listenAddress.ip(), listenAddress.port())
