Pace long answers below the rate of the host's link

Cause: a daemon passes a response of up to 540 KB to the operating system at once, for any number of callers. The uplink of the host (10.5 Mbit/s) then holds a second and more of bytes, and everything that shares it waits behind them: short answers until their callers give up, heartbeats, and the packets that open connections. Nothing counts bytes when it admits work.

Slots were not short: 20 of 2,956 runs at these servers ended badly.

Change: Uplink shares the link of a host among long messages: in pieces of 10 ms, below the rate, by the time when they are due; short messages go at once. The gate learns how long answers are and refuses a request at once, with a time to return, if its answer would wait for the link until it is late. Bytes of an incomplete frame end the silence of a link.

LongAnswersOnASlowLinkTest: short calls took 28 ms and 49 ms at most; without pacing 663 and 988 ms, and it fails.

--- a/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedDaemon.java
+++ b/org.coriandercrank.daemon.test/src/test/java/org/coriandercrank/daemon/ownership/SimulatedDaemon.java
@@ -36,6 +36,7 @@
 import org.coriandercrank.kernel.time.TimerService;
 import org.coriandercrank.placement.PlacementDependencies;
 import org.coriandercrank.placement.internal.PolicyPlugin;
+import org.coriandercrank.scheduling.link.Uplink;
 
 /**
  * One process of a daemon on the users' platform: its control plane, gate, range ownership and planner, connected as in the
@@ -283,7 +284,8 @@
                         log,
                         metrics,
                         executors,
-                        control.quarantine()),
+                        control.quarantine(),
+                        Uplink.UNLIMITED),
                 SimulationOptions.GATE);
     }
 
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
@@ -74,6 +74,7 @@
                 () -> controlReference.get().self(),
                 handlers,
                 options.peer(),
+                services.uplink(),
                 services.metrics());
         control = options.joinsOnStart()
                 ? ControlPlane.create(options.control(), options.identity(), controlDependencies())
@@ -334,7 +335,8 @@
                         services.routingLog(),
                         services.metrics(),
                         services.executors(),
-                        control.quarantine()),
+                        control.quarantine(),
+                        services.uplink()),
                 options.gate());
     }
 
@@ -380,6 +382,7 @@
                 services.executors(),
                 control.quarantine(),
                 control.configurationProof(),
-                services.leaseClock());
+                services.leaseClock(),
+                services.uplink());
     }
 }
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HostServices.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/HostServices.java
@@ -8,11 +8,13 @@
 import org.coriandercrank.kernel.store.ObjectStore;
 import org.coriandercrank.kernel.time.MonotonicClock;
 import org.coriandercrank.kernel.time.TimerService;
+import org.coriandercrank.scheduling.link.Uplink;
 
 /**
  * Services of the process that a {@link DaemonHost} uses and does not close. Immutable.
  *
  * @param leaseClock clock that measures the lease of this daemon, see {@link org.coriandercrank.control.ControlDependencies}
+ * @param uplink link of the host, shared by all that sends to other hosts
  * @param executors creates the executors of the components
  */
 public record HostServices(
@@ -24,4 +26,5 @@
         DecisionLog routingLog,
         DecisionLog placementLog,
         MonotonicClock leaseClock,
+        Uplink uplink,
         SerialExecutor.Factory executors) {}
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Daemon.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/Daemon.java
@@ -32,6 +32,7 @@
 import org.coriandercrank.kernel.table.BackendInfo.Capability;
 import org.coriandercrank.kernel.time.SystemTimerService;
 import org.coriandercrank.kernel.time.TimerService;
+import org.coriandercrank.scheduling.link.Uplink;
 
 /**
  * The process of the program {@code crankd}: a {@link DaemonHost} with the product's own adapters and admin endpoint.
@@ -96,6 +97,7 @@
                 new DecisionLog(settings.routingLogLinesPerSecond(), timers.clock()),
                 new DecisionLog(PLACEMENT_LOG_LINES_PER_SECOND, timers.clock()),
                 timers.clock(),
+                settings.linkMbitPerSecond() > 0 ? new Uplink(settings.linkMbitPerSecond(), timers) : Uplink.UNLIMITED,
                 SingleThreadExecutor::new);
     }
 
--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/DaemonSettings.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/internal/DaemonSettings.java
@@ -12,6 +12,7 @@
 /** Settings of {@code crankd}. Not thread safe; read-only after loading. */
 public final class DaemonSettings implements Settings {
     private static final int MAX_HOST_NAME_LENGTH = 48;
+    private static final int MAX_LINK_MBIT_PER_SECOND = 1_000_000;
     private static final int MAX_LOG_LINES_PER_SECOND = 1_000_000;
 
     @Option(name = "--host-name", metaVar = "NAME", usage = "name of this host; start of the member id")
@@ -89,6 +90,12 @@
     @Option(name = "--io-threads", metaVar = "N", usage = "threads for network input and output")
     private int ioThreads = 2;
 
+    @Option(
+            name = "--link-mbit-per-second",
+            metaVar = "MBIT",
+            usage = "rate of the link of this host, on which long answers are paced; 0: not known")
+    private int linkMbitPerSecond = 0;
+
     @Option(name = "--log-level", metaVar = "LEVEL", usage = "SEVERE, WARNING, INFO, FINE")
     private String logLevel = "INFO";
 
@@ -132,6 +139,7 @@
         errors.requireRange("--startup-watch-ms", startupWatchMs, 0, 600_000);
         errors.requireRange("--drain-timeout-ms", drainTimeoutMs, 0, 600_000);
         errors.requireRange("--io-threads", ioThreads, 1, 64);
+        errors.requireRange("--link-mbit-per-second", linkMbitPerSecond, 0, MAX_LINK_MBIT_PER_SECOND);
         errors.requireRange("--routing-log-lines-per-second", routingLogLinesPerSecond, 0, MAX_LOG_LINES_PER_SECOND);
     }
 
@@ -211,6 +219,10 @@
         return ioThreads;
     }
 
+    public int linkMbitPerSecond() {
+        return linkMbitPerSecond;
+    }
+
     public Level logLevel() {
         return parsedLogLevel;
     }
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/CancelledSubmissionTest.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/CancelledSubmissionTest.java
@@ -21,6 +21,7 @@
 import org.coriandercrank.kernel.request.CallerRequest;
 import org.coriandercrank.kernel.table.BackendInfo;
 import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.scheduling.link.Uplink;
 import org.junit.jupiter.api.Test;
 
 /** Tests cancellations that arrive while the request waits in the task queue of the gate. */
@@ -65,7 +66,8 @@
                         new DecisionLog(0, requests.timers.clock()),
                         new SimpleMeterRegistry(),
                         (name, capacity) -> executor,
-                        RequestQuarantine.NONE),
+                        RequestQuarantine.NONE,
+                        Uplink.UNLIMITED),
                 GateOptions.DEFAULTS.withSlowStartMs(0));
         newGate.attach(
                 new BackendInfo(
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateFixture.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GateFixture.java
@@ -48,6 +48,7 @@
 import org.coriandercrank.kernel.table.KeyRange;
 import org.coriandercrank.kernel.table.Member;
 import org.coriandercrank.kernel.table.MemberState;
+import org.coriandercrank.scheduling.link.Uplink;
 
 /** A gate core with a fake backend server in virtual time. Not thread safe. */
 final class GateFixture implements RoutingView {
@@ -80,11 +81,21 @@
     }
 
     GateFixture(GateOptions options, RequestQuarantine quarantine) {
-        this(options, quarantine, new VirtualTimers(), SELF);
+        this(options, quarantine, new VirtualTimers(), SELF, Uplink.UNLIMITED);
+    }
+
+    /** Creates a gate on a host whose link has a rate. */
+    GateFixture(VirtualTimers timers, Uplink uplink) {
+        this(GateOptions.DEFAULTS.withSlowStartMs(0), RequestQuarantine.NONE, timers, SELF, uplink);
     }
 
     /** Creates one of several gates that share their timers. */
     GateFixture(GateOptions options, RequestQuarantine quarantine, VirtualTimers timers, MemberId self) {
+        this(options, quarantine, timers, self, Uplink.UNLIMITED);
+    }
+
+    private GateFixture(
+            GateOptions options, RequestQuarantine quarantine, VirtualTimers timers, MemberId self, Uplink uplink) {
         this.timers = timers;
         this.self = self;
         backend = new FakeBackend(timers.clock());
@@ -99,7 +110,8 @@
                 (name, capacity) -> {
                     throw new UnsupportedOperationException("the gate core runs on the thread of the test");
                 },
-                quarantine);
+                quarantine,
+                uplink);
         core = new GateCore(new GateContext(dependencies, options, timers, new GateMetrics(meters), () -> false));
         timers.every(options.busyTickMs(), timers, core::tick);
     }
--- a/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GrantAgeTest.java
+++ b/org.coriandercrank.gate.test/src/test/java/org/coriandercrank/gate/test/GrantAgeTest.java
@@ -17,6 +17,7 @@
 import org.coriandercrank.kernel.ownership.TransferredRecords;
 import org.coriandercrank.kernel.table.BackendInfo;
 import org.coriandercrank.kernel.table.KeyRange;
+import org.coriandercrank.scheduling.link.Uplink;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -52,7 +53,8 @@
                 (name, capacity) -> {
                     throw new UnsupportedOperationException("the gate core runs on the thread of the test");
                 },
-                RequestQuarantine.NONE);
+                RequestQuarantine.NONE,
+                Uplink.UNLIMITED);
         GateCore core = new GateCore(new GateContext(
                 dependencies, GateOptions.DEFAULTS, fixture.timers, new GateMetrics(meters), () -> false));
         core.attach(
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateDependencies.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/GateDependencies.java
@@ -11,6 +11,7 @@
 import org.coriandercrank.kernel.ownership.RoutingView;
 import org.coriandercrank.kernel.time.MonotonicClock;
 import org.coriandercrank.kernel.time.TimerService;
+import org.coriandercrank.scheduling.link.Uplink;
 
 /**
  * Collaborators of a {@link Gate}, which does not close them. Immutable.
@@ -21,6 +22,7 @@
  *     includes the time during which the host is suspended if the lease does
  * @param decisionLog log of the decisions of the gate
  * @param quarantine tells which requests the gate must not send
+ * @param uplink link on which the answers of the gate leave the host
  * @param executorFactory creates the executor that runs all tasks of the gate
  */
 public record GateDependencies(
@@ -32,7 +34,8 @@
         DecisionLog decisionLog,
         MeterRegistry meterRegistry,
         SerialExecutor.Factory executorFactory,
-        RequestQuarantine quarantine) {
+        RequestQuarantine quarantine,
+        Uplink uplink) {
     public GateDependencies {
         Objects.requireNonNull(service, "service");
         Objects.requireNonNull(routingView, "routingView");
@@ -43,11 +46,12 @@
         Objects.requireNonNull(meterRegistry, "meterRegistry");
         Objects.requireNonNull(executorFactory, "executorFactory");
         Objects.requireNonNull(quarantine, "quarantine");
+        Objects.requireNonNull(uplink, "uplink");
     }
 
     /**
-     * Creates the dependencies of a gate that runs on its own thread, quarantines no request, and measures the age of its
-     * grants on the clock of its timers.
+     * Creates the dependencies of a gate that runs on its own thread, quarantines no request, measures the age of its
+     * grants on the clock of its timers, and does not know the rate of its link.
      */
     public GateDependencies(
             ServiceName service,
@@ -65,6 +69,7 @@
                 decisionLog,
                 meterRegistry,
                 SingleThreadExecutor::new,
-                RequestQuarantine.NONE);
+                RequestQuarantine.NONE,
+                Uplink.UNLIMITED);
     }
 }
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateMetrics.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/GateMetrics.java
@@ -15,6 +15,7 @@
     private final Counter grantFailures;
     private final Counter leaseRefusals;
     private final Counter serverCrashes;
+    private final Counter linkRefusals;
     private final AtomicInteger queued = new AtomicInteger();
     private final AtomicInteger inFlight = new AtomicInteger();
     private final AtomicInteger records = new AtomicInteger();
@@ -25,6 +26,7 @@
         grantFailures = meters.counter("crank.gate.grant.failures");
         leaseRefusals = meters.counter("crank.gate.lease.refusals");
         serverCrashes = meters.counter("crank.gate.server.crashes");
+        linkRefusals = meters.counter("crank.gate.link.refusals");
         meters.gauge("crank.gate.queued", queued);
         meters.gauge("crank.gate.in.flight", inFlight);
         meters.gauge("crank.gate.records", records);
@@ -47,6 +49,11 @@
         serverCrashes.increment();
     }
 
+    /** Counts a request that was refused because its answer would wait too long for the link. */
+    void onLinkRefusal() {
+        linkRefusals.increment();
+    }
+
     /** Counts a request that the backend server refused because of its load or in spite of it. */
     void onServerRefusal(ServerCapacity.Reaction reaction) {
         meters.counter("crank.gate.server.refusals", "reaction", reaction.name())
--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/RequestService.java
@@ -44,6 +44,7 @@
     private final DrainState drainState;
     private final RequestQueue queue = new RequestQueue();
     private final LoadForecast forecast;
+    private final LinkForecast linkForecast;
     private final BackendCalls calls = new BackendCalls();
     private final ParkedRequests parked;
     private final Runnable callEndListener;
@@ -68,6 +69,7 @@
         this.callEndListener = callEndListener;
         parked = new ParkedRequests(context, ranges);
         forecast = new LoadForecast(context, queue, calls);
+        linkForecast = new LinkForecast(context, queue, calls);
         recordLossDetector = new RecordLossDetector(context, ranges);
         crashDetector = new CrashDetector(context, drainState);
         quarantinePolicy = new QuarantinePolicy(context.dependencies().quarantine(), calls);
@@ -186,8 +188,13 @@
         }
         ranges.serving(hash).ifPresent(entry -> entry.loadMeter().onRequest(hash));
         forecast.onArrival(request.rules(), nowNanos);
-        Optional<CallerAnswer> refusal = Admission.refusal(
-                admissionContext(request, config, hash, waiter, nowNanos), () -> forecast.retryAfterMs(nowNanos));
+        AdmissionContext admission = admissionContext(request, config, hash, waiter, nowNanos);
+        Optional<CallerAnswer> refusal = Admission.refusal(admission, () -> forecast.retryAfterMs(nowNanos))
+                .or(() -> linkForecast.refusal(
+                        request.rules(),
+                        admission.expectedWaitMs() + admission.expectedServiceMs(),
+                        admission.remainingMs(),
+                        nowNanos));
         if (refusal.isPresent()) {
             refuse(waiter, refusal.get());
             return;
@@ -308,6 +315,9 @@
                 : failureAnswer(execution, CrankException.of(failure), nowNanos);
         calls.onEnd(execution, finalAnswer.outcome() == Outcome.UNKNOWN);
         forecast.onAnswer(execution, finalAnswer, nowNanos);
+        if (finalAnswer.outcome() == Outcome.RUN) {
+            linkForecast.onAnswer(execution.request().rules(), finalAnswer.body().length);
+        }
         crashDetector.onCallEnd(execution, finalAnswer, nowNanos);
         requestTable.finish(execution, finalAnswer, nowNanos);
         answerAll(execution, finalAnswer);
--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpServer.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/HttpServer.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
 import org.coriandercrank.kernel.id.HostAddress;
+import org.coriandercrank.scheduling.link.Uplink;
 
 /**
  * An HTTP/1.1 server with keep-alive connections. Responses to pipelined requests are written in the order of the
@@ -47,6 +48,7 @@
             HostAddress listenAddress,
             HttpServerOptions options,
             int maxConnections,
+            Uplink uplink,
             HttpHandler handler)
             throws InterruptedException {
         listenChannel = new ServerBootstrap()
@@ -77,6 +79,9 @@
                             channel.close();
                             return;
                         }
+                        if (!isOnThisHost(channel)) {
+                            channel.pipeline().addLast(new PacedResponseWriter(uplink));
+                        }
                         channel.pipeline()
                                 .addLast(new HttpServerCodec(
                                         options.maxInitialLineBytes(), options.maxHeaderBytes(), MAX_CHUNK_BYTES))
@@ -95,6 +100,16 @@
         return listen(group, listenAddress, options, Integer.MAX_VALUE, handler);
     }
 
+    /** Starts a server that sends its responses to other hosts on a link. Port 0 selects a free port. */
+    public static HttpServer listen(
+            EventLoopGroup group,
+            HostAddress listenAddress,
+            HttpServerOptions options,
+            Uplink uplink,
+            HttpHandler handler) {
+        return listen(group, listenAddress, options, Integer.MAX_VALUE, uplink, handler);
+    }
+
     /** Starts a server that closes each connection beyond {@code maxConnections} as soon as it is accepted. */
     public static HttpServer listen(
             EventLoopGroup group,
@@ -102,14 +117,32 @@
             HttpServerOptions options,
             int maxConnections,
             HttpHandler handler) {
+        return listen(group, listenAddress, options, maxConnections, Uplink.UNLIMITED, handler);
+    }
+
+    private static HttpServer listen(
+            EventLoopGroup group,
+            HostAddress listenAddress,
+            HttpServerOptions options,
+            int maxConnections,
+            Uplink uplink,
+            HttpHandler handler) {
         try {
-            return new HttpServer(group, listenAddress, options, maxConnections, handler);
+            return new HttpServer(group, listenAddress, options, maxConnections, uplink, handler);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IllegalStateException("interrupted while binding " + listenAddress, e);
         }
     }
 
+    /** Whether the client runs on this host, so that responses to it do not use the link. */
+    private static boolean isOnThisHost(SocketChannel channel) {
+        return channel.remoteAddress() != null
+                && channel.remoteAddress()
+                        .getAddress()
+                        .equals(channel.localAddress().getAddress());
+    }
+
     /** The address that the server is bound to. */
     public HostAddress address() {
         InetSocketAddress bound = (InetSocketAddress) listenChannel.localAddress();
--- a/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/IngressFixture.java
+++ b/org.coriandercrank.ingress.test/src/test/java/org/coriandercrank/ingress/IngressFixture.java
@@ -40,6 +40,7 @@
 import org.coriandercrank.kernel.table.MemberState;
 import org.coriandercrank.kernel.table.RangeAssignment;
 import org.coriandercrank.kernel.time.SystemTimerService;
+import org.coriandercrank.scheduling.link.Uplink;
 
 /** An {@link Ingress} with fake collaborators, and an HTTP client that is connected to it over loopback. */
 final class IngressFixture implements AutoCloseable {
@@ -98,7 +99,8 @@
                         SingleThreadExecutor::new,
                         quarantine,
                         configurationProof,
-                        timers.clock()),
+                        timers.clock(),
+                        Uplink.UNLIMITED),
                 options);
         address = ingress.start(LOOPBACK);
         client = new HttpClient(eventLoopGroup, address, HttpClientOptions.DEFAULTS);
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/Ingress.java
@@ -134,6 +134,7 @@
                         limits.maxHeaderBytes(),
                         limits.maxBodyBytes(),
                         status -> httpRejection(status, limits)),
+                dependencies.uplink(),
                 new CallerHandler());
         return server.address();
     }
--- a/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/IngressDependencies.java
+++ b/org.coriandercrank.ingress/src/main/java/org/coriandercrank/ingress/IngressDependencies.java
@@ -16,6 +16,7 @@
 import org.coriandercrank.kernel.plugin.PluginRegistry;
 import org.coriandercrank.kernel.time.MonotonicClock;
 import org.coriandercrank.kernel.time.TimerService;
+import org.coriandercrank.scheduling.link.Uplink;
 
 /**
  * Collaborators of {@link Ingress}, which does not close them. Immutable.
@@ -29,6 +30,7 @@
  * @param quarantine tells which requests must not be sent to backend servers
  * @param configurationProof tells whether the configuration is recent enough to say that something is not in it
  * @param suspensionAwareClock measures the age of attempts; it should include the time in which the host is suspended
+ * @param uplink link on which the responses to callers are sent
  */
 public record IngressDependencies(
         EventLoopGroup ioGroup,
@@ -46,4 +48,5 @@
         SerialExecutor.Factory executorFactory,
         RequestQuarantine quarantine,
         ConfigurationProof configurationProof,
-        MonotonicClock suspensionAwareClock) {}
+        MonotonicClock suspensionAwareClock,
+        Uplink uplink) {}
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/PeerNetwork.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/PeerNetwork.java
@@ -12,6 +12,7 @@
 import org.coriandercrank.kernel.peer.PeerTarget;
 import org.coriandercrank.peer.internal.LinkTable;
 import org.coriandercrank.peer.internal.PeerListener;
+import org.coriandercrank.scheduling.link.Uplink;
 
 /**
  * Connections of one daemon to other daemons: accepts incoming connections and opens one outgoing connection to each
@@ -28,6 +29,7 @@
      *
      * @param listenAddress address to listen on; port 0 selects a free port
      * @param self member id of this daemon, read for each new connection
+     * @param uplink link on which the answers to other daemons are sent
      */
     public PeerNetwork(
             EventLoopGroup group,
@@ -35,11 +37,23 @@
             Supplier<MemberId> self,
             PeerHandlers handlers,
             PeerOptions options,
+            Uplink uplink,
             MeterRegistry metrics) {
-        listener = new PeerListener(group, listenAddress, self, handlers, metrics);
+        listener = new PeerListener(group, listenAddress, self, handlers, uplink, metrics);
         links = new LinkTable(group, self, listenAddress.ip(), options, metrics);
     }
 
+    /** Starts listening on a link whose rate is not known. */
+    public PeerNetwork(
+            EventLoopGroup group,
+            HostAddress listenAddress,
+            Supplier<MemberId> self,
+            PeerHandlers handlers,
+            PeerOptions options,
+            MeterRegistry metrics) {
+        this(group, listenAddress, self, handlers, options, Uplink.UNLIMITED, metrics);
+    }
+
     /** The bound address, with the selected port. */
     public HostAddress address() {
         return listener.address();
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/AnswerWriteMeter.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/AnswerWriteMeter.java
@@ -5,13 +5,13 @@
 import io.micrometer.core.instrument.Timer;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOutboundBuffer;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import org.coriandercrank.kernel.id.MemberId;
 
 /**
  * Measures how long answers to other daemons wait in this process until their last byte is passed to the operating
- * system, separately for short and long answers. Thread safe.
+ * system, separately for short and long answers. Thread safe; writes are passed to it on the event loop of their channel.
  *
  * <p>The log line of a slow answer tells apart what it waited behind: bytes of its own connection, or those of all
  * connections of the host.
@@ -41,13 +41,10 @@
         return Timer.builder("crank.peer.answer.write").tag("length", length).register(metrics);
     }
 
-    /**
-     * Measures a write that has just been passed to a connection.
-     *
-     * @param connectionBytes bytes that waited in the connection before the write
-     */
-    void onWrite(Channel channel, MemberId peer, ChannelFuture written, long connectionBytes, long startedNanos) {
-        long bytes = Math.max(0, waitingBytesOf(channel) - connectionBytes);
+    /** Measures a write that is about to be passed to a connection, until its last byte has left the process. */
+    void onWrite(Channel channel, int bytes, ChannelFuture written) {
+        long startedNanos = System.nanoTime();
+        long connectionBytes = waitingBytes(channel);
         long hostBytes = waitingBytes.getAndAdd(bytes);
         written.addListener(done -> {
             waitingBytes.addAndGet(-bytes);
@@ -58,15 +55,14 @@
             if (waitedMs >= SLOW_WRITE_MS) {
                 logger.atInfo().atMostEvery(LOG_INTERVAL_MS, TimeUnit.MILLISECONDS).log(
                         "event=answer-write-slow peer=%s bytes=%d waitedMs=%d connectionBytes=%d hostBytes=%d written=%s",
-                        peer, bytes, waitedMs, connectionBytes, hostBytes, done.isSuccess());
+                        channel.remoteAddress(), bytes, waitedMs, connectionBytes, hostBytes, done.isSuccess());
             }
         });
     }
 
-    /** Bytes that wait in a connection; 0 if it is closed. Must be called on its event loop. */
-    static long waitingBytesOf(Channel channel) {
-        return channel.unsafe().outboundBuffer() == null
-                ? 0
-                : channel.unsafe().outboundBuffer().totalPendingWriteBytes();
+    /** Bytes that wait in a connection; 0 if it is closed. */
+    private static long waitingBytes(Channel channel) {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
     }
 }
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/InboundConnection.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/InboundConnection.java
@@ -1,7 +1,6 @@
 package org.coriandercrank.peer.internal;
 
 import com.google.common.flogger.FluentLogger;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.util.Optional;
@@ -26,13 +25,11 @@
 
     private final MemberId self;
     private final PeerHandlers handlers;
-    private final AnswerWriteMeter writeMeter;
     private MemberId sender;
 
-    InboundConnection(MemberId self, PeerHandlers handlers, AnswerWriteMeter writeMeter) {
+    InboundConnection(MemberId self, PeerHandlers handlers) {
         this.self = self;
         this.handlers = handlers;
-        this.writeMeter = writeMeter;
     }
 
     @Override
@@ -57,25 +54,12 @@
         }
         answer.whenComplete((message, failure) -> {
             if (frame.correlationId() != Frame.ONE_WAY) {
-                Frame answerFrame =
-                        new Frame(frame.correlationId(), failure == null ? message : failureMessage(failure));
-                long readyNanos = System.nanoTime();
-                if (context.executor().inEventLoop()) {
-                    write(context, answerFrame, readyNanos);
-                } else {
-                    context.executor().execute(() -> write(context, answerFrame, readyNanos));
-                }
+                context.writeAndFlush(
+                        new Frame(frame.correlationId(), failure == null ? message : failureMessage(failure)));
             }
         });
     }
 
-    private void write(ChannelHandlerContext context, Frame frame, long readyNanos) {
-        long connectionBytes = AnswerWriteMeter.waitingBytesOf(context.channel());
-        ChannelFuture written = context.write(frame);
-        writeMeter.onWrite(context.channel(), sender, written, connectionBytes, readyNanos);
-        context.flush();
-    }
-
     private CompletableFuture<? extends Message> answer(Message message) {
         Optional<PeerHandler<Message>> handler = handlers.find(message);
         if (handler.isEmpty()) {
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerLink.java
@@ -97,8 +97,8 @@
     private boolean closed;
     private long nextCorrelationId = Frame.ONE_WAY + 1;
     /**
-     * The silence starts when a frame arrives, when the connection is established, or when a call starts while no other
-     * is outstanding.
+     * The silence starts when bytes arrive, also of an incomplete frame, when the connection is established, or when a
+     * call starts while no other is outstanding.
      */
     private final SilenceDetector silence;
 
@@ -305,7 +305,6 @@
     }
 
     private void receive(Frame frame) {
-        silence.restart(System.nanoTime());
         if (frame.message() instanceof Hello hello) {
             completeHandshake(hello);
             return;
@@ -388,6 +387,11 @@
             receive(frame);
         }
 
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            silence.restart(System.nanoTime());
+        }
+
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext context) {
             writeWaitingFrames();
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerListener.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/PeerListener.java
@@ -16,6 +16,7 @@
 import org.coriandercrank.kernel.id.HostAddress;
 import org.coriandercrank.kernel.id.MemberId;
 import org.coriandercrank.kernel.peer.PeerHandlers;
+import org.coriandercrank.scheduling.link.Uplink;
 
 /** Accepts connections from other daemons. Thread safe. */
 public final class PeerListener implements AutoCloseable {
@@ -27,6 +28,7 @@
             HostAddress listenAddress,
             Supplier<MemberId> self,
             PeerHandlers handlers,
+            Uplink uplink,
             MeterRegistry metrics) {
         TrafficMeter meter = new TrafficMeter(metrics);
         AnswerWriteMeter writeMeter = new AnswerWriteMeter(metrics);
@@ -39,9 +41,11 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         connections.add(channel);
+                        FrameCodec codec = new FrameCodec(meter);
                         channel.pipeline()
-                                .addLast(new FrameCodec(meter))
-                                .addLast(new InboundConnection(self.get(), handlers, writeMeter));
+                                .addLast(new FrameWriter(uplink, codec, writeMeter))
+                                .addLast(codec)
+                                .addLast(new InboundConnection(self.get(), handlers));
                     }
                 })
                 .bind(listenAddress.ip(), listenAddress.port())
