Send long answers before a stopping daemon closes its links

Change: Uplink.whenIdle, which the drain of the gate waits for.

Ruled out: responses to callers, which the drain of the ingress waits for already.

--- a/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
+++ b/org.coriandercrank.daemon/src/main/java/org/coriandercrank/daemon/DaemonHost.java
@@ -268,9 +268,12 @@
         gate.stopSending();
     }
 
-    /** Rejects new requests to the backend server; completes when no request to it is queued or in flight. */
+    /**
+     * Rejects new requests to the backend server; completes when no request to it is queued or in flight and its answers
+     * have been sent.
+     */
     public CompletableFuture<Void> drainGate() {
-        return gate.drain();
+        return gate.drain().thenCompose(done -> services.uplink().whenIdle());
     }
 
     /** Continues to serve callers, but closes each of their connections with its next response. */
--- a/org.coriandercrank.scheduling.test/src/test/java/org/coriandercrank/scheduling/link/UplinkTest.java
+++ b/org.coriandercrank.scheduling.test/src/test/java/org/coriandercrank/scheduling/link/UplinkTest.java
@@ -6,8 +6,10 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.coriandercrank.kernel.time.MonotonicClock;
 import org.coriandercrank.kernel.time.TimerService;
 import org.junit.jupiter.api.Test;
@@ -164,4 +166,19 @@
         assertThat(sender.sentBytes).isEqualTo(sentBefore);
         assertThat(uplink.backlogBytes()).isZero();
     }
+
+    @Test
+    void drainWaitsForTheLastPiece() {
+        CountingSender first = start(50_000);
+        CountingSender second = start(100_000);
+        CompletableFuture<Void> idle = uplink.whenIdle();
+        AtomicInteger sentWhenIdle = new AtomicInteger();
+        idle.thenRun(() -> sentWhenIdle.set(first.sentBytes + second.sentBytes));
+        timers.advanceMs(100);
+        assertThat(first.sentBytes).isEqualTo(50_000);
+        assertThat(idle).isNotDone();
+        timers.advanceMs(100);
+        assertThat(sentWhenIdle).hasValue(150_000);
+        assertThat(uplink.whenIdle()).isCompleted();
+    }
 }
--- a/org.coriandercrank.scheduling/src/main/java/org/coriandercrank/scheduling/link/Uplink.java
+++ b/org.coriandercrank.scheduling/src/main/java/org/coriandercrank/scheduling/link/Uplink.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.coriandercrank.kernel.time.TimerService;
 
@@ -89,6 +90,9 @@
 
     private boolean wakeUpScheduled;
 
+    /** Completed when no long message remains; null if nobody waits for that. */
+    private CompletableFuture<Void> idle;
+
     private Uplink() {
         timers = null;
         bytesPerMs = Double.POSITIVE_INFINITY;
@@ -146,6 +150,32 @@
         return transfer;
     }
 
+    /** Completes when no long message remains; the last piece has then been passed to its sender. */
+    public CompletableFuture<Void> whenIdle() {
+        synchronized (lock) {
+            if (transfers.isEmpty()) {
+                return CompletableFuture.completedFuture(null);
+            }
+            if (idle == null) {
+                idle = new CompletableFuture<>();
+            }
+            return idle.copy();
+        }
+    }
+
+    /** Completes {@link #idle} without the lock, because those who wait run at once. */
+    private void completeIfIdle() {
+        CompletableFuture<Void> completed;
+        synchronized (lock) {
+            if (!transfers.isEmpty() || idle == null) {
+                return;
+            }
+            completed = idle;
+            idle = null;
+        }
+        completed.complete(null);
+    }
+
     /** Bytes of long messages that are not sent yet. */
     public long backlogBytes() {
         synchronized (lock) {
@@ -168,6 +198,7 @@
                 backlogBytes -= transfer.remainingBytes;
             }
         }
+        completeIfIdle();
     }
 
     private void occupy(long bytes, long nowNanos) {
@@ -179,6 +210,7 @@
         for (Piece piece = nextPiece(); piece != null; piece = nextPiece()) {
             piece.sender().send(piece.bytes());
         }
+        completeIfIdle();
     }
 
     /** The next piece, if the link is free for it; schedules a wake-up if messages remain. */
