Refuse long answers that the link would send late in the objective

Cause: LinkForecast left no time for the network between caller and gate, and answers are up to six times longer than the mean by which it decides.

Change: an answer is expected within three quarters of the objective. A shorter queue keeps the link as busy.

DownloadsBeyondLinkTest passes; it requires nine tenths of the link's rate. Ruled out: the second crossing of the answer, counted before.

--- a/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/LinkForecast.java
+++ b/org.coriandercrank.gate/src/main/java/org/coriandercrank/gate/internal/LinkForecast.java
@@ -21,6 +21,9 @@
     /** An answer leaves this host and, as a rule, that of the daemon to which its caller is connected. */
     private static final int LINKS_PER_ANSWER = 2;
 
+    /** Part of the objective within which an answer is expected; the rest is for the network and longer answers. */
+    private static final double OBJECTIVE_SHARE = 0.75;
+
     private static final long MIN_RETRY_AFTER_MS = 50;
 
     /** Upper bound of the retry-after time, because the load cannot be predicted for longer. */
@@ -62,7 +65,8 @@
         }
         double occupiedMs = uplink.transferMs(admittedBytes());
         double latestMs = Math.min(
-                remainingMs, rules.map(RequestRules::latencyObjectiveMs).orElse(Long.MAX_VALUE));
+                (double) remainingMs,
+                rules.map(r -> OBJECTIVE_SHARE * r.latencyObjectiveMs()).orElse(Double.POSITIVE_INFINITY));
         double lateMs = Math.max((double) executedAfterMs, occupiedMs) + LINKS_PER_ANSWER * answerMs - latestMs;
         if (occupiedMs == 0 || lateMs <= 0) {
             return Optional.empty();
