Pass answers on closed connections past the link; state the cause

Found by reading: an answer to a connection that has closed meanwhile was paced like others, so that its bytes took a part of the link for nobody. Callers on other connections waited longer for it.

Change: such answers fail at once, as before the pacing.

Ruled out: a cancelled transfer, which already gave up its place (test closedConnectionGivesUpItsPlaceOnTheLink).

--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/PacedResponseWriter.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/PacedResponseWriter.java
@@ -54,7 +54,7 @@
     private void passOn() {
         while (!waiting.isEmpty()) {
             Write first = waiting.peekFirst();
-            if (uplink.isLong(first.bytes())) {
+            if (uplink.isLong(first.bytes()) && context.channel().isActive()) {
                 transfer = uplink.start(first.bytes(), this);
                 return;
             }
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/FrameWriter.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/FrameWriter.java
@@ -49,7 +49,9 @@
         }
         int bytes = frame.readableBytes();
         meter.onWrite(context.channel(), bytes, promise);
-        if (uplink.isLong(bytes) && codec.peerAcceptsPieces()) {
+        if (uplink.isLong(bytes)
+                && codec.peerAcceptsPieces()
+                && context.channel().isActive()) {
             longFrames.add(new LongFrame(frame, promise));
             if (longFrames.size() == 1) {
                 startTransfer();
