Let messages of receivers that take nothing not count as work of the link

Callers would be refused downloads by a host whose link is free: a caller that does not read holds its response in Uplink, and the gate counted it as time for which the link is occupied, for as long as the connection lasts. It would also have kept a stopping daemon until its grace period ends. Found by reading.

Change: a message whose receiver has taken nothing for half a second counts neither for admission nor for the end of the daemon. Senders tell when they are ready again, in place of a poll every 5 ms that such a caller would keep up.

Ruled out: responses on other connections, which a blocked one did not hold up.

--- a/org.coriandercrank.http/src/main/java/org/coriandercrank/http/PacedResponseWriter.java
+++ b/org.coriandercrank.http/src/main/java/org/coriandercrank/http/PacedResponseWriter.java
@@ -84,7 +84,10 @@
         boolean last = bytes == buffer.readableBytes();
         ChannelFuture written =
                 last ? context.write(buffer, first.promise()) : context.write(buffer.readRetainedSlice(bytes));
-        written.addListener(done -> pieceWaiting = false);
+        written.addListener(done -> {
+            pieceWaiting = false;
+            uplink.onReady();
+        });
         if (last) {
             waiting.removeFirst();
             passOn();
--- a/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/FrameWriter.java
+++ b/org.coriandercrank.peer/src/main/java/org/coriandercrank/peer/internal/FrameWriter.java
@@ -93,7 +93,10 @@
         ChannelFuture written = last
                 ? context.writeAndFlush(frame.bytes(), frame.promise())
                 : context.writeAndFlush(frame.bytes().readRetainedSlice(bytes));
-        written.addListener(done -> pieceWaiting = false);
+        written.addListener(done -> {
+            pieceWaiting = false;
+            uplink.onReady();
+        });
         if (last) {
             longFrames.removeFirst();
             startTransfer();
--- a/org.coriandercrank.scheduling.test/src/test/java/org/coriandercrank/scheduling/link/UplinkTest.java
+++ b/org.coriandercrank.scheduling.test/src/test/java/org/coriandercrank/scheduling/link/UplinkTest.java
@@ -149,11 +149,29 @@
         assertThat(other.sentBytes).isEqualTo(100_000);
         assertThat(blocked.sentBytes).isEqualTo(sentBefore);
         blocked.ready = true;
+        uplink.onReady();
         timers.advanceMs(100);
         assertThat(blocked.sentBytes).isEqualTo(50_000);
         assertThat(uplink.backlogBytes()).isZero();
     }
 
+    /** A caller that does not read must neither count as load of the link nor delay the end of the daemon. */
+    @Test
+    void messageOfAReceiverThatTakesNothingDoesNotCount() {
+        CountingSender stalled = start(50_000);
+        stalled.ready = false;
+        timers.advanceMs(200);
+        assertThat(uplink.backlogBytes()).isPositive();
+        CompletableFuture<Void> idle = uplink.whenIdle();
+        timers.advanceMs(400);
+        assertThat(uplink.backlogBytes()).isZero();
+        assertThat(idle).isCompleted();
+        stalled.ready = true;
+        uplink.onReady();
+        timers.advanceMs(100);
+        assertThat(stalled.sentBytes).isEqualTo(50_000);
+    }
+
     @Test
     void cancelledTransferIsNotContinued() {
         CountingSender sender = new CountingSender();
--- a/org.coriandercrank.scheduling/src/main/java/org/coriandercrank/scheduling/link/Uplink.java
+++ b/org.coriandercrank.scheduling/src/main/java/org/coriandercrank/scheduling/link/Uplink.java
@@ -24,7 +24,7 @@
 
     /** Writes a long message; the bytes of one message are sent in order. */
     public interface Sender {
-        /** Whether the previous piece has left the process. */
+        /** Whether the previous piece has left the process; {@link #onReady} is called when that changes to true. */
         boolean isReady();
 
         /** Sends the next bytes of the message. */
@@ -36,6 +36,8 @@
         private final Sender sender;
         private final long dueNanos;
         private long remainingBytes;
+        private boolean blocked;
+        private long blockedSinceNanos;
 
         private Transfer(Sender sender, long bytes, long dueNanos) {
             this.sender = sender;
@@ -43,6 +45,20 @@
             this.dueNanos = dueNanos;
         }
 
+        /** Notes whether the sender takes the piece that the link is free for. */
+        private boolean isReady(long nowNanos) {
+            boolean ready = sender.isReady();
+            if (!ready && !blocked) {
+                blockedSinceNanos = nowNanos;
+            }
+            blocked = !ready;
+            return ready;
+        }
+
+        private boolean isStalled(long nowNanos) {
+            return blocked && !sender.isReady() && nowNanos - blockedSinceNanos > STALL_NANOS;
+        }
+
         /** Ends the transfer before its last byte; no effect after it. */
         public void cancel() {
             remove(this);
@@ -68,8 +84,10 @@
     /** Short messages delay the long ones by this time at most, so that these go on in any case. */
     private static final long MAX_DEBT_NANOS = TimeUnit.MILLISECONDS.toNanos(10 * PIECE_MS);
 
-    /** Wait while no connection can take a piece. */
-    private static final long BLOCKED_RETRY_MS = 5;
+    /** A message whose receiver has taken nothing for this time does not count as work of the link. */
+    private static final long STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    private static final long IDLE_POLL_MS = 20;
 
     private static final double BITS_PER_BYTE = 8;
 
@@ -83,16 +101,11 @@
     private final Object lock = new Object();
 
     private final List<Transfer> transfers = new ArrayList<>();
-    private long backlogBytes;
-
     /** Time at which all bytes sent so far have left the host. */
     private long freeAtNanos;
 
     private boolean wakeUpScheduled;
 
-    /** Completed when no long message remains; null if nobody waits for that. */
-    private CompletableFuture<Void> idle;
-
     private Uplink() {
         timers = null;
         bytesPerMs = Double.POSITIVE_INFINITY;
@@ -144,42 +157,39 @@
             transfer = new Transfer(sender, bytes, dueNanos);
             transfers.add(transfer);
             transfers.sort(Comparator.comparingLong(waiting -> waiting.dueNanos - dueNanos));
-            backlogBytes += bytes;
         }
         sendPieces();
         return transfer;
     }
 
-    /** Completes when no long message remains; the last piece has then been passed to its sender. */
+    /** Continues with the messages of a sender that has become ready. */
+    public void onReady() {
+        sendPieces();
+    }
+
+    /** Completes when the last piece of all long messages was passed to its sender, except stalled ones. */
     public CompletableFuture<Void> whenIdle() {
-        synchronized (lock) {
-            if (transfers.isEmpty()) {
-                return CompletableFuture.completedFuture(null);
-            }
-            if (idle == null) {
-                idle = new CompletableFuture<>();
-            }
-            return idle.copy();
-        }
+        CompletableFuture<Void> idle = new CompletableFuture<>();
+        completeWhenIdle(idle);
+        return idle;
     }
 
-    /** Completes {@link #idle} without the lock, because those who wait run at once. */
-    private void completeIfIdle() {
-        CompletableFuture<Void> completed;
-        synchronized (lock) {
-            if (!transfers.isEmpty() || idle == null) {
-                return;
-            }
-            completed = idle;
-            idle = null;
+    private void completeWhenIdle(CompletableFuture<Void> idle) {
+        if (backlogBytes() == 0) {
+            idle.complete(null);
+        } else {
+            timers.once(IDLE_POLL_MS, Runnable::run, () -> completeWhenIdle(idle));
         }
-        completed.complete(null);
     }
 
-    /** Bytes of long messages that are not sent yet. */
+    /** Bytes of long messages that are not sent yet, without those whose receivers have taken nothing for a while. */
     public long backlogBytes() {
         synchronized (lock) {
-            return backlogBytes;
+            long bytes = 0;
+            for (Transfer transfer : transfers) {
+                bytes += transfer.isStalled(timers.clock().nowNanos()) ? 0 : transfer.remainingBytes;
+            }
+            return bytes;
         }
     }
 
@@ -194,11 +204,8 @@
 
     private void remove(Transfer transfer) {
         synchronized (lock) {
-            if (transfers.remove(transfer)) {
-                backlogBytes -= transfer.remainingBytes;
-            }
+            transfers.remove(transfer);
         }
-        completeIfIdle();
     }
 
     private void occupy(long bytes, long nowNanos) {
@@ -210,10 +217,9 @@
         for (Piece piece = nextPiece(); piece != null; piece = nextPiece()) {
             piece.sender().send(piece.bytes());
         }
-        completeIfIdle();
     }
 
-    /** The next piece, if the link is free for it; schedules a wake-up if messages remain. */
+    /** The next piece, if the link is free for it and a sender is ready; schedules a wake-up if the link is not free. */
     private Piece nextPiece() {
         synchronized (lock) {
             if (transfers.isEmpty()) {
@@ -225,11 +231,10 @@
                 return null;
             }
             for (Transfer transfer : transfers) {
-                if (transfer.sender.isReady()) {
+                if (transfer.isReady(nowNanos)) {
                     return take(transfer, nowNanos);
                 }
             }
-            wakeUpAfter(TimeUnit.MILLISECONDS.toNanos(BLOCKED_RETRY_MS));
             return null;
         }
     }
@@ -237,7 +242,6 @@
     private Piece take(Transfer transfer, long nowNanos) {
         int bytes = (int) Math.min(pieceBytes, transfer.remainingBytes);
         transfer.remainingBytes -= bytes;
-        backlogBytes -= bytes;
         if (transfer.remainingBytes == 0) {
             transfers.remove(transfer);
         }
